The table service's own protocol moves to fireflydeck/tables

Cause: fireflydeck/platform/ is to be the adapter to the users' platform and nothing else. Ran: the packages' tests of tables and configuration, passed.

--- a/fireflydeck/configuration/commit_gate.py
+++ b/fireflydeck/configuration/commit_gate.py
@@ -21,7 +21,7 @@
     Reason,
 )
 from fireflydeck.kernel import Registry, Service
-from fireflydeck.platform import Transaction
+from fireflydeck.tables import Transaction
 
 __all__ = ["CommitGate"]
 
--- a/fireflydeck/configuration/store.py
+++ b/fireflydeck/configuration/store.py
@@ -25,7 +25,7 @@
     from_plain,
     to_plain,
 )
-from fireflydeck.platform import ABSENT, Check, Delete, Put, Row, TableService, Transaction
+from fireflydeck.tables import ABSENT, Check, Delete, Put, Row, TableService, Transaction
 
 __all__ = ["LOG_LENGTH", "ConfigurationStore", "VersionedStore"]
 
--- a/fireflydeck/configuration/tests/test_attestation.py
+++ b/fireflydeck/configuration/tests/test_attestation.py
@@ -11,8 +11,8 @@
 from fireflydeck.configuration.commit_gate import CommitGate
 from fireflydeck.core import Failure, Member, MemberRole, Pool, Reason
 from fireflydeck.kernel import EventLog
-from fireflydeck.platform import Transaction
 from fireflydeck.standins.memory_tables import MemoryTables
+from fireflydeck.tables import Transaction
 from fireflydeck.testing import FakeClock, FakeTableService, StoreFault
 
 BOUND_MS = FollowerOptions().freshness_bound_ms
--- a/fireflydeck/configuration/tests/test_follower.py
+++ b/fireflydeck/configuration/tests/test_follower.py
@@ -5,7 +5,7 @@
 from fireflydeck.configuration import ConfigurationFollower, ConfigurationStore, FollowerOptions
 from fireflydeck.core import Configuration, Pool
 from fireflydeck.kernel import EventLog
-from fireflydeck.platform import Delete, Put, Transaction
+from fireflydeck.tables import Delete, Put, Transaction
 from fireflydeck.testing import FakeClock, FakeTableService
 
 BOUND_MS = FollowerOptions().freshness_bound_ms
--- a/fireflydeck/configuration/tests/test_store.py
+++ b/fireflydeck/configuration/tests/test_store.py
@@ -5,7 +5,7 @@
 
 from fireflydeck.configuration import ConfigurationStore
 from fireflydeck.core import Configuration, Failure, Pool, Ran, Reason
-from fireflydeck.platform import ABSENT, Check, Put, Transaction
+from fireflydeck.tables import ABSENT, Check, Put, Transaction
 from fireflydeck.testing import FakeClock, FakeTableService, StoreFault
 
 
--- a/fireflydeck/controller/changes.py
+++ b/fireflydeck/controller/changes.py
@@ -13,7 +13,7 @@
 from fireflydeck.controller.limits import limit_transaction
 from fireflydeck.core import Configuration, ConfigurationChange, Failure, Reason
 from fireflydeck.kernel import Event, EventLog, Service
-from fireflydeck.platform import TableService, Transaction
+from fireflydeck.tables import TableService, Transaction
 
 __all__ = ["Committed", "ConfigurationService"]
 
--- a/fireflydeck/controller/edit.py
+++ b/fireflydeck/controller/edit.py
@@ -7,8 +7,8 @@
 
 from fireflydeck.configuration.rules import Problem
 from fireflydeck.core import Configuration, Entity, EntityKey, Failure, Reason
-from fireflydeck.platform import Transaction
 from fireflydeck.sheet import RowProblem
+from fireflydeck.tables import Transaction
 
 __all__ = ["AsyncEditBuilder", "Conflict", "Edit", "EditBuilder", "Refusal", "refuse"]
 
--- a/fireflydeck/controller/limits.py
+++ b/fireflydeck/controller/limits.py
@@ -8,7 +8,7 @@
 
 from fireflydeck.controller.edit import Edit
 from fireflydeck.core import Configuration, EntityKey, Failure, Team
-from fireflydeck.platform import ABSENT, Check, Put, TableService, Transaction
+from fireflydeck.tables import ABSENT, Check, Put, TableService, Transaction
 
 __all__ = ["ALLOTMENTS_TABLE", "limit_transaction"]
 
--- a/fireflydeck/controller/maintenance.py
+++ b/fireflydeck/controller/maintenance.py
@@ -28,9 +28,9 @@
 from fireflydeck.core import Clock, Configuration, Member, MemberRole, Pool, Vm, VmState
 from fireflydeck.kernel import Event, EventLog, Registry, Service
 from fireflydeck.peers import rank_owners
-from fireflydeck.platform import Transaction
 from fireflydeck.policy.maintenance import MaintenanceInputs, MaintenanceLimits, plan_maintenance
 from fireflydeck.policy.maintenance_progress import PoolProgress, maintenance_progress
+from fireflydeck.tables import Transaction
 
 __all__ = ["MaintenanceOptions", "MaintenanceService"]
 
--- a/fireflydeck/controller/maintenance_edits.py
+++ b/fireflydeck/controller/maintenance_edits.py
@@ -14,7 +14,7 @@
     forget_first_seen,
 )
 from fireflydeck.core import Configuration, Vm, VmState
-from fireflydeck.platform import Transaction
+from fireflydeck.tables import Transaction
 
 __all__ = [
     "RULE_BACK",
--- a/fireflydeck/controller/maintenance_rows.py
+++ b/fireflydeck/controller/maintenance_rows.py
@@ -6,7 +6,7 @@
 from expression import Error, Ok, Result
 
 from fireflydeck.core import ConversionError, Failure, Reason, from_plain, to_plain
-from fireflydeck.platform import ABSENT, Check, Delete, Put, Row, TableService, Transaction
+from fireflydeck.tables import ABSENT, Check, Delete, Put, Row, TableService, Transaction
 
 __all__ = [
     "MaintenanceRow",
--- a/fireflydeck/controller/maintenance_windows.py
+++ b/fireflydeck/controller/maintenance_windows.py
@@ -20,8 +20,8 @@
     to_plain,
 )
 from fireflydeck.kernel import Registry, Service
-from fireflydeck.platform import ABSENT, Check, Delete, Put, Row, Transaction
 from fireflydeck.policy.windows import NotedWindow, WindowAction, WindowDecision, plan_windows
+from fireflydeck.tables import ABSENT, Check, Delete, Put, Row, Transaction
 
 __all__ = ["WindowService"]
 
--- a/fireflydeck/controller/sheets.py
+++ b/fireflydeck/controller/sheets.py
@@ -6,8 +6,8 @@
 from fireflydeck.controller.changes import ConfigurationService
 from fireflydeck.controller.edit import Edit, Refusal
 from fireflydeck.core import Configuration, EntityKey, Failure, Reason
-from fireflydeck.platform import ABSENT, Check, Put, Row, TableService, Transaction
 from fireflydeck.sheet import Plan, RowProblem, Sheet, parse_sheet, plan
+from fireflydeck.tables import ABSENT, Check, Put, Row, TableService, Transaction
 
 __all__ = ["AppliedPlan", "SheetService"]
 
--- a/fireflydeck/controller/tests/test_store_faults.py
+++ b/fireflydeck/controller/tests/test_store_faults.py
@@ -4,7 +4,7 @@
 
 from fireflydeck.controller.tests.operator import on_site
 from fireflydeck.core import Pool, Vm, VmState
-from fireflydeck.platform import Put, Transaction
+from fireflydeck.tables import Put, Transaction
 from fireflydeck.testing import StoreFault
 
 # Faults of the store.
--- a/fireflydeck/dispatcher/fleet_allotments.py
+++ b/fireflydeck/dispatcher/fleet_allotments.py
@@ -21,13 +21,13 @@
 from fireflydeck.core import Clock, Configuration, Failure, Ran, Reason, Team
 from fireflydeck.dispatcher.allotments import Allotments
 from fireflydeck.kernel import Metrics, Registry, Service
-from fireflydeck.platform import ABSENT, Check, Put, Row, TableService, Transaction
 from fireflydeck.policy.allotment import (
     AllotmentChange,
     AllotmentRow,
     AllotmentUsage,
     next_grant,
 )
+from fireflydeck.tables import ABSENT, Check, Put, Row, TableService, Transaction
 
 __all__ = ["ALLOTMENTS_TABLE", "FleetAllotments"]
 
--- a/fireflydeck/dispatcher/group_commit.py
+++ b/fireflydeck/dispatcher/group_commit.py
@@ -9,7 +9,7 @@
 from expression import Result
 
 from fireflydeck.core import Clock, Failure, Reason
-from fireflydeck.platform import ABSENT, Check, Put, TableService, Transaction
+from fireflydeck.tables import ABSENT, Check, Put, TableService, Transaction
 
 __all__ = ["GroupCommit"]
 
--- a/fireflydeck/dispatcher/idempotency.py
+++ b/fireflydeck/dispatcher/idempotency.py
@@ -18,7 +18,7 @@
 from fireflydeck.core import Answer, Clock, Failure, Header, Ran, Reason, Request
 from fireflydeck.dispatcher.group_commit import GroupCommit
 from fireflydeck.kernel import Metrics, Registry, Service
-from fireflydeck.platform import Check, Delete, ObjectStore, Put, Row, TableService, Transaction
+from fireflydeck.tables import Check, Delete, ObjectStore, Put, Row, TableService, Transaction
 
 __all__ = ["IDEMPOTENCY_TABLE", "Claim", "IdempotencyKeys", "request_digest"]
 
--- a/fireflydeck/dispatcher/tests/test_fleet_allotments.py
+++ b/fireflydeck/dispatcher/tests/test_fleet_allotments.py
@@ -11,9 +11,9 @@
 from fireflydeck.dispatcher.fleet_allotments import FleetAllotments
 from fireflydeck.dispatcher.tests.fakes import FakeView
 from fireflydeck.kernel import Metrics, Registry
-from fireflydeck.platform import Put, TableService, Transaction
 from fireflydeck.policy.allotment import AllotmentRow, reclaim
 from fireflydeck.standins.memory_tables import MemoryTables
+from fireflydeck.tables import Put, TableService, Transaction
 from fireflydeck.testing import FakeClock, FakeTableService, StoreFault, build_configuration
 
 TEAM = "museum"
--- a/fireflydeck/history/explain.py
+++ b/fireflydeck/history/explain.py
@@ -18,7 +18,7 @@
 )
 from fireflydeck.history.decision import Decision, DecisionBatch, Input, Subject, SubjectKind
 from fireflydeck.history.history import batch_prefix
-from fireflydeck.platform import ObjectStore
+from fireflydeck.tables import ObjectStore
 
 __all__ = ["Explainer", "request_time_ms"]
 
--- a/fireflydeck/history/history.py
+++ b/fireflydeck/history/history.py
@@ -12,7 +12,7 @@
 from fireflydeck.core import Clock, to_plain
 from fireflydeck.history.decision import Decision, DecisionBatch, Input, Subject
 from fireflydeck.kernel import Event, EventLog, Metrics, Registry, Service
-from fireflydeck.platform import ObjectStore
+from fireflydeck.tables import ObjectStore
 
 __all__ = ["History", "HistoryOptions", "batch_prefix"]
 
--- a/fireflydeck/jobs/holder_watch.py
+++ b/fireflydeck/jobs/holder_watch.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from fireflydeck.jobs.rows import HolderLease
-from fireflydeck.platform import ABSENT
+from fireflydeck.tables import ABSENT
 
 __all__ = ["HolderWatch"]
 
--- a/fireflydeck/jobs/runner.py
+++ b/fireflydeck/jobs/runner.py
@@ -23,7 +23,7 @@
 from fireflydeck.jobs.transitions import take_over
 from fireflydeck.jobs.writer import BatchWriter
 from fireflydeck.kernel import Event, EventLog, Metrics, Registry, Service
-from fireflydeck.platform import Check
+from fireflydeck.tables import Check
 
 __all__ = ["JobRunner", "JobRunnerParts"]
 
--- a/fireflydeck/jobs/store.py
+++ b/fireflydeck/jobs/store.py
@@ -23,7 +23,7 @@
     open_entry,
     open_row,
 )
-from fireflydeck.platform import (
+from fireflydeck.tables import (
     ABSENT,
     Check,
     Delete,
--- a/fireflydeck/measure/change.py
+++ b/fireflydeck/measure/change.py
@@ -15,7 +15,7 @@
 from fireflydeck.measure.fleet_sheet import TODAY, FleetSize
 from fireflydeck.measure.observed_fleet import ROLES, ObservedFleet, RoleUse, observed_fleet
 from fireflydeck.measure.report import Report
-from fireflydeck.platform import open_platform
+from fireflydeck.tables import open_platform
 from fireflydeck.testing.processes import wait_until
 
 __all__ = ["measure_change"]
--- a/fireflydeck/recovery/allotment_reaper.py
+++ b/fireflydeck/recovery/allotment_reaper.py
@@ -9,9 +9,9 @@
 from fireflydeck.configuration import ConfigurationView
 from fireflydeck.core import Clock, Member, Vm
 from fireflydeck.kernel import Event, EventLog, Registry, Service
-from fireflydeck.platform import Check, Put, Row, TableService, Transaction
 from fireflydeck.policy.allotment import AllotmentRow, reclaim
 from fireflydeck.recovery.running_tasks import RunningTasks, TaskCount
+from fireflydeck.tables import Check, Put, Row, TableService, Transaction
 
 __all__ = ["AllotmentReaper", "AllotmentReaperOptions"]
 
--- a/fireflydeck/recovery/member_reaper.py
+++ b/fireflydeck/recovery/member_reaper.py
@@ -6,7 +6,7 @@
 from fireflydeck.configuration import Attestor, ConfigurationFollower, VersionedStore
 from fireflydeck.core import Clock, Member
 from fireflydeck.kernel import Event, EventLog, Registry, Service
-from fireflydeck.platform import VmList
+from fireflydeck.tables import VmList
 
 __all__ = ["MemberReaper", "MemberReaperOptions"]
 
--- a/fireflydeck/recovery/tests/test_allotment_reaper.py
+++ b/fireflydeck/recovery/tests/test_allotment_reaper.py
@@ -9,13 +9,13 @@
 from fireflydeck.configuration import ConfigurationView
 from fireflydeck.core import Failure, Member, MemberRole, Reason
 from fireflydeck.kernel import EventLog
-from fireflydeck.platform import Put, Transaction
 from fireflydeck.recovery import (
     AllotmentReaper,
     AllotmentReaperOptions,
     RunningTasks,
     TaskCount,
 )
+from fireflydeck.tables import Put, Transaction
 from fireflydeck.testing import FakeClock, FakeTableService, build_configuration
 
 GRACE_MS = AllotmentReaperOptions().grace_ms
--- a/fireflydeck/roles/process.py
+++ b/fireflydeck/roles/process.py
@@ -30,9 +30,9 @@
     PeerStatus,
 )
 from fireflydeck.peers.messages import ChangesReply, Message, PushConfiguration, RequestChanges
-from fireflydeck.platform import Platform, open_platform
 from fireflydeck.roles.attestor import PeerAttestor
 from fireflydeck.roles.stop_notice import StopNotice
+from fireflydeck.tables import Platform, open_platform
 
 __all__ = ["MemberView", "Process", "make_process"]
 
--- a/fireflydeck/sheet/tests/test_plan.py
+++ b/fireflydeck/sheet/tests/test_plan.py
@@ -19,8 +19,8 @@
     Vm,
     VmState,
 )
-from fireflydeck.platform import Delete, Transaction
 from fireflydeck.sheet import StepKind, export_sheet, parse_sheet, plan
+from fireflydeck.tables import Delete, Transaction
 from fireflydeck.testing import StoreFault, build_configuration, build_vm
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
--- a/fireflydeck/standins/lagging_vm_list.py
+++ b/fireflydeck/standins/lagging_vm_list.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 from fireflydeck.core import Clock
-from fireflydeck.platform import ListedVm
+from fireflydeck.tables import ListedVm
 
 __all__ = ["LaggingVmList"]
 
--- a/fireflydeck/standins/memory_tables.py
+++ b/fireflydeck/standins/memory_tables.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from itertools import islice, takewhile
 
-from fireflydeck.platform import ABSENT, Check, Row, Transaction
+from fireflydeck.tables import ABSENT, Check, Row, Transaction
 
 __all__ = ["MemoryTables"]
 
@@ -14,7 +14,7 @@
 
     Examples
     --------
-    >>> from fireflydeck.platform import Put
+    >>> from fireflydeck.tables import Put
     >>> tables = MemoryTables()
     >>> tables.commit(Transaction(checks=(Check("t", "a", ABSENT),), puts=(Put("t", "a", 1),)))
     ()
--- a/fireflydeck/standins/platform.py
+++ b/fireflydeck/standins/platform.py
@@ -9,12 +9,12 @@
 from starlette.routing import Route
 
 from fireflydeck.core import Clock, to_plain
-from fireflydeck.platform import Check, Delete, ListedVm, Put, Row, Transaction
 from fireflydeck.standins.answers import BreakableApp, NoAnswer
 from fireflydeck.standins.json_requests import read_object, read_update
 from fireflydeck.standins.lagging_vm_list import LaggingVmList
 from fireflydeck.standins.memory_tables import MemoryTables
 from fireflydeck.standins.token_bucket import TokenBucket
+from fireflydeck.tables import Check, Delete, ListedVm, Put, Row, Transaction
 
 __all__ = ["PlatformFaults", "PlatformStandIn"]
 
--- a/fireflydeck/standins/tests/test_memory_tables.py
+++ b/fireflydeck/standins/tests/test_memory_tables.py
@@ -2,10 +2,10 @@
 from hypothesis import strategies as st
 
 from fireflydeck.core import Clock
-from fireflydeck.platform import Delete, ListedVm, Put, Transaction
 from fireflydeck.standins.lagging_vm_list import LaggingVmList
 from fireflydeck.standins.memory_tables import MemoryTables
 from fireflydeck.standins.token_bucket import TokenBucket
+from fireflydeck.tables import Delete, ListedVm, Put, Transaction
 
 KEYS = st.text(alphabet="ab/\u00e9", max_size=3)
 WRITES = st.lists(st.tuples(st.sampled_from(["put", "delete"]), KEYS), max_size=30)
--- a/fireflydeck/platform/__init__.py
+++ b/fireflydeck/tables/__init__.py
@@ -1,11 +1,11 @@
 """The platform: interfaces and HTTP clients of table service, object store and VM list."""
 
-from fireflydeck.platform.http_client import Timeouts
-from fireflydeck.platform.http_objects import HttpObjectStore
-from fireflydeck.platform.http_platform import Platform, open_platform
-from fireflydeck.platform.http_tables import HttpTableService
-from fireflydeck.platform.http_vm_list import HttpVmList
-from fireflydeck.platform.interfaces import (
+from fireflydeck.tables.http_client import Timeouts
+from fireflydeck.tables.http_objects import HttpObjectStore
+from fireflydeck.tables.http_platform import Platform, open_platform
+from fireflydeck.tables.http_tables import HttpTableService
+from fireflydeck.tables.http_vm_list import HttpVmList
+from fireflydeck.tables.interfaces import (
     ABSENT,
     Check,
     Delete,
--- a/fireflydeck/platform/http_objects.py
+++ b/fireflydeck/tables/http_objects.py
@@ -4,8 +4,8 @@
 from expression import Result
 
 from fireflydeck.core import Failure
-from fireflydeck.platform.http_client import Call, HttpClient, parse_json, quote_key
-from fireflydeck.platform.interfaces import ObjectStore
+from fireflydeck.tables.http_client import Call, HttpClient, parse_json, quote_key
+from fireflydeck.tables.interfaces import ObjectStore
 
 __all__ = ["HttpObjectStore"]
 
--- a/fireflydeck/platform/http_platform.py
+++ b/fireflydeck/tables/http_platform.py
@@ -2,11 +2,11 @@
 
 from attrs import frozen
 
-from fireflydeck.platform.http_client import HttpClient, Timeouts
-from fireflydeck.platform.http_objects import HttpObjectStore
-from fireflydeck.platform.http_tables import HttpTableService
-from fireflydeck.platform.http_vm_list import HttpVmList
-from fireflydeck.platform.interfaces import ObjectStore, TableService, VmList
+from fireflydeck.tables.http_client import HttpClient, Timeouts
+from fireflydeck.tables.http_objects import HttpObjectStore
+from fireflydeck.tables.http_tables import HttpTableService
+from fireflydeck.tables.http_vm_list import HttpVmList
+from fireflydeck.tables.interfaces import ObjectStore, TableService, VmList
 
 __all__ = ["Platform", "open_platform"]
 
--- a/fireflydeck/platform/http_tables.py
+++ b/fireflydeck/tables/http_tables.py
@@ -7,8 +7,8 @@
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Failure, Reason
-from fireflydeck.platform.http_client import Call, HttpClient, parse_json, quote_key
-from fireflydeck.platform.interfaces import ABSENT, Check, Row, TableService, Transaction
+from fireflydeck.tables.http_client import Call, HttpClient, parse_json, quote_key
+from fireflydeck.tables.interfaces import ABSENT, Check, Row, TableService, Transaction
 
 __all__ = ["HttpTableService"]
 
--- a/fireflydeck/platform/http_vm_list.py
+++ b/fireflydeck/tables/http_vm_list.py
@@ -4,8 +4,8 @@
 from expression import Result
 
 from fireflydeck.core import Failure, from_plain
-from fireflydeck.platform.http_client import Call, HttpClient, parse_json
-from fireflydeck.platform.interfaces import ListedVm, VmList
+from fireflydeck.tables.http_client import Call, HttpClient, parse_json
+from fireflydeck.tables.interfaces import ListedVm, VmList
 
 __all__ = ["HttpVmList"]
 
--- a/fireflydeck/platform/tests/drivers.py
+++ b/fireflydeck/tables/tests/drivers.py
@@ -5,11 +5,11 @@
 
 import anyio
 
-from fireflydeck.platform import Timeouts, open_platform
 from fireflydeck.standins.fault_proxy import ProxyFault, ProxyMode
 from fireflydeck.standins.memory_tables import MemoryTables
 from fireflydeck.standins.platform import PlatformFaults, PlatformStandIn
 from fireflydeck.standins.runner import serve_fault_proxy, serve_platform
+from fireflydeck.tables import Timeouts, open_platform
 from fireflydeck.testing import FakeClock, FakeTableService, StoreFault
 
 TIMEOUTS = Timeouts(connect_ms=2_000, read_ms=200, total_ms=5_000)
--- a/fireflydeck/platform/tests/test_http_answers.py
+++ b/fireflydeck/tables/tests/test_http_answers.py
@@ -5,10 +5,10 @@
 from starlette.responses import Response
 
 from fireflydeck.core import Ran, Reason
-from fireflydeck.platform import ListedVm, Put, Timeouts, Transaction, open_platform
 from fireflydeck.standins.fault_proxy import ProxyFault, ProxyMode
 from fireflydeck.standins.platform import PlatformFaults, PlatformStandIn
 from fireflydeck.standins.runner import serve_app, serve_fault_proxy, serve_platform
+from fireflydeck.tables import ListedVm, Put, Timeouts, Transaction, open_platform
 from fireflydeck.testing import FakeClock, FakeObjectStore, FakeVmList
 
 pytestmark = pytest.mark.anyio
--- a/fireflydeck/platform/tests/test_table_contract.py
+++ b/fireflydeck/tables/tests/test_table_contract.py
@@ -4,8 +4,8 @@
 import pytest
 
 from fireflydeck.core import Ran, Reason
-from fireflydeck.platform import ABSENT, Check, Delete, Put, Transaction
-from fireflydeck.platform.tests.drivers import open_driver
+from fireflydeck.tables import ABSENT, Check, Delete, Put, Transaction
+from fireflydeck.tables.tests.drivers import open_driver
 
 pytestmark = pytest.mark.anyio
 
--- a/fireflydeck/testing/fakes.py
+++ b/fireflydeck/testing/fakes.py
@@ -6,8 +6,8 @@
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Failure, Ran, Reason
-from fireflydeck.platform import ListedVm, ObjectStore, Row, TableService, Transaction, VmList
 from fireflydeck.standins.memory_tables import MemoryTables
+from fireflydeck.tables import ListedVm, ObjectStore, Row, TableService, Transaction, VmList
 
 __all__ = ["FakeObjectStore", "FakeTableService", "FakeVmList", "StoreFault"]
 
