HTTP servers move to fireflydeck/web; core and kernel load without cattrs, starlette and hypercorn

Cause: a role on a small VM pays for every import (kernel: 32 MB and 0.32 s before). Only moved code and imports.

--- a/fireflydeck/configuration/store.py
+++ b/fireflydeck/configuration/store.py
@@ -16,15 +16,13 @@
     Clock,
     Configuration,
     ConfigurationChange,
-    ConversionError,
     Entity,
     EntityKey,
     Failure,
     Ran,
     Reason,
-    from_plain,
-    to_plain,
 )
+from fireflydeck.core.converter import ConversionError, from_plain, to_plain
 from fireflydeck.tables import ABSENT, Check, Delete, Put, Row, TableService, Transaction
 
 __all__ = ["LOG_LENGTH", "ConfigurationStore", "VersionedStore"]
--- a/fireflydeck/controller/app.py
+++ b/fireflydeck/controller/app.py
@@ -40,16 +40,8 @@
     refused,
 )
 from fireflydeck.controller.sheets import SheetService
-from fireflydeck.core import (
-    ENTITY_TYPES,
-    Configuration,
-    DataCentre,
-    EntityKey,
-    Failure,
-    Reason,
-    Vm,
-    to_plain,
-)
+from fireflydeck.core import ENTITY_TYPES, Configuration, DataCentre, EntityKey, Failure, Reason, Vm
+from fireflydeck.core.converter import to_plain
 from fireflydeck.kernel import EventLog
 from fireflydeck.policy.maintenance_progress import PoolProgress
 from fireflydeck.sheet import export_sheet
--- a/fireflydeck/controller/backend_control.py
+++ b/fireflydeck/controller/backend_control.py
@@ -7,7 +7,8 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
-from fireflydeck.core import ConversionError, Failure, Reason, Vm, from_plain
+from fireflydeck.core import Failure, Reason, Vm
+from fireflydeck.core.converter import ConversionError, from_plain
 
 __all__ = ["BackendControl", "BackendStatus", "HttpBackendControl"]
 
--- a/fireflydeck/controller/edits.py
+++ b/fireflydeck/controller/edits.py
@@ -11,7 +11,6 @@
 from fireflydeck.core import (
     ENTITY_TYPES,
     Configuration,
-    ConversionError,
     DataCentre,
     Entity,
     EntityKey,
@@ -21,9 +20,8 @@
     Team,
     Vm,
     VmState,
-    from_plain,
-    to_plain,
 )
+from fireflydeck.core.converter import ConversionError, from_plain, to_plain
 
 __all__ = [
     "KEY_ID_LENGTH",
--- a/fireflydeck/controller/maintenance_rows.py
+++ b/fireflydeck/controller/maintenance_rows.py
@@ -5,7 +5,8 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
-from fireflydeck.core import ConversionError, Failure, Reason, from_plain, to_plain
+from fireflydeck.core import Failure, Reason
+from fireflydeck.core.converter import ConversionError, from_plain, to_plain
 from fireflydeck.tables import ABSENT, Check, Delete, Put, Row, TableService, Transaction
 
 __all__ = [
--- a/fireflydeck/controller/maintenance_windows.py
+++ b/fireflydeck/controller/maintenance_windows.py
@@ -10,15 +10,8 @@
 from fireflydeck.controller.changes import ConfigurationService
 from fireflydeck.controller.edit import Edit, EditBuilder, Refusal
 from fireflydeck.controller.edits import expecting
-from fireflydeck.core import (
-    Clock,
-    Configuration,
-    ConversionError,
-    DataCentre,
-    EntityKey,
-    from_plain,
-    to_plain,
-)
+from fireflydeck.core import Clock, Configuration, DataCentre, EntityKey
+from fireflydeck.core.converter import ConversionError, from_plain, to_plain
 from fireflydeck.kernel import Registry, Service
 from fireflydeck.policy.windows import NotedWindow, WindowAction, WindowDecision, plan_windows
 from fireflydeck.tables import ABSENT, Check, Delete, Put, Row, Transaction
--- a/fireflydeck/controller/rendering.py
+++ b/fireflydeck/controller/rendering.py
@@ -4,7 +4,8 @@
 
 from fireflydeck.controller.edit import Refusal
 from fireflydeck.controller.edits import KEY_ID_LENGTH
-from fireflydeck.core import Configuration, Entity, EntityKey, Ran, Reason, Team, to_plain
+from fireflydeck.core import Configuration, Entity, EntityKey, Ran, Reason, Team
+from fireflydeck.core.converter import to_plain
 from fireflydeck.sheet import Plan, Step
 
 __all__ = [
--- a/fireflydeck/core/__init__.py
+++ b/fireflydeck/core/__init__.py
@@ -7,7 +7,6 @@
     ConfigurationChange,
     VersionGapError,
 )
-from fireflydeck.core.converter import ConversionError, from_plain, to_plain
 from fireflydeck.core.entities import (
     DataCentre,
     Entity,
@@ -32,7 +31,6 @@
     "Clock",
     "Configuration",
     "ConfigurationChange",
-    "ConversionError",
     "DataCentre",
     "Entity",
     "EntityKey",
@@ -56,6 +54,4 @@
     "Vm",
     "VmState",
     "end_to_end_headers",
-    "from_plain",
-    "to_plain",
 ]
--- a/fireflydeck/core/tests/test_converter.py
+++ b/fireflydeck/core/tests/test_converter.py
@@ -2,18 +2,8 @@
 
 import pytest
 
-from fireflydeck.core import (
-    ConfigurationChange,
-    ConversionError,
-    EntityKey,
-    Member,
-    MemberRole,
-    Team,
-    Vm,
-    VmState,
-    from_plain,
-    to_plain,
-)
+from fireflydeck.core import ConfigurationChange, EntityKey, Member, MemberRole, Team, Vm, VmState
+from fireflydeck.core.converter import ConversionError, from_plain, to_plain
 from fireflydeck.testing import build_vm
 
 ENTITIES = [
--- a/fireflydeck/gateway/exchange.py
+++ b/fireflydeck/gateway/exchange.py
@@ -11,7 +11,7 @@
 from fireflydeck.gateway.options import GatewayOptions
 from fireflydeck.gateway.parsing import caller_headers
 from fireflydeck.gateway.problem import make_problem
-from fireflydeck.kernel.timeout import run_within_ms
+from fireflydeck.web.timeout import run_within_ms
 
 __all__ = ["CallerGoneError", "Exchange", "Receive", "Scope", "Send"]
 
--- a/fireflydeck/gateway/router.py
+++ b/fireflydeck/gateway/router.py
@@ -8,8 +8,8 @@
 from fireflydeck.configuration import ConfigurationView
 from fireflydeck.core import Answer, Clock, Failure, Member, Ran, Reason, Request
 from fireflydeck.kernel import Event, EventLog, Metrics
-from fireflydeck.kernel.timeout import run_within_ms
 from fireflydeck.peers import OwnerRanking, PeerClient
+from fireflydeck.web.timeout import run_within_ms
 
 __all__ = ["Router", "RouterOptions"]
 
--- a/fireflydeck/history/explain.py
+++ b/fireflydeck/history/explain.py
@@ -7,15 +7,8 @@
 from expression import Error, Ok, Result
 
 from fireflydeck.configuration import VersionedStore
-from fireflydeck.core import (
-    Clock,
-    ConfigurationChange,
-    ConversionError,
-    EntityKey,
-    Failure,
-    Reason,
-    from_plain,
-)
+from fireflydeck.core import Clock, ConfigurationChange, EntityKey, Failure, Reason
+from fireflydeck.core.converter import ConversionError, from_plain
 from fireflydeck.history.decision import Decision, DecisionBatch, Input, Subject, SubjectKind
 from fireflydeck.history.history import batch_prefix
 from fireflydeck.tables import ObjectStore
--- a/fireflydeck/history/history.py
+++ b/fireflydeck/history/history.py
@@ -9,7 +9,8 @@
 from attrs import frozen
 
 from fireflydeck.configuration import ConfigurationView
-from fireflydeck.core import Clock, to_plain
+from fireflydeck.core import Clock
+from fireflydeck.core.converter import to_plain
 from fireflydeck.history.decision import Decision, DecisionBatch, Input, Subject
 from fireflydeck.kernel import Event, EventLog, Metrics, Registry, Service
 from fireflydeck.tables import ObjectStore
--- a/fireflydeck/jobs/store.py
+++ b/fireflydeck/jobs/store.py
@@ -7,7 +7,8 @@
 from attrs import evolve, frozen
 from expression import Error, Ok, Result
 
-from fireflydeck.core import Clock, Failure, Ran, Reason, from_plain, to_plain
+from fireflydeck.core import Clock, Failure, Ran, Reason
+from fireflydeck.core.converter import from_plain, to_plain
 from fireflydeck.jobs.record import Body, JobRecord
 from fireflydeck.jobs.rows import (
     HOLDER_TABLE,
--- a/fireflydeck/jobs/tasks.py
+++ b/fireflydeck/jobs/tasks.py
@@ -12,7 +12,8 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
-from fireflydeck.core import ConversionError, Failure, Ran, Reason, from_plain
+from fireflydeck.core import Failure, Ran, Reason
+from fireflydeck.core.converter import ConversionError, from_plain
 
 __all__ = ["StartGuard", "TaskClient", "TaskStart", "TaskState", "TaskStatus"]
 
--- a/fireflydeck/peers/codec.py
+++ b/fireflydeck/peers/codec.py
@@ -5,14 +5,8 @@
 
 import msgpack
 
-from fireflydeck.core import (
-    ConversionError,
-    Failure,
-    FireflydeckError,
-    Reason,
-    from_plain,
-    to_plain,
-)
+from fireflydeck.core import Failure, FireflydeckError, Reason
+from fireflydeck.core.converter import ConversionError, from_plain, to_plain
 from fireflydeck.peers.messages import MESSAGE_TYPES, Message
 
 __all__ = ["LENGTH_BYTES", "SCHEMA_VERSION", "decode", "encode", "frame_length"]
--- a/fireflydeck/peers/connection.py
+++ b/fireflydeck/peers/connection.py
@@ -17,7 +17,6 @@
     Request,
 )
 from fireflydeck.kernel import Metrics
-from fireflydeck.kernel.timeout import run_within_ms
 from fireflydeck.peers.channel import Channel, Delivery
 from fireflydeck.peers.messages import (
     AnswerMessage,
@@ -32,6 +31,7 @@
     Submit,
 )
 from fireflydeck.peers.stream import MessageStream
+from fireflydeck.web.timeout import run_within_ms
 
 __all__ = ["ConnectionOptions", "PeerConnection"]
 
--- a/fireflydeck/peers/link.py
+++ b/fireflydeck/peers/link.py
@@ -10,7 +10,6 @@
 
 from fireflydeck.core import Clock, Failure, FireflydeckError, Member, Reason
 from fireflydeck.kernel import Event, EventLog, Metrics
-from fireflydeck.kernel.timeout import run_within_ms
 from fireflydeck.peers.connection import ConnectionOptions, PeerConnection
 from fireflydeck.peers.handshake import HANDSHAKE_FRAME_BYTES, greet_peer
 from fireflydeck.peers.identity import PeerIdentity
@@ -18,6 +17,7 @@
 from fireflydeck.peers.sockets import configure_socket, split_address
 from fireflydeck.peers.stream import DEFAULT_MAX_FRAME_BYTES, MessageStream
 from fireflydeck.peers.traffic import Traffic
+from fireflydeck.web.timeout import run_within_ms
 
 __all__ = ["LinkOptions", "LinkState", "PeerLink", "backoff_ms"]
 
--- a/fireflydeck/peers/listener.py
+++ b/fireflydeck/peers/listener.py
@@ -8,7 +8,6 @@
 
 from fireflydeck.core import Clock, ConfigurationChange, Failure, FireflydeckError, Reason
 from fireflydeck.kernel import Event, EventLog, Metrics, Registry, Service
-from fireflydeck.kernel.timeout import run_within_ms
 from fireflydeck.peers.handshake import HANDSHAKE_FRAME_BYTES, accept_peer
 from fireflydeck.peers.identity import PeerIdentity, PeerStatus
 from fireflydeck.peers.messages import (
@@ -28,6 +27,7 @@
 from fireflydeck.peers.sockets import configure_socket, format_address, split_address
 from fireflydeck.peers.stream import DEFAULT_MAX_FRAME_BYTES, MessageStream
 from fireflydeck.peers.traffic import Traffic
+from fireflydeck.web.timeout import run_within_ms
 
 __all__ = ["PeerListener", "PeerListenerOptions"]
 
--- a/fireflydeck/recovery/running_tasks.py
+++ b/fireflydeck/recovery/running_tasks.py
@@ -9,7 +9,8 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
-from fireflydeck.core import ConversionError, Failure, Reason, Vm, from_plain
+from fireflydeck.core import Failure, Reason, Vm
+from fireflydeck.core.converter import ConversionError, from_plain
 
 __all__ = ["HttpRunningTasks", "RunningTasks", "TaskCount", "TaskSurvey"]
 
--- a/fireflydeck/roles/controller.py
+++ b/fireflydeck/roles/controller.py
@@ -20,11 +20,11 @@
 )
 from fireflydeck.core import MemberRole
 from fireflydeck.history import Explainer
-from fireflydeck.kernel import HttpServer, HttpServerOptions
 from fireflydeck.policy.maintenance import MaintenanceLimits
 from fireflydeck.recovery import AllotmentReaper, HttpRunningTasks, MemberReaper
 from fireflydeck.roles.process import MemberView, Process, make_process
 from fireflydeck.roles.recording import explain_plain
+from fireflydeck.web import HttpServer, HttpServerOptions
 
 __all__ = ["run_controller"]
 
--- a/fireflydeck/roles/gateway.py
+++ b/fireflydeck/roles/gateway.py
@@ -11,10 +11,10 @@
 from fireflydeck.core import Failure, MemberRole
 from fireflydeck.gateway import Gateway, GatewayOptions, make_problem
 from fireflydeck.jobs import JobRouteParts, JobStore, job_routes
-from fireflydeck.kernel import HttpServer, HttpServerOptions
 from fireflydeck.roles.job_slots import OwnerNotifier
 from fireflydeck.roles.process import Process, make_process
 from fireflydeck.roles.recording import RecordingRouter
+from fireflydeck.web import HttpServer, HttpServerOptions
 
 __all__ = ["run_gateway"]
 
--- a/fireflydeck/roles/process.py
+++ b/fireflydeck/roles/process.py
@@ -19,7 +19,7 @@
 from fireflydeck.configuration.view import ConfigurationListener
 from fireflydeck.core import Configuration, ConfigurationChange, Member, MemberRole
 from fireflydeck.history import History
-from fireflydeck.kernel import HttpServer, HttpServerOptions, Kernel, admin_app, configure_logging
+from fireflydeck.kernel import Kernel, configure_logging
 from fireflydeck.peers import (
     LinkOptions,
     PeerClient,
@@ -33,6 +33,7 @@
 from fireflydeck.roles.attestor import PeerAttestor
 from fireflydeck.roles.stop_notice import StopNotice
 from fireflydeck.tables import Platform, open_platform
+from fireflydeck.web import HttpServer, HttpServerOptions, admin_app
 
 __all__ = ["MemberView", "Process", "make_process"]
 
--- a/fireflydeck/roles/recording.py
+++ b/fireflydeck/roles/recording.py
@@ -6,7 +6,8 @@
 from expression import Result
 
 from fireflydeck.configuration import ConfigurationView
-from fireflydeck.core import Answer, Failure, Queue, Request, to_plain
+from fireflydeck.core import Answer, Failure, Queue, Request
+from fireflydeck.core.converter import to_plain
 from fireflydeck.gateway import Router
 from fireflydeck.history import Explainer, History, Input, Subject, SubjectKind
 from fireflydeck.peers import RequestDispatcher
--- a/fireflydeck/standins/backend_server.py
+++ b/fireflydeck/standins/backend_server.py
@@ -11,7 +11,8 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from fireflydeck.core import Clock, to_plain
+from fireflydeck.core import Clock
+from fireflydeck.core.converter import to_plain
 from fireflydeck.standins.answers import BreakableApp
 from fireflydeck.standins.backend_faults import BackendFaults, break_answer
 from fireflydeck.standins.backend_tasks import (
--- a/fireflydeck/standins/json_requests.py
+++ b/fireflydeck/standins/json_requests.py
@@ -7,7 +7,7 @@
 from starlette.exceptions import HTTPException
 from starlette.requests import Request
 
-from fireflydeck.core import ConversionError, from_plain, to_plain
+from fireflydeck.core.converter import ConversionError, from_plain, to_plain
 
 __all__ = ["read_json", "read_object", "read_update"]
 
--- a/fireflydeck/standins/platform.py
+++ b/fireflydeck/standins/platform.py
@@ -8,7 +8,8 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from fireflydeck.core import Clock, to_plain
+from fireflydeck.core import Clock
+from fireflydeck.core.converter import to_plain
 from fireflydeck.standins.answers import BreakableApp, NoAnswer
 from fireflydeck.standins.json_requests import read_object, read_update
 from fireflydeck.standins.lagging_vm_list import LaggingVmList
--- a/fireflydeck/standins/proxy_control.py
+++ b/fireflydeck/standins/proxy_control.py
@@ -5,7 +5,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from fireflydeck.core import to_plain
+from fireflydeck.core.converter import to_plain
 from fireflydeck.standins.fault_proxy import FaultProxy
 from fireflydeck.standins.json_requests import read_update
 
--- a/fireflydeck/standins/runner.py
+++ b/fireflydeck/standins/runner.py
@@ -8,11 +8,12 @@
 from starlette.types import ASGIApp
 
 from fireflydeck.core import SystemClock
-from fireflydeck.kernel import Event, HttpServer, HttpServerOptions, Kernel, Registry, Service
+from fireflydeck.kernel import Event, Kernel, Registry, Service
 from fireflydeck.standins.backend_server import BackendServerSpec, BackendServerStandIn
 from fireflydeck.standins.fault_proxy import FaultProxy
 from fireflydeck.standins.platform import PlatformStandIn
 from fireflydeck.standins.proxy_control import proxy_control_app
+from fireflydeck.web import HttpServer, HttpServerOptions
 
 __all__ = [
     "run_backend_servers",
--- a/fireflydeck/tables/http_vm_list.py
+++ b/fireflydeck/tables/http_vm_list.py
@@ -3,7 +3,8 @@
 import httpx
 from expression import Result
 
-from fireflydeck.core import Failure, from_plain
+from fireflydeck.core import Failure
+from fireflydeck.core.converter import from_plain
 from fireflydeck.tables.http_client import Call, HttpClient, parse_json
 from fireflydeck.tables.interfaces import ListedVm, VmList
 
--- a/fireflydeck/testing/gateway.py
+++ b/fireflydeck/testing/gateway.py
@@ -10,9 +10,10 @@
 
 from fireflydeck.core import Queue, SystemClock, Team
 from fireflydeck.gateway import Gateway, GatewayOptions, Router, gateway_app, hash_key
-from fireflydeck.kernel import EventLog, HttpServer, HttpServerOptions, Metrics, Registry
+from fireflydeck.kernel import EventLog, Metrics, Registry
 from fireflydeck.testing.builders import build_configuration
 from fireflydeck.testing.peers import FakeView, PeerBench, run_peers
+from fireflydeck.web import HttpServer, HttpServerOptions
 
 __all__ = ["KEY", "GatewayBench", "run_gateway"]
 
--- a/fireflydeck/kernel/http_server.py
+++ b/fireflydeck/web/http_server.py
@@ -8,9 +8,9 @@
 from attrs import frozen
 from hypercorn.config import Config
 
-from fireflydeck.kernel.body_timeout import BodyTimeout
-from fireflydeck.kernel.http_connections import HttpConnections
 from fireflydeck.kernel.service import Registry, Service
+from fireflydeck.web.body_timeout import BodyTimeout
+from fireflydeck.web.http_connections import HttpConnections
 
 __all__ = ["HttpServer", "HttpServerOptions"]
 
--- a/fireflydeck/kernel/tests/test_http_server.py
+++ b/fireflydeck/web/tests/test_http_server.py
@@ -8,7 +8,8 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from fireflydeck.kernel import HttpServer, HttpServerOptions, Kernel, Service
+from fireflydeck.kernel import Kernel, Service
+from fireflydeck.web import HttpServer, HttpServerOptions
 
 pytestmark = pytest.mark.anyio
 
--- a/fireflydeck/kernel/tests/test_timeout.py
+++ b/fireflydeck/web/tests/test_timeout.py
@@ -2,8 +2,8 @@
 import pytest
 
 from fireflydeck.core import SystemClock
-from fireflydeck.kernel.timeout import run_within_ms
 from fireflydeck.testing import FakeClock
+from fireflydeck.web.timeout import run_within_ms
 
 
 async def value():
