--- a/fireflydeck/cli/main.py
+++ b/fireflydeck/cli/main.py
@@ -23,6 +23,7 @@
 
 usage: fireflydeck COMMAND [--SETTING=VALUE ...]
 
+  entry        serve callers and run the fleet from the platform's settings file
   gateway      serve callers
   dispatcher   queue work and send it to backend servers
   controller   serve operators and run maintenance
@@ -68,6 +69,12 @@
     fire.Fire(Roles, command=arguments, name="fireflydeck")
 
 
+def _run_entry(arguments: list[str]) -> None:
+    from fireflydeck.entry.role import run_entry  # noqa: PLC0415
+
+    fire.Fire({"entry": run_entry}, command=arguments, name="fireflydeck")
+
+
 def _run_ctl(arguments: list[str]) -> None:
     from fireflydeck.cli.ctl import run_ctl  # noqa: PLC0415
 
@@ -94,6 +101,8 @@
     command = arguments[0] if arguments else ""
     if command == "--version":
         print(__version__)
+    elif command == "entry":
+        _run_entry(arguments)
     elif command in _DAEMONS:
         _run_role(arguments)
     elif command == "ctl":
--- a/fireflydeck/core/clock.py
+++ b/fireflydeck/core/clock.py
@@ -14,13 +14,14 @@
 class Clock(ABC):
     """Source of time in milliseconds.
 
-    Intervals, timeouts and leases use `now_ms`; only records that people read, and maintenance
+    Intervals, timeouts and leases use `now_ms`, which also counts the time that the VM was
+    suspended; only records that people read, and maintenance
     windows, use `wall_ms`.
     """
 
     @abstractmethod
     def now_ms(self) -> int:
-        """Monotonic time in milliseconds; the origin has no meaning."""
+        """Monotonic time in milliseconds, suspension included; the origin has no meaning."""
 
     @abstractmethod
     def wall_ms(self) -> int:
@@ -35,8 +36,8 @@
     """The operating system's clocks."""
 
     def now_ms(self) -> int:
-        """Monotonic time in milliseconds."""
-        return time.monotonic_ns() // _NS_PER_MS
+        """Milliseconds since the start of the machine, suspension included."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
 
     def wall_ms(self) -> int:
         """Milliseconds since the Unix epoch."""
--- /dev/null
+++ b/fireflydeck/entry/intake.py
@@ -0,0 +1,189 @@
+"""Stores submissions and cancellations, and reads the state of jobs."""
+
+from enum import StrEnum
+
+from attrs import frozen
+from expression import Error, Ok, Result
+
+from fireflydeck.core import Clock, Failure, Ran, Reason
+from fireflydeck.core.rows import (
+    ABSENT_VERSION,
+    RowCondition,
+    RowKey,
+    RowStore,
+    RowTransaction,
+    RowWrite,
+    StoredRow,
+)
+from fireflydeck.workload.records import (
+    cancellation_key,
+    decode_outcome,
+    job_key,
+    outcome_key,
+    progress_key,
+)
+from fireflydeck.workload.specification import JobSpec, decode_job_spec, encode_job_spec
+
+__all__ = ["Intake", "StoredJob", "Submission"]
+
+_CALL_TIMEOUT_MS = 1200
+_MIN_CALL_MS = 50
+_RETRY_MS = 80
+_REFUSED_RETRIES_MS = 400
+"""How long calls that the store refused are repeated before the caller is refused."""
+
+
+class Submission(StrEnum):
+    """Outcome of a submission that is stored."""
+
+    ACCEPTED = "accepted"
+    KNOWN = "known"
+
+
+@frozen
+class StoredJob:
+    """A job as the store holds it; `state` is what callers see."""
+
+    organisation: str
+    queue: str
+    state: str
+
+
+class Intake:
+    """Writes callers' jobs to the store.
+
+    Failures carry `Ran.NO` if the job is certainly not stored and never will be.
+    """
+
+    def __init__(self, store: RowStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+
+    async def submit(self, spec: JobSpec, *, deadline_ms: int) -> Result[Submission, Failure]:
+        """Store a job; a job that is stored already is known, whatever path it came by.
+
+        Parameters
+        ----------
+        deadline_ms
+            Time on the process's clock until when the outcome is sought.
+        """
+        key = job_key(spec.job_id)
+        transaction = RowTransaction(
+            conditions=(RowCondition(key, ABSENT_VERSION),),
+            writes=(RowWrite(key, encode_job_spec(spec)),),
+        )
+        result = await self._commit(transaction, deadline_ms)
+        if result.is_ok():
+            return Ok(Submission.ACCEPTED)
+        if result.error.reason == Reason.CONFLICT:
+            return Ok(Submission.KNOWN)
+        return Error(result.error)
+
+    async def cancel(self, job_id: str, *, deadline_ms: int) -> Result[bool, Failure]:
+        """Store a cancellation; false if there is no such job."""
+        key = job_key(job_id)
+        while True:
+            rows = await self._job_rows(job_id, deadline_ms)
+            if rows.is_error():
+                return Error(rows.error)
+            by_key = {row.id: row for row in rows.ok}
+            if key not in by_key:
+                return Ok(False)
+            cancellation = cancellation_key(job_id)
+            if cancellation in by_key:
+                return Ok(True)
+            transaction = RowTransaction(
+                conditions=(
+                    RowCondition(key, by_key[key].version),
+                    RowCondition(cancellation, ABSENT_VERSION),
+                ),
+                writes=(RowWrite(cancellation, b"\0"),),
+            )
+            result = await self._commit(transaction, deadline_ms)
+            if result.is_ok():
+                return Ok(True)
+            if result.error.reason != Reason.CONFLICT:
+                return Error(result.error)
+
+    async def find(self, job_id: str, *, deadline_ms: int) -> Result[StoredJob | None, Failure]:
+        """Read a job, or `None` if there is none."""
+        rows = await self._job_rows(job_id, deadline_ms)
+        if rows.is_error():
+            return Error(rows.error)
+        by_key = {row.id: row for row in rows.ok}
+        row = by_key.get(job_key(job_id))
+        if row is None:
+            return Ok(None)
+        spec = decode_job_spec(row.value)
+        if cancellation_key(job_id) in by_key:
+            state = await self._ended_state(job_id, "cancelled", deadline_ms)
+        else:
+            state = await self._ended_state(job_id, "", deadline_ms)
+        return state.map(lambda text: StoredJob(spec.organisation, spec.queue, text))
+
+    async def _ended_state(
+        self, job_id: str, otherwise: str, deadline_ms: int
+    ) -> Result[str, Failure]:
+        """Return the stored outcome; without one `otherwise`, or what the progress tells."""
+        outcome = await self._row(outcome_key(job_id), deadline_ms)
+        if outcome.is_error():
+            return Error(outcome.error)
+        if outcome.ok is not None:
+            return Ok(decode_outcome(outcome.ok.value).value)
+        if otherwise:
+            return Ok(otherwise)
+        progress = await self._row(progress_key(job_id), deadline_ms)
+        return progress.map(lambda row: "queued" if row is None else "running")
+
+    async def _commit(self, transaction: RowTransaction, deadline_ms: int) -> Result[int, Failure]:
+        """Commit; repeated until the outcome is known or the deadline is near.
+
+        Once a call got no answer, a refusal of a later one says nothing about it: it may still
+        take effect. A conflict then means that it did, or that another caller's did.
+        """
+        started_ms = self._clock.now_ms()
+        uncertain: Failure | None = None
+        while True:
+            left_ms = deadline_ms - self._clock.now_ms()
+            result = await self._store.commit(
+                transaction, timeout_ms=max(_MIN_CALL_MS, min(_CALL_TIMEOUT_MS, left_ms))
+            )
+            if result.is_ok() or result.error.reason == Reason.CONFLICT:
+                return result
+            if result.error.ran == Ran.UNKNOWN:
+                uncertain = result.error
+            waited_ms = self._clock.now_ms() - started_ms
+            if uncertain is None and waited_ms > _REFUSED_RETRIES_MS:
+                return result
+            if self._clock.now_ms() + _RETRY_MS >= deadline_ms:
+                return Error(uncertain or result.error)
+            await self._clock.sleep_ms(_RETRY_MS)
+
+    async def _job_rows(
+        self, job_id: str, deadline_ms: int
+    ) -> Result[tuple[StoredRow, ...], Failure]:
+        key = job_key(job_id)
+        before = cancellation_key(job_id).key + "\0"
+        return await self._read(key.table, key.partition, key.key, before, deadline_ms)
+
+    async def _row(self, key: RowKey, deadline_ms: int) -> Result[StoredRow | None, Failure]:
+        result = await self._read(key.table, key.partition, key.key, key.key + "\0", deadline_ms)
+        return result.map(lambda rows: rows[0] if rows else None)
+
+    async def _read(
+        self, table: str, partition: str, first: str, before: str, deadline_ms: int
+    ) -> Result[tuple[StoredRow, ...], Failure]:
+        while True:
+            left_ms = deadline_ms - self._clock.now_ms()
+            result = await self._store.read(
+                table,
+                partition,
+                first=first,
+                before=before,
+                timeout_ms=max(_MIN_CALL_MS, min(_CALL_TIMEOUT_MS, left_ms)),
+            )
+            if result.is_ok():
+                return Ok(result.ok.rows)
+            if self._clock.now_ms() + _RETRY_MS >= deadline_ms:
+                return Error(result.error)
+            await self._clock.sleep_ms(_RETRY_MS)
--- /dev/null
+++ b/fireflydeck/entry/role.py
@@ -0,0 +1,90 @@
+"""The entry role: one process on each entry VM, from its settings file."""
+
+import sys
+
+import anyio
+
+from fireflydeck.core import SystemClock
+from fireflydeck.core.placement import Registration
+from fireflydeck.entry.caller_interface import CallerInterface
+from fireflydeck.entry.holder_link import HolderLink
+from fireflydeck.entry.intake import Intake
+from fireflydeck.entry.server import CallerServer, StatusServer
+from fireflydeck.entry.settings_watch import SettingsWatch
+from fireflydeck.kernel import Kernel
+from fireflydeck.kernel.log_sink import configure_bounded_logging
+from fireflydeck.observation.operators import OperatorDocuments
+from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.platform.backend_server_client import BackendServerClient
+from fireflydeck.platform.node_settings import (
+    NodeSettings,
+    NodeSettingsError,
+    load_node_settings,
+    settings_path,
+)
+from fireflydeck.platform.store import PlatformStore
+from fireflydeck.scheduling.scheduler import Scheduler
+
+__all__ = ["run_entry"]
+
+_EXIT_SETTINGS = 2
+
+
+def run_entry(metrics_port: int) -> None:
+    """Run the entry role until SIGTERM.
+
+    Parameters
+    ----------
+    metrics_port
+        Port of ``/metrics`` on the VM's address.
+    """
+    path = settings_path()
+    try:
+        settings = load_node_settings(path)
+    except NodeSettingsError as error:
+        print(f"fireflydeck entry: {error}", file=sys.stderr)
+        sys.exit(_EXIT_SETTINGS)
+    sink = configure_bounded_logging()
+    kernel = _assemble(settings, metrics_port)
+    kernel.add(SettingsWatch(path, settings, kernel.clock, kernel.log))
+    kernel.add(sink)
+    anyio.run(kernel.run_with_signals)
+    sink.flush_lines()
+
+
+def _assemble(settings: NodeSettings, metrics_port: int) -> Kernel:
+    kernel = Kernel(settings.name, "entry", SystemClock())
+    clock, log, metrics = kernel.clock, kernel.log, kernel.metrics
+    store = PlatformStore(settings.store_address)
+    operators = OperatorDocuments(store, clock, log)
+    link_address = f"{settings.ip}:{settings.internal_ports[0]}"
+    lease = LeaseKeeper(store, clock, log, name=settings.name, address=link_address)
+    link = HolderLink(link_address)
+    interface = CallerInterface(
+        operators=operators,
+        lease=lease,
+        holder_link=link,
+        intake=Intake(store, clock),
+        clock=clock,
+        log=log,
+        metrics=metrics,
+    )
+    kernel.add(operators)
+    kernel.add(Scheduler(store, clock, log, metrics, _make_orders))
+    kernel.add(link)
+    kernel.add(
+        StatusServer(
+            readiness_address=settings.readiness_address,
+            metrics_address=f"{settings.ip}:{metrics_port}",
+            operators=operators,
+            metrics=metrics,
+            is_stopping=lambda: kernel.is_stopping,
+        )
+    )
+    kernel.add(CallerServer(settings.caller_address, interface, clock))
+    kernel.add(lease)
+    return kernel
+
+
+def _make_orders(registration: Registration) -> BackendServerClient:
+    return BackendServerClient(registration.server_id, registration.address)
--- /dev/null
+++ b/fireflydeck/entry/server.py
@@ -0,0 +1,112 @@
+"""Listeners of the entry role: callers, readiness and metrics."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+from anyio.abc import TaskGroup
+
+from fireflydeck.core import Clock
+from fireflydeck.entry.caller_interface import CallerInterface
+from fireflydeck.kernel import Metrics, Registry, Service
+from fireflydeck.observation.operators import OperatorDocuments
+
+__all__ = ["CallerServer", "StatusServer"]
+
+_MAX_DOCUMENT_AGE_MS = 2500
+"""Older knowledge of the operators' documents makes the process not ready."""
+_DRAIN_MS = 2600
+"""Time after the stop began in which the balancer notices and callers finish."""
+_SHUTDOWN_S = 1.0
+_KEEP_ALIVE_S = 75.0
+
+
+class CallerServer(Service):
+    """Listens for callers."""
+
+    def __init__(self, address: str, interface: CallerInterface, clock: Clock) -> None:
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._interface = interface
+        self._clock = clock
+        self._runner: web.ServerRunner | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of the service."""
+        return "caller-server"
+
+    async def start(self, registry: Registry, tasks: TaskGroup) -> None:
+        """Begin to listen."""
+        server = web.Server(
+            self._interface.handle,
+            keepalive_timeout=_KEEP_ALIVE_S,
+            max_line_size=16384,
+            max_field_size=16384,
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_S)
+        await self._runner.setup()
+        await web.TCPSite(
+            self._runner, self._host, self._port, backlog=512, reuse_address=True
+        ).start()
+
+    async def stop(self) -> None:
+        """Serve until the balancer has noticed, then close."""
+        self._interface.stop_keeping_alive()
+        await self._clock.sleep_ms(_DRAIN_MS)
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+
+class StatusServer(Service):
+    """Tells the balancer whether the process is ready, and serves metrics."""
+
+    def __init__(
+        self,
+        *,
+        readiness_address: str,
+        metrics_address: str,
+        operators: OperatorDocuments,
+        metrics: Metrics,
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self._addresses = {readiness_address: self._readiness, metrics_address: self._metrics_page}
+        self._operators = operators
+        self._metrics = metrics
+        self._is_stopping = is_stopping
+        self._runners: list[web.ServerRunner] = []
+
+    @property
+    def name(self) -> str:
+        """Name of the service."""
+        return "status-server"
+
+    async def start(self, registry: Registry, tasks: TaskGroup) -> None:
+        """Begin to listen."""
+        for address, handler in self._addresses.items():
+            host, _, port = address.rpartition(":")
+            runner = web.ServerRunner(web.Server(handler))
+            await runner.setup()
+            await web.TCPSite(runner, host, int(port), reuse_address=True).start()
+            self._runners.append(runner)
+
+    async def stop(self) -> None:
+        """Stop to listen."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        age_ms = self._operators.age_ms
+        return (
+            not self._is_stopping()
+            and self._operators.configuration is not None
+            and age_ms is not None
+            and age_ms <= _MAX_DOCUMENT_AGE_MS
+        )
+
+    async def _readiness(self, _: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(status=200 if self.is_ready() else 503)
+
+    async def _metrics_page(self, request: web.BaseRequest) -> web.StreamResponse:
+        content, headers = self._metrics.render(request.headers.get("Accept", ""))
+        return web.Response(body=content, headers=headers)
--- a/fireflydeck/kernel/__init__.py
+++ b/fireflydeck/kernel/__init__.py
@@ -4,6 +4,7 @@
 from fireflydeck.kernel.kernel import Kernel
 from fireflydeck.kernel.metrics import Metrics
 from fireflydeck.kernel.service import Registry, Service
+from fireflydeck.kernel.supervision import guard, keep_running
 
 __all__ = [
     "Event",
@@ -13,4 +14,6 @@
     "Registry",
     "Service",
     "configure_logging",
+    "guard",
+    "keep_running",
 ]
--- /dev/null
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -0,0 +1,147 @@
+"""Notes on the events of the entry role."""
+
+from collections.abc import Mapping
+
+from fireflydeck.kernel.event_note import EventNote
+
+__all__ = ["ENTRY_EVENT_NOTES"]
+
+_STORE_DOWN = "Read operators/store-outage.md if it lasts longer than a few seconds."
+
+ENTRY_EVENT_NOTES: Mapping[int, EventNote] = {
+    1011: EventNote(
+        written="Lines were dropped because standard output took none.",
+        action="Raise the reader's speed; the count tells how many are missing.",
+        fields=("count",),
+    ),
+    1012: EventNote(
+        written="The settings file was read again, after SIGHUP or because it changed.",
+        fields=("cause", "changed"),
+    ),
+    1013: EventNote(
+        written="The settings file was read again and can't be used.",
+        action="Mend the field that `detail` names; the process goes on with the old settings.",
+        fields=("cause", "detail"),
+    ),
+    1110: EventNote(
+        written="A call to the store failed; it is repeated.",
+        action=_STORE_DOWN,
+        fields=("step", "table", "reason", "detail"),
+    ),
+    1111: EventNote(written="The first answer of the store after failures.", fields=("table",)),
+    1112: EventNote(
+        written="A row can't be decoded: another writer's, or a newer program's.",
+        action="Look at the row that `document` names.",
+        fields=("document", "version", "detail"),
+    ),
+    1113: EventNote(
+        written="A registration has missing or wrong fields; no work goes there.",
+        action="Look at the entry; another writer may use the table.",
+        fields=("server", "version", "detail"),
+    ),
+    1220: EventNote(
+        written="Operators took a data centre out or back.",
+        fields=("data_centre", "evacuated", "version"),
+    ),
+    1221: EventNote(written="Operators requested upkeep for VMs.", fields=("wave", "vms")),
+    6001: EventNote(
+        written="This process took the lease and schedules from now on.", fields=("term", "version")
+    ),
+    6002: EventNote(
+        written="Another process was first, or the store refused.",
+        fields=("term", "reason", "detail"),
+    ),
+    6003: EventNote(
+        written="This process schedules no more.",
+        action="Nothing; the next holder logs 6001.",
+        fields=("term", "why"),
+    ),
+    6004: EventNote(written="The lease's holder changed, as seen here.", fields=("holder", "term")),
+    6101: EventNote(
+        written="A backend server appeared in the store.", fields=("server", "pool", "state")
+    ),
+    6102: EventNote(
+        written="A backend server began to drain, or is ready again.", fields=("server", "state")
+    ),
+    6103: EventNote(
+        written="A registration is gone: the backend server left or fell silent.",
+        action="See 6304 for the runs that were lost.",
+        fields=("server", "running"),
+    ),
+    6104: EventNote(
+        written="The first answer of a backend server to this term; its runs are known now.",
+        fields=("server", "term", "running", "ended"),
+    ),
+    6105: EventNote(
+        written="A backend server gave no answer; it gets no new work until it does.",
+        action="See whether it lives; its runs start again once their leases are over.",
+        fields=("server", "step", "detail", "running"),
+    ),
+    6106: EventNote(
+        written="A backend server started again under its id; its earlier runs are gone.",
+        fields=("server", "born_ms", "running"),
+    ),
+    6107: EventNote(
+        written="The address belongs to another instance now.", fields=("server", "running")
+    ),
+    6108: EventNote(
+        written="A backend server refused an order of this term.",
+        action="Nothing if 6003 follows; otherwise report it.",
+        fields=("server", "term"),
+    ),
+    6201: EventNote(
+        written="A submission was read from the store.", fields=("job", "queue", "version")
+    ),
+    6202: EventNote(written="A cancellation was read from the store.", fields=("job",)),
+    6203: EventNote(
+        written="The outcome of a job is stored and shown from now on.",
+        action="For `failed`: see 6303 of its tasks.",
+        fields=("job", "outcome"),
+    ),
+    6301: EventNote(
+        written="The start of a run was ordered and answered, or got no answer.",
+        action="For `no-room` and `busy`: the pool is full; see the backend server's 6105.",
+        fields=(
+            "task",
+            "run",
+            "server",
+            "outcome",
+            "took_ms",
+            "free_cpu",
+            "operators_age_ms",
+            "waited_ms",
+        ),
+    ),
+    6302: EventNote(
+        written="The stop of a run was ordered.", fields=("task", "run", "server", "taken", "phase")
+    ),
+    6303: EventNote(
+        written="A backend server listed the end of a run.",
+        action="For many `failed` at one server: look at the server.",
+        fields=("task", "run", "server", "end", "end_number", "known"),
+    ),
+    6304: EventNote(
+        written="A run is over for a reason other than a listed end; its task is started again.",
+        action="See the backend server's 6105, 6106 and 6107.",
+        fields=("task", "run", "server", "why", "phase"),
+    ),
+    6305: EventNote(
+        written="A run that an earlier holder started goes on under this term.",
+        fields=("task", "run", "server", "others"),
+    ),
+    6306: EventNote(
+        written="A backend server runs a task of a job that is over or not known.",
+        fields=("task", "run", "server"),
+    ),
+    6401: EventNote(
+        written="A caller got an answer other than a plain state.",
+        action="For 503: see 1110 and 6402 of the same time.",
+        fields=("method", "job", "status", "took_ms", "configuration", "configuration_age_ms"),
+    ),
+    6402: EventNote(
+        written="The store did not settle a caller's request in its time.",
+        action=_STORE_DOWN,
+        fields=("job", "step", "reason", "ran", "detail"),
+    ),
+}
+"""Explanations by the event's number."""
--- a/fireflydeck/kernel/event_catalogue.py
+++ b/fireflydeck/kernel/event_catalogue.py
@@ -2,33 +2,11 @@
 
 from collections.abc import Mapping
 
-from attrs import frozen
-
+from fireflydeck.kernel.entry_event_notes import ENTRY_EVENT_NOTES
+from fireflydeck.kernel.event_note import EventNote
 from fireflydeck.kernel.events import Event
 
-__all__ = ["EVENT_NOTES", "EventNote", "render_events_page"]
-
-
-@frozen(kw_only=True)
-class EventNote:
-    """Longer explanation of one event.
-
-    Parameters
-    ----------
-    written
-        When it is written.
-    action
-        What an operator does.
-    fields
-        Fields beside those of every line.
-    reserved
-        Whether the number is held for an event that nothing writes yet.
-    """
-
-    written: str
-    action: str = "Nothing."
-    fields: tuple[str, ...] = ()
-    reserved: bool = False
+__all__ = ["EVENT_NOTES", "render_events_page"]
 
 
 _STORE_DOWN = "Read operators/store-outage.md if it lasts longer than a few seconds."
@@ -39,7 +17,11 @@
     1001: EventNote(written="All services of the process have started.", fields=("services",)),
     1002: EventNote(written="SIGTERM arrived, or the process was fenced."),
     1003: EventNote(written="All services have stopped; the process ends."),
-    1004: EventNote(written="Held for a service that fails.", reserved=True),
+    1004: EventNote(
+        written="An unexpected error ended a loop or an order; the loop begins again.",
+        action=_REPORT,
+        fields=("step", "error", "trace"),
+    ),
     1101: EventNote(written="Held for a platform call that fails.", reserved=True),
     1102: EventNote(written="Held for the platform's return.", reserved=True),
     1201: EventNote(written="A configuration version came into force here.", fields=("version",)),
@@ -193,6 +175,7 @@
         action="Finish it by hand: `ctl vm show NAME`, then `ctl vm return NAME`.",
         fields=("vm", "stage"),
     ),
+    **ENTRY_EVENT_NOTES,
     5001: EventNote(written="A stand-in listens.", fields=("service", "address")),
 }
 """Explanations by the event's number."""
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -21,7 +21,8 @@
     """All events, by subject; a number is never used again for another meaning.
 
     1000 kernel, 1100 platform, 1200 configuration and freshness, 1300 peers, 2000 gateway,
-    3000 dispatcher, 3500 jobs, 4000 controller, 5000 stand-ins.
+    3000 dispatcher, 3500 jobs, 4000 controller, 5000 stand-ins,
+    6000 entry role: lease, backend servers, jobs, runs, requests.
     """
 
     PROCESS_STARTED = _Entry(1001, "info", "process started")
@@ -68,6 +69,38 @@
     JOB_STORE_UNAVAILABLE = _Entry(3506, "warning", "store does not take the writes of jobs")
     JOB_STORE_AVAILABLE = _Entry(3507, "info", "store takes the writes of jobs again")
     JOB_STEP_FAILED = _Entry(3508, "error", "unexpected error while attending a job")
+    LOG_LINES_DROPPED = _Entry(1011, "warning", "log lines dropped")
+    SETTINGS_RELOADED = _Entry(1012, "info", "settings file read again")
+    SETTINGS_REJECTED = _Entry(1013, "warning", "settings file can't be used, old settings stay")
+    STORE_CALL_FAILED = _Entry(1110, "warning", "call to the store failed")
+    STORE_REGAINED = _Entry(1111, "info", "store answers again")
+    DOCUMENT_UNREADABLE = _Entry(1112, "warning", "row can't be read, it is not used")
+    REGISTRATION_UNREADABLE = _Entry(1113, "warning", "registration can't be read, not used")
+    EVACUATION_CHANGED = _Entry(1220, "info", "data centre taken out or back")
+    WAVE_REQUESTED = _Entry(1221, "info", "wave of upkeep requested")
+    LEASE_TAKEN = _Entry(6001, "info", "lease of the fleet taken")
+    LEASE_NOT_TAKEN = _Entry(6002, "info", "lease of the fleet could not be taken")
+    LEASE_LOST = _Entry(6003, "warning", "lease of the fleet lost")
+    LEASE_HOLDER_SEEN = _Entry(6004, "info", "lease of the fleet has another holder")
+    SERVER_SEEN = _Entry(6101, "info", "backend server registered")
+    SERVER_STATE = _Entry(6102, "info", "backend server changed its state")
+    SERVER_GONE = _Entry(6103, "info", "backend server is not registered any more")
+    SERVER_HELD = _Entry(6104, "info", "backend server answers this term")
+    SERVER_UNREACHABLE = _Entry(6105, "warning", "backend server does not answer")
+    SERVER_REBORN = _Entry(6106, "warning", "backend server began a new life under its id")
+    SERVER_REPLACED = _Entry(6107, "warning", "another instance answers at the address")
+    ORDER_FENCED = _Entry(6108, "warning", "backend server has seen a higher term")
+    JOB_KNOWN = _Entry(6201, "info", "job is scheduled")
+    JOB_CANCELLED = _Entry(6202, "info", "job is cancelled, its runs are stopped")
+    JOB_ENDED = _Entry(6203, "info", "outcome of a job is stored")
+    START_SENT = _Entry(6301, "info", "start of a run ordered")
+    STOP_SENT = _Entry(6302, "info", "stop of a run ordered")
+    RUN_ENDED = _Entry(6303, "info", "run ended")
+    RUN_LOST = _Entry(6304, "warning", "run is over without an end")
+    RUN_ADOPTED = _Entry(6305, "info", "run of an earlier order taken over")
+    RUN_UNKNOWN = _Entry(6306, "warning", "run of no open job, it is stopped")
+    REQUEST_ANSWERED = _Entry(6401, "info", "caller's request answered")
+    REQUEST_STORE_FAILED = _Entry(6402, "warning", "store did not settle a caller's request")
     STANDIN_LISTENING = _Entry(5001, "info", "stand-in listens")
 
     @property
--- /dev/null
+++ b/fireflydeck/kernel/supervision.py
@@ -0,0 +1,34 @@
+"""Keeps the loops of a process running after unexpected errors."""
+
+import traceback
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from fireflydeck.core import Clock
+from fireflydeck.kernel.events import Event, EventLog
+
+__all__ = ["guard", "keep_running"]
+
+_RESTART_PAUSE_MS = 200
+
+
+async def keep_running(
+    clock: Clock, log: EventLog, step: str, function: Callable[..., Awaitable[Any]], *args: Any
+) -> None:
+    """Run a loop; after an unexpected error it is logged and begins again."""
+    while not await guard(log, step, function, *args):
+        await clock.sleep_ms(_RESTART_PAUSE_MS)
+
+
+async def guard(
+    log: EventLog, step: str, function: Callable[..., Awaitable[Any]], *args: Any
+) -> bool:
+    """Run a function; an unexpected error is logged. Returns whether there was none."""
+    try:
+        await function(*args)
+    except Exception as error:
+        log.emit(
+            Event.SERVICE_FAILED, step=step, error=repr(error), trace=traceback.format_exc(limit=-6)
+        )
+        return False
+    return True
--- /dev/null
+++ b/fireflydeck/ownership/lease.py
@@ -0,0 +1,372 @@
+"""Holds the fleet's lease at the store, or waits to take it over."""
+
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+from attrs import evolve, frozen
+
+from fireflydeck.core import Clock, Failure, Reason
+from fireflydeck.core.rows import (
+    ABSENT_VERSION,
+    RowChanges,
+    RowCondition,
+    RowKey,
+    RowStore,
+    RowTransaction,
+    RowWrite,
+    StoredRow,
+)
+from fireflydeck.kernel import Event, EventLog, Registry, Service, keep_running
+from fireflydeck.ownership.records import (
+    COMMIT_ROW,
+    LEASE_ROW,
+    OWNERSHIP_TABLE,
+    LeaseRecord,
+    decode_lease,
+)
+
+__all__ = ["LeaseKeeper", "Tenure"]
+
+_TTL_MS = 1500
+_MAX_TTL_MS = 4000
+_TTL_LATENCIES = 5
+"""A renewal may take this many times as long as the last one before the lease lapses."""
+_RENEWAL_MS = 400
+_TAKE_OVER_SLACK_MS = 150
+"""Added to the holder's time to live, for the difference between two clocks' rates."""
+_WATCH_PAUSE_MS = 200
+_WATCH_WAIT_MS = 500
+_RETRY_MS = 100
+_CALL_TIMEOUT_MS = 1200
+_MIN_TIMEOUT_MS = 50
+
+
+@frozen
+class Tenure:
+    """One holding of the lease: its term, and the store's version from which it holds."""
+
+    term: int
+    since_version: int
+    since_ms: int
+
+
+class LeaseKeeper(Service):
+    """Keeps one process of the system in charge of the fleet.
+
+    Parameters
+    ----------
+    name
+        Name of this process.
+    address
+        Where other processes reach this one.
+    """
+
+    def __init__(
+        self, store: RowStore, clock: Clock, log: EventLog, *, name: str, address: str
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._name_of_process = name
+        self._address = address
+        self._record: LeaseRecord | None = None
+        self._lease_version = ABSENT_VERSION
+        self._commit_version = ABSENT_VERSION
+        self._seen_version = 0
+        self._standing_since_ms = 0
+        self._valid_until_ms = 0
+        self._tenure: Tenure | None = None
+        self._ttl_ms = _TTL_MS
+        self._stopping = False
+        self._commit_lock = anyio.Lock()
+        self._on_change: list[Callable[[Tenure | None], None]] = []
+        self._pending: Callable[[], dict[str, int]] = dict
+
+    @property
+    def name(self) -> str:
+        """Name of the service."""
+        return "lease"
+
+    @property
+    def tenure(self) -> Tenure | None:
+        """The lease as this process holds it, or `None`."""
+        return self._tenure
+
+    @property
+    def holder(self) -> LeaseRecord | None:
+        """Who holds the lease, as last seen."""
+        return self._record
+
+    @property
+    def valid_until_ms(self) -> int:
+        """Until when the lease is confirmed, on this process's clock."""
+        return self._valid_until_ms
+
+    def is_valid(self) -> bool:
+        """Whether this process holds the lease at this moment."""
+        return self._tenure is not None and self._clock.now_ms() < self._valid_until_ms
+
+    def on_change(self, listener: Callable[[Tenure | None], None]) -> None:
+        """Call `listener` with the tenure at each change of it."""
+        self._on_change.append(listener)
+
+    def publish_pending(self, source: Callable[[], dict[str, int]]) -> None:
+        """Let renewals carry the numbers of jobs that have not begun."""
+        self._pending = source
+
+    def state(self) -> dict[str, object]:
+        """Return the state to dump."""
+        return {
+            "term": self._tenure.term if self._tenure else 0,
+            "holder": self._record.holder if self._record else "",
+            "valid_for_ms": self._valid_until_ms - self._clock.now_ms(),
+        }
+
+    async def start(self, registry: Registry, tasks: TaskGroup) -> None:
+        """Begin to watch the lease."""
+        tasks.start_soon(keep_running, self._clock, self._log, self.name, self._run)
+
+    async def stop(self) -> None:
+        """Give the lease up, so that another process takes over at once."""
+        self._stopping = True
+        if self._tenure is None or self._record is None:
+            return
+        self._leave("released")
+        record = evolve(self._record, holder="", sequence=self._record.sequence + 1)
+        await self._write_lease(record, self._lease_version, _CALL_TIMEOUT_MS)
+
+    async def commit(self, writes: list[RowWrite], removals: list[RowKey]) -> Failure | None:
+        """Write rows of the lease's partition as its holder; retries until the outcome is known.
+
+        Returns `None` once the rows are stored, or the failure that ended the tenure.
+        """
+        async with self._commit_lock:
+            tenure = self._tenure
+            while tenure is not None and self._tenure is tenure:
+                transaction = RowTransaction(
+                    conditions=(RowCondition(COMMIT_ROW, self._commit_version),),
+                    writes=(RowWrite(COMMIT_ROW, str(tenure.term).encode()), *writes),
+                    removals=tuple(removals),
+                )
+                result = await self._store.commit(transaction, timeout_ms=_CALL_TIMEOUT_MS)
+                if result.is_ok():
+                    self._commit_version = result.ok
+                    return None
+                if result.error.reason == Reason.CONFLICT:
+                    await self._refresh_commit_version()
+                else:
+                    self._log.emit(
+                        Event.STORE_CALL_FAILED,
+                        step="lease.commit",
+                        reason=result.error.reason,
+                        detail=result.error.detail,
+                    )
+                    await self._clock.sleep_ms(_RETRY_MS)
+        return Failure(Reason.NOT_OWNER, "lease.commit", detail="the lease was lost")
+
+    async def _refresh_commit_version(self) -> None:
+        """Read the version again: an earlier commit of ours took effect, or the lease is lost."""
+        rows = await self._read_rows()
+        if rows is None or self._tenure is None:
+            return
+        lease = rows.get(LEASE_ROW)
+        if lease is not None and decode_lease(lease.value).term != self._tenure.term:
+            self._leave("taken by another process")
+            return
+        commits = rows.get(COMMIT_ROW)
+        self._commit_version = commits.version if commits else ABSENT_VERSION
+
+    async def _run(self) -> None:
+        while not self._stopping:
+            if self._tenure is not None:
+                await self._renew()
+            else:
+                await self._watch()
+
+    async def _renew(self) -> None:
+        record = self._record
+        tenure = self._tenure
+        if record is None or tenure is None:
+            return
+        sent_ms = self._clock.now_ms()
+        renewed = evolve(
+            record, sequence=record.sequence + 1, ttl_ms=self._ttl_ms, pending=self._pending()
+        )
+        result = await self._write_lease(renewed, self._lease_version, self._call_timeout_ms())
+        if self._tenure is not tenure:
+            return
+        if result is None:
+            took_ms = self._clock.now_ms() - sent_ms
+            self._confirm(renewed, sent_ms)
+            self._ttl_ms = min(_MAX_TTL_MS, max(_TTL_MS, took_ms * _TTL_LATENCIES))
+            await self._clock.sleep_ms(max(_RETRY_MS, _RENEWAL_MS - took_ms))
+            return
+        if result.reason == Reason.CONFLICT:
+            await self._settle_renewal()
+            return
+        self._log.emit(
+            Event.STORE_CALL_FAILED, step=result.step, reason=result.reason, detail=result.detail
+        )
+        await self._clock.sleep_ms(_RETRY_MS)
+
+    async def _settle_renewal(self) -> None:
+        """Find out whether an earlier renewal took effect late, or another process took over.
+
+        An earlier renewal confirms nothing: others may have seen it long ago.
+        """
+        rows = await self._read_rows()
+        lease = rows.get(LEASE_ROW) if rows is not None else None
+        if lease is None or self._tenure is None:
+            await self._clock.sleep_ms(_RETRY_MS)
+            return
+        record = decode_lease(lease.value)
+        if record.term != self._tenure.term or record.holder != self._name_of_process:
+            self._observe(record, lease.version)
+            self._leave("taken by another process")
+            return
+        self._lease_version = lease.version
+        self._record = record
+
+    def _call_timeout_ms(self) -> int:
+        return max(_MIN_TIMEOUT_MS, min(_CALL_TIMEOUT_MS, self._ttl_ms - _RENEWAL_MS))
+
+    def _confirm(self, record: LeaseRecord, sent_ms: int) -> None:
+        self._record = record
+        self._valid_until_ms = max(self._valid_until_ms, sent_ms + record.ttl_ms)
+
+    async def _watch(self) -> None:
+        rows = await self._read_rows()
+        if rows is None:
+            await self._clock.sleep_ms(_WATCH_PAUSE_MS)
+            return
+        self._note_rows(rows)
+        while not self._stopping and self._tenure is None:
+            if self._is_free():
+                await self._take_over()
+                return
+            await self._clock.sleep_ms(_WATCH_PAUSE_MS)
+            changes = await self._store.changes(
+                OWNERSHIP_TABLE, after=self._seen_version, wait_ms=self._watch_wait_ms()
+            )
+            if changes.is_error():
+                self._log.emit(
+                    Event.STORE_CALL_FAILED,
+                    step=changes.error.step,
+                    reason=changes.error.reason,
+                    detail=changes.error.detail,
+                )
+                return
+            self._seen_version = max(self._seen_version, changes.ok.version)
+            self._note_rows({row.id: row for row in changes.ok.rows})
+
+    def _watch_wait_ms(self) -> int:
+        if self._record is None:
+            return _WATCH_WAIT_MS
+        free_at_ms = self._standing_since_ms + self._record.ttl_ms + _TAKE_OVER_SLACK_MS
+        return max(1, min(_WATCH_WAIT_MS, free_at_ms - self._clock.now_ms()))
+
+    def _is_free(self) -> bool:
+        record = self._record
+        if record is None or not record.holder:
+            return True
+        age_ms = self._clock.now_ms() - self._standing_since_ms
+        return age_ms > record.ttl_ms + _TAKE_OVER_SLACK_MS
+
+    async def _take_over(self) -> None:
+        sent_ms = self._clock.now_ms()
+        previous = self._record
+        record = LeaseRecord(
+            holder=self._name_of_process,
+            address=self._address,
+            term=previous.term + 1 if previous else 1,
+            sequence=previous.sequence + 1 if previous else 1,
+            ttl_ms=_TTL_MS,
+            pending=previous.pending if previous else {},
+        )
+        transaction = RowTransaction(
+            conditions=(
+                RowCondition(LEASE_ROW, self._lease_version),
+                RowCondition(COMMIT_ROW, self._commit_version),
+            ),
+            writes=(
+                RowWrite(LEASE_ROW, record.encode()),
+                RowWrite(COMMIT_ROW, str(record.term).encode()),
+            ),
+        )
+        result = await self._store.commit(transaction, timeout_ms=_CALL_TIMEOUT_MS)
+        if result.is_error():
+            self._log.emit(
+                Event.LEASE_NOT_TAKEN,
+                term=record.term,
+                reason=result.error.reason,
+                detail=result.error.detail,
+            )
+            await self._clock.sleep_ms(_RETRY_MS)
+            return
+        self._lease_version = self._commit_version = result.ok
+        self._enter(record, result.ok, sent_ms)
+
+    def _enter(self, record: LeaseRecord, version: int, sent_ms: int) -> None:
+        self._ttl_ms = _TTL_MS
+        self._confirm(record, sent_ms)
+        self._tenure = Tenure(record.term, version, self._clock.now_ms())
+        self._log.emit(Event.LEASE_TAKEN, term=record.term, version=version)
+        self._notify()
+
+    def _leave(self, why: str) -> None:
+        if self._tenure is None:
+            return
+        self._log.emit(Event.LEASE_LOST, term=self._tenure.term, why=why)
+        self._tenure = None
+        self._valid_until_ms = 0
+        self._standing_since_ms = self._clock.now_ms()
+        self._notify()
+
+    def _notify(self) -> None:
+        for listener in self._on_change:
+            listener(self._tenure)
+
+    async def _write_lease(
+        self, record: LeaseRecord, version: int, timeout_ms: int
+    ) -> Failure | None:
+        transaction = RowTransaction(
+            conditions=(RowCondition(LEASE_ROW, version),),
+            writes=(RowWrite(LEASE_ROW, record.encode()),),
+        )
+        result = await self._store.commit(transaction, timeout_ms=timeout_ms)
+        if result.is_error():
+            return result.error
+        self._lease_version = result.ok
+        return None
+
+    async def _read_rows(self) -> dict[RowKey, StoredRow] | None:
+        result = await self._store.read(
+            OWNERSHIP_TABLE, LEASE_ROW.partition, timeout_ms=_CALL_TIMEOUT_MS
+        )
+        if result.is_error():
+            self._log.emit(
+                Event.STORE_CALL_FAILED,
+                step=result.error.step,
+                reason=result.error.reason,
+                detail=result.error.detail,
+            )
+            return None
+        changes: RowChanges = result.ok
+        self._seen_version = changes.version
+        return {row.id: row for row in changes.rows}
+
+    def _note_rows(self, rows: dict[RowKey, StoredRow]) -> None:
+        commits = rows.get(COMMIT_ROW)
+        if commits is not None:
+            self._commit_version = max(self._commit_version, commits.version)
+        lease = rows.get(LEASE_ROW)
+        if lease is not None and lease.version > self._lease_version:
+            self._observe(decode_lease(lease.value), lease.version)
+
+    def _observe(self, record: LeaseRecord, version: int) -> None:
+        if self._record is None or record.holder != self._record.holder:
+            self._log.emit(Event.LEASE_HOLDER_SEEN, holder=record.holder, term=record.term)
+        self._record = record
+        self._lease_version = version
+        self._standing_since_ms = self._clock.now_ms()
--- /dev/null
+++ b/fireflydeck/ownership/records.py
@@ -0,0 +1,71 @@
+"""The row that tells who holds the fleet's lease."""
+
+import msgpack
+from attrs import Factory, asdict, frozen
+
+from fireflydeck.core.rows import RowKey
+from fireflydeck.workload.records import FLEET_PARTITION
+
+__all__ = [
+    "COMMIT_ROW",
+    "LEASE_ROW",
+    "OWNERSHIP_TABLE",
+    "ROSTER_ROW",
+    "LeaseRecord",
+    "decode_lease",
+]
+
+OWNERSHIP_TABLE = "ownership"
+LEASE_ROW = RowKey(OWNERSHIP_TABLE, FLEET_PARTITION, "lease")
+"""Renewed by the holder; a row that stands still for its `ttl_ms` is free to take."""
+COMMIT_ROW = RowKey(OWNERSHIP_TABLE, FLEET_PARTITION, "commits")
+"""Changes with every commit of the holder, so that a late one can't overwrite a newer one."""
+
+ROSTER_ROW = RowKey("roster", FLEET_PARTITION, "servers")
+"""Backend servers that may run what the holder started."""
+
+
+@frozen(kw_only=True)
+class LeaseRecord:
+    """Who holds the lease.
+
+    Parameters
+    ----------
+    holder
+        Name of the process; empty after a release.
+    address
+        ``ip:port`` where other processes reach it.
+    term
+        Grows with each change of the holder; the fencing token of all orders.
+    sequence
+        Grows with each renewal.
+    ttl_ms
+        Time without a renewal after which the lease may be taken.
+    pending
+        Jobs that have not begun, by queue.
+    """
+
+    holder: str
+    address: str
+    term: int
+    sequence: int
+    ttl_ms: int
+    pending: dict[str, int] = Factory(dict)
+
+    def encode(self) -> bytes:
+        """Encode for the row."""
+        return msgpack.packb(asdict(self))
+
+
+def decode_lease(content: bytes) -> LeaseRecord:
+    """Decode the row.
+
+    Raises
+    ------
+    ValueError
+        If it is not a lease.
+    """
+    try:
+        return LeaseRecord(**msgpack.unpackb(content))
+    except TypeError as error:
+        raise ValueError(f"not a lease: {error}") from error
--- /dev/null
+++ b/fireflydeck/platform/backend_server_client.py
@@ -0,0 +1,175 @@
+"""Orders to a backend server of the platform."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from fireflydeck.core import Failure, Ran, Reason
+from fireflydeck.core.backend_orders import (
+    BackendServerOrders,
+    EndedRun,
+    HoldReport,
+    RunEnd,
+    RunningTask,
+    StartOrder,
+    StartOutcome,
+)
+from fireflydeck.platform.http_peer import HttpAnswer, HttpPeer
+
+__all__ = [
+    "BackendServerClient",
+]
+
+_CONNECTIONS = 24
+_HOLD_SLACK_MS = 700
+"""Time beyond the wait of a hold after which its connection counts as silent."""
+
+_OK = 200
+_CONFLICT = 409
+_OTHER_INSTANCE = 421
+_FENCED = "fence"
+
+_START_STATUSES = {
+    _OK: StartOutcome.ACCEPTED,
+    400: StartOutcome.INVALID,
+    _OTHER_INSTANCE: StartOutcome.OTHER_INSTANCE,
+    429: StartOutcome.BUSY,
+    503: StartOutcome.BUSY,
+}
+_START_CONFLICTS = {
+    _FENCED: StartOutcome.FENCED,
+    "old": StartOutcome.OLD_RUN,
+    "late": StartOutcome.LATE,
+    "room": StartOutcome.NO_ROOM,
+    "ticket": StartOutcome.NO_TICKET,
+}
+
+
+class BackendServerClient(BackendServerOrders):
+    """Client of one life of a backend server.
+
+    Parameters
+    ----------
+    server_id
+        Its id; an answer of another instance at the same address is `OTHER_INSTANCE`.
+    """
+
+    def __init__(self, server_id: str, address: str) -> None:
+        self._server_id = server_id
+        self._peer = HttpPeer(address, reason=Reason.BACKEND_UNREACHABLE, connections=_CONNECTIONS)
+        self._headers = {"X-Expected-Instance": server_id}
+
+    @property
+    def server_id(self) -> str:
+        """Id of the backend server."""
+        return self._server_id
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._peer.close()
+
+    async def start(self, order: StartOrder, *, timeout_ms: int) -> Result[StartOutcome, Failure]:
+        """Order the start of a run."""
+        body: dict[str, Any] = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.payload,
+            "deadline_ms": order.lease_until_ms,
+            "fencing_token": order.fencing_token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        answer = await self._call("/-/run-start", "start", body, timeout_ms)
+        return answer.bind(self._start_outcome)
+
+    async def stop(
+        self, *, task: str, run: int, fencing_token: int, timeout_ms: int
+    ) -> Result[bool, Failure]:
+        """Order the stop of a run; true if the order was taken."""
+        body = {"task": task, "run": run, "fencing_token": fencing_token}
+        answer = await self._call("/-/run-stop", "stop", body, timeout_ms)
+        return answer.map(lambda received: received.status == _OK)
+
+    async def pace(
+        self, *, task: str, run: int, percent: int, fencing_token: int, timeout_ms: int
+    ) -> Result[bool, Failure]:
+        """Let a run work at a share of its speed; true if the order was taken."""
+        body = {"task": task, "run": run, "percent": percent, "fencing_token": fencing_token}
+        answer = await self._call("/-/pace", "pace", body, timeout_ms)
+        return answer.map(lambda received: received.status == _OK)
+
+    async def hold(
+        self, *, fencing_token: int, last_seen: int, lease_until_ms: int, wait_ms: int
+    ) -> Result[HoldReport, Failure]:
+        """Extend the lease of all that runs and return both lists.
+
+        Failures: `NOT_OWNER` for a fencing token that is too low, `BACKEND_LOST` if another
+        instance answers, `BACKEND_REFUSED` for any other refusal.
+        """
+        body = {"fencing_token": fencing_token, "last_seen": last_seen, "wait_ms": wait_ms}
+        if lease_until_ms > 0:
+            body["deadline_ms"] = lease_until_ms
+        answer = await self._call("/-/hold", "hold", body, wait_ms + _HOLD_SLACK_MS)
+        return answer.bind(self._hold_report)
+
+    async def _call(
+        self, path: str, step: str, body: dict[str, Any], timeout_ms: int
+    ) -> Result[HttpAnswer, Failure]:
+        return await self._peer.exchange(
+            "POST",
+            path,
+            step=f"backend.{step}",
+            timeout_ms=timeout_ms,
+            body=body,
+            headers=self._headers,
+        )
+
+    def _start_outcome(self, answer: HttpAnswer) -> Result[StartOutcome, Failure]:
+        if answer.status == _CONFLICT:
+            outcome = _START_CONFLICTS.get(answer.body.get("reason", ""))
+        else:
+            outcome = _START_STATUSES.get(answer.status)
+        return Error(self._refusal("start", answer)) if outcome is None else Ok(outcome)
+
+    def _hold_report(self, answer: HttpAnswer) -> Result[HoldReport, Failure]:
+        if answer.status != _OK:
+            return Error(self._refusal("hold", answer))
+        try:
+            return Ok(_decode_report(answer.body))
+        except (TypeError, ValueError, IndexError, KeyError) as error:
+            detail = f"lists of runs can't be read: {error!r}"
+            return Error(self._failure(Reason.ANSWER_INVALID, "hold", detail))
+
+    def _refusal(self, step: str, answer: HttpAnswer) -> Failure:
+        reason = Reason.BACKEND_REFUSED
+        if answer.status == _OTHER_INSTANCE:
+            reason = Reason.BACKEND_LOST
+        if answer.status == _CONFLICT and answer.body.get("reason") == _FENCED:
+            reason = Reason.NOT_OWNER
+        return self._failure(reason, step, f"status {answer.status}")
+
+    def _failure(self, reason: Reason, step: str, detail: str) -> Failure:
+        return Failure(
+            reason, f"backend.{step}", peer=self._peer.address, detail=detail, ran=Ran.UNKNOWN
+        )
+
+
+def _decode_report(body: Mapping[str, Any]) -> HoldReport:
+    return HoldReport(
+        clock_ms=body["clock_ms"],
+        born_ms=body.get("born", 0),
+        running=tuple(_decode_running(row) for row in body.get("running", ())),
+        ended=tuple(_decode_ended(row) for row in body.get("finished", ())),
+    )
+
+
+def _decode_running(row: list[Any]) -> RunningTask:
+    gauge = row[4] if len(row) > 4 else None
+    return RunningTask(row[0], row[1], row[2] or "", row[3], gauge)
+
+
+def _decode_ended(row: list[Any]) -> EndedRun:
+    return EndedRun(row[0], row[1], row[2], RunEnd(row[3]), row[4] or "")
--- /dev/null
+++ b/fireflydeck/platform/job_documents.py
@@ -0,0 +1,118 @@
+"""Decodes callers' submissions and encodes the answers of the job interface."""
+
+import re
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+
+from fireflydeck.platform.documents import DocumentError, decode_resources
+from fireflydeck.workload.specification import JobSpec, StepSpec
+
+__all__ = [
+    "DEADLINE_HEADER",
+    "JOB_ID",
+    "KEY_HEADER",
+    "decode_submission",
+    "encode_pending",
+    "encode_refusal",
+    "encode_state",
+]
+
+JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
+KEY_HEADER = "Api-Key"
+DEADLINE_HEADER = "X-Deadline-Ms"
+
+_MAX_PAYLOAD_BYTES = 4000
+_MAX_STEPS = 100
+_MAX_TASKS = 10_000
+
+
+def decode_submission(
+    content: bytes, *, job_id: str, queue: str, organisation: str, accepted_ms: int
+) -> JobSpec:
+    """Decode the body of a submission.
+
+    Raises
+    ------
+    DocumentError
+        If it is malformed or beyond the limits.
+    """
+    try:
+        document = orjson.loads(content)
+        payload = document["spec"]
+        steps = tuple(_step(item, number) for number, item in enumerate(document["steps"]))
+        spec = JobSpec(
+            job_id=job_id,
+            queue=queue,
+            organisation=organisation,
+            payload=payload,
+            steps=steps,
+            accepted_ms=accepted_ms,
+            first_due_ms=_count(document, "start_at_ms"),
+            interval_ms=_count(document, "interval_ms"),
+            occurrences=_count(document, "repeat_count"),
+        )
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DocumentError("submission", repr(error)) from error
+    _check(spec)
+    return spec
+
+
+def encode_state(state: str) -> bytes:
+    """Encode the state of a job."""
+    return orjson.dumps({"state": state})
+
+
+def encode_pending(pending: int) -> bytes:
+    """Encode the number of a queue's jobs that have not begun."""
+    return orjson.dumps({"pending": pending})
+
+
+def encode_refusal(reason: str, detail: str) -> bytes:
+    """Encode the body of a refusal."""
+    return orjson.dumps({"error": reason, "detail": detail})
+
+
+def _check(spec: JobSpec) -> None:
+    if not isinstance(spec.payload, str) or len(spec.payload.encode()) > _MAX_PAYLOAD_BYTES:
+        raise DocumentError("submission", "text is missing or too long")
+    if not 0 < len(spec.steps) <= _MAX_STEPS:
+        raise DocumentError("submission", "wrong number of steps")
+    if sum(step.count for step in spec.steps) > _MAX_TASKS:
+        raise DocumentError("submission", "too many tasks")
+
+
+def _step(item: Mapping[str, Any], number: int) -> StepSpec:
+    depends_on = tuple(item.get("depends_on", ()))
+    if any(type(step) is not int or not 0 <= step < number for step in depends_on):
+        raise ValueError("a step depends on a step that is not before it")
+    count = _count(item, "count")
+    if count < 1:
+        raise ValueError("a step without tasks")
+    may_miss = item.get("max_unavailable")
+    return StepSpec(
+        count=count,
+        demand=decode_resources(item),
+        estimated_ms=_count(item, "estimated_ms"),
+        depends_on=depends_on,
+        checkpointing=bool(item.get("checkpointing")),
+        gang=bool(item.get("gang")),
+        same_rack=bool(item.get("same_rack")),
+        required_label=str(item.get("requirements") or ""),
+        data_rack=str(item.get("affinity") or ""),
+        max_per_server=_count(item, "anti_affinity"),
+        speculative=bool(item.get("speculative")),
+        long_running=bool(item.get("long_running")),
+        image=str(item.get("image") or ""),
+        target_tail_ms=_count(item, "target_ms"),
+        fill=bool(item.get("fill_ratio")),
+        max_unavailable=may_miss if type(may_miss) is int else None,
+    )
+
+
+def _count(item: Mapping[str, Any], name: str) -> int:
+    value = item.get(name) or 0
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise TypeError(f"{name} is not a number")
+    return int(value)
--- /dev/null
+++ b/fireflydeck/platform/node_settings.py
@@ -0,0 +1,171 @@
+"""The settings file that the platform gives each process."""
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import orjson
+from attrs import frozen
+
+__all__ = [
+    "SETTINGS_VARIABLE",
+    "FleetBounds",
+    "NodeSettings",
+    "NodeSettingsError",
+    "load_node_settings",
+    "settings_path",
+]
+
+SETTINGS_VARIABLE = "FIREFLYDECK_BOOT"
+_DEFAULT_PATH = "/etc/fireflydeck/node.json"
+_MS_PER_S = 1000
+
+
+@frozen
+class NodeSettingsError(Exception):
+    """A settings file that can't be used."""
+
+    path: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"settings file {self.path}: {self.detail}"
+
+
+@frozen(kw_only=True)
+class FleetBounds:
+    """Time bounds of the platform, in milliseconds.
+
+    Parameters
+    ----------
+    max_lease_ms
+        The longest lease that a backend server grants.
+    stop_timeout_ms
+        The longest that a stop takes.
+    duty_lease_ms
+        Time between the duties of two holders.
+    notice_ms
+        Time for which a task that was away counts as away.
+    grace_ms
+        Time from SIGTERM to SIGKILL.
+    interference_ms
+        How long a serving task may be over its target because of others.
+    pace_window_ms
+        Time until a new pace takes effect.
+    """
+
+    max_lease_ms: int
+    stop_timeout_ms: int
+    duty_lease_ms: int
+    notice_ms: int
+    grace_ms: int
+    cancel_ms: int
+    early_ms: int
+    status_ms: int
+    interference_ms: int
+    pace_window_ms: int
+    migration_ms: int
+    maintenance_ms: int
+
+
+@frozen(kw_only=True)
+class NodeSettings:
+    """Settings of this process.
+
+    Parameters
+    ----------
+    caller_address, readiness_address
+        ``ip:port`` to listen on.
+    internal_ports
+        First and last port for the processes of the system.
+    transaction_ms
+        Time that one transaction of the store takes.
+    """
+
+    name: str
+    ip: str
+    data_centre: str
+    caller_address: str
+    readiness_address: str
+    internal_ports: tuple[int, int]
+    heartbeat_ms: int
+    bounds: FleetBounds
+    store_address: str
+    transaction_ms: float
+    vm_api_address: str
+    advisor_address: str
+    memory_mb: int
+
+
+def settings_path(environment: Mapping[str, str] | None = None) -> Path:
+    """Return the path of the settings file."""
+    variables = os.environ if environment is None else environment
+    return Path(variables.get(SETTINGS_VARIABLE) or _DEFAULT_PATH)
+
+
+def load_node_settings(path: Path) -> NodeSettings:
+    """Read and check the settings file; unknown fields are ignored.
+
+    Raises
+    ------
+    NodeSettingsError
+        If it can't be read, or a field is missing or wrong.
+    """
+    try:
+        document = orjson.loads(path.read_bytes())
+        return _decode(document)
+    except OSError as error:
+        raise NodeSettingsError(str(path), str(error)) from error
+    except orjson.JSONDecodeError as error:
+        raise NodeSettingsError(str(path), f"not JSON: {error}") from error
+    except KeyError as error:
+        raise NodeSettingsError(str(path), f"field {error} is missing") from error
+    except (TypeError, ValueError, AttributeError, IndexError) as error:
+        raise NodeSettingsError(str(path), f"wrong value: {error}") from error
+
+
+def _decode(document: Mapping[str, Any]) -> NodeSettings:
+    listen = document["listen_addresses"]
+    first_port, last_port = document["internal_port_range"]
+    store = document["platform"]
+    vm_api = document.get("cloud_api") or {}
+    return NodeSettings(
+        name=_text(document, "node_name"),
+        ip=_text(document, "ip"),
+        data_centre=_text(document, "zone"),
+        caller_address=_text(listen, "frontend"),
+        readiness_address=_text(listen, "readiness"),
+        internal_ports=(int(first_port), int(last_port)),
+        heartbeat_ms=int(document.get("heartbeat_ms", 1500)),
+        bounds=_bounds(document["bounds"]),
+        store_address=_text(store, "address"),
+        transaction_ms=float(store.get("transaction_ms", 6.0)),
+        vm_api_address=vm_api.get("address") or "",
+        advisor_address=document.get("placement_advisor") or "",
+        memory_mb=int(document["limits"]["memory_mb"]),
+    )
+
+
+def _bounds(document: Mapping[str, Any]) -> FleetBounds:
+    return FleetBounds(
+        max_lease_ms=int(document.get("max_hold_ms", 6000)),
+        stop_timeout_ms=int(document.get("stop_timeout_ms", 900)),
+        duty_lease_ms=int(document.get("lease_ms", 3000)),
+        notice_ms=int(document.get("notice_ms", 4500)),
+        grace_ms=int(document.get("grace_s", 6) * _MS_PER_S),
+        cancel_ms=int(document.get("cancel_ms", 3000)),
+        early_ms=int(document.get("early_ms", 250)),
+        status_ms=int(document.get("status_s", 120) * _MS_PER_S),
+        interference_ms=int(document.get("interference_ms", 4000)),
+        pace_window_ms=int(document.get("rate_window_ms", 100)),
+        migration_ms=int(document.get("migration_s", 1.5) * _MS_PER_S),
+        maintenance_ms=int(document.get("maintenance_s", 2) * _MS_PER_S),
+    )
+
+
+def _text(document: Mapping[str, Any], name: str) -> str:
+    value = document[name]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name} is not a string")
+    return value
--- /dev/null
+++ b/fireflydeck/platform/store.py
@@ -0,0 +1,154 @@
+"""The platform's store of rows."""
+
+import base64
+import binascii
+from collections.abc import Mapping
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from fireflydeck.core import Failure, Ran, Reason
+from fireflydeck.core.rows import (
+    RowChanges,
+    RowKey,
+    RowStore,
+    RowTransaction,
+    StoredRow,
+)
+from fireflydeck.platform.http_peer import HttpAnswer, HttpPeer
+
+__all__ = ["PlatformStore"]
+
+_CONNECTIONS = 24
+_PAGE_ROWS = 500
+_LONG_POLL_SLACK_MS = 700
+"""Time beyond the wait of a long poll after which its connection counts as silent."""
+
+_OK = 200
+_GONE = 410
+_PRECONDITION_FAILED = 412
+_TOO_MANY_REQUESTS = 429
+_UNAVAILABLE = 503
+
+
+class PlatformStore(RowStore):
+    """Client of the platform's row calls.
+
+    Parameters
+    ----------
+    address
+        ``ip:port`` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._peer = HttpPeer(address, reason=Reason.STORE_UNAVAILABLE, connections=_CONNECTIONS)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._peer.close()
+
+    async def commit(self, transaction: RowTransaction, *, timeout_ms: int) -> Result[int, Failure]:
+        """Apply the transaction and return its version."""
+        body = {
+            "expected_revision": [
+                {**_encode_key(item.id), "row_version": item.version}
+                for item in transaction.conditions
+            ],
+            "upserts": [
+                {**_encode_key(item.id), "value": base64.b64encode(item.value).decode()}
+                for item in transaction.writes
+            ],
+            "remove": [_encode_key(key) for key in transaction.removals],
+        }
+        answer = await self._call("POST", "/-/rows-tx", "commit", timeout_ms, body=body)
+        return answer.bind(lambda body: self._version(body, "commit"))
+
+    async def read(
+        self, table: str, partition: str, *, first: str = "", before: str = "", timeout_ms: int
+    ) -> Result[RowChanges, Failure]:
+        """Return all rows of a range of keys."""
+        rows: list[StoredRow] = []
+        version = 0
+        while True:
+            params = {"table": table, "part": partition, "limit": str(_PAGE_ROWS)}
+            if first:
+                params["from"] = first
+            if before:
+                params["target"] = before
+            answer = await self._call("GET", "/-/rows-get", "read", timeout_ms, params=params)
+            if answer.is_error():
+                return Error(answer.error)
+            page = answer.ok
+            found = _decode_rows(page)
+            rows.extend(found)
+            version = version or _int(page.get("row_version"))
+            if not page.get("has_more") or not found:
+                return Ok(RowChanges(tuple(rows), version))
+            first = found[-1].id.key + "\0"
+
+    async def changes(self, table: str, *, after: int, wait_ms: int) -> Result[RowChanges, Failure]:
+        """Return the rows of a table that changed after a version."""
+        params = {"table": table, "depends_on": str(after), "wait_ms": str(wait_ms)}
+        timeout_ms = wait_ms + _LONG_POLL_SLACK_MS
+        answer = await self._call("GET", "/-/rows-feed", "changes", timeout_ms, params=params)
+        if answer.is_error():
+            return Error(answer.error)
+        version = self._version(answer.ok, "changes")
+        return version.map(lambda number: RowChanges(_decode_rows(answer.ok), number))
+
+    async def _call(
+        self, method: str, path: str, step: str, timeout_ms: int, **options: Any
+    ) -> Result[Mapping[str, Any], Failure]:
+        step = f"store.{step}"
+        answer = await self._peer.exchange(
+            method, path, step=step, timeout_ms=timeout_ms, **options
+        )
+        return answer.bind(lambda received: self._outcome(received, step))
+
+    def _outcome(self, answer: HttpAnswer, step: str) -> Result[Mapping[str, Any], Failure]:
+        if answer.status == _OK:
+            return Ok(answer.body)
+        reason, ran = {
+            _PRECONDITION_FAILED: (Reason.CONFLICT, Ran.NO),
+            _GONE: (Reason.NOT_FOUND, Ran.NO),
+            _TOO_MANY_REQUESTS: (Reason.TOO_MANY_REQUESTS, Ran.NO),
+            _UNAVAILABLE: (Reason.STORE_UNAVAILABLE, Ran.NO),
+        }.get(answer.status, (Reason.INTERNAL, Ran.UNKNOWN))
+        detail = f"status {answer.status}"
+        return Error(Failure(reason, step, peer=self._peer.address, detail=detail, ran=ran))
+
+    def _version(self, body: Mapping[str, Any], step: str) -> Result[int, Failure]:
+        version = _int(body.get("row_version"))
+        if version > 0:
+            return Ok(version)
+        detail = "answer without a version"
+        failure = Failure(
+            Reason.ANSWER_INVALID,
+            f"store.{step}",
+            peer=self._peer.address,
+            detail=detail,
+            ran=Ran.UNKNOWN,
+        )
+        return Error(failure)
+
+
+def _int(value: Any) -> int:
+    return value if type(value) is int else 0
+
+
+def _encode_key(key: RowKey) -> dict[str, Any]:
+    return {"table": key.table, "part": key.partition, "key": key.key}
+
+
+def _decode_rows(body: Mapping[str, Any]) -> tuple[StoredRow, ...]:
+    return tuple(_decode_row(row) for row in body.get("rows", ()))
+
+
+def _decode_row(row: Mapping[str, Any]) -> StoredRow:
+    key = RowKey(row["table"], row.get("part", ""), row["key"])
+    deleted = bool(row.get("deleted"))
+    try:
+        value = b"" if deleted else base64.b64decode(row.get("value", ""))
+    except binascii.Error:
+        value = b""
+    return StoredRow(key, value, _int(row.get("row_version")), deleted)
--- /dev/null
+++ b/fireflydeck/platform/vm_client.py
@@ -0,0 +1,122 @@
+"""The platform's machine calls: the list of VMs, moves between pools and upkeep."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from fireflydeck.core import Failure, Ran, Reason
+from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState, VmOrders
+from fireflydeck.platform.documents import decode_resources, rack_of
+from fireflydeck.platform.http_peer import HttpPeer
+
+__all__ = ["VmClient"]
+
+_CONNECTIONS = 4
+_OK = 200
+_CONFLICT = 409
+_TOO_MANY_REQUESTS = 429
+_UNAVAILABLE = 503
+_STATUSES = {_OK: DutyOutcome.TAKEN, 400: DutyOutcome.INVALID}
+_CONFLICTS = {
+    "fence": DutyOutcome.FENCED,
+    "busy": DutyOutcome.BUSY,
+    "wave": DutyOutcome.OTHER_WAVE,
+}
+
+
+class VmClient(VmOrders):
+    """Client of the machine calls.
+
+    Parameters
+    ----------
+    holder
+        Name of this process in orders.
+    """
+
+    def __init__(self, address: str, holder: str) -> None:
+        self._peer = HttpPeer(address, reason=Reason.NO_CAPACITY, connections=_CONNECTIONS)
+        self._holder = holder
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._peer.close()
+
+    async def list_vms(self, *, timeout_ms: int) -> Result[tuple[ListedVm, ...], Failure]:
+        """Return all VMs."""
+        vms: list[ListedVm] = []
+        page = ""
+        while True:
+            answer = await self._peer.exchange(
+                "GET",
+                "/-/machines",
+                step="vms.list",
+                timeout_ms=timeout_ms,
+                params={"page_token": page} if page else None,
+            )
+            if answer.is_error():
+                return Error(answer.error)
+            if answer.ok.status != _OK:
+                return Error(self._failure("list", answer.ok.status))
+            try:
+                vms.extend(_decode_vm(item) for item in answer.ok.body["machines"])
+            except (KeyError, TypeError, ValueError):
+                return Error(self._failure("list", answer.ok.status))
+            page = answer.ok.body.get("next_page_token") or ""
+            if not page:
+                return Ok(tuple(vms))
+
+    async def move(
+        self, *, vm: str, pool: str, fencing_token: int, timeout_ms: int
+    ) -> Result[DutyOutcome, Failure]:
+        """Move a VM to a pool; all that runs there ends at once."""
+        body = {"machine": vm, "pool": pool}
+        return await self._duty("machine-move", body, fencing_token, timeout_ms)
+
+    async def upkeep(
+        self, *, vm: str, wave: int, fencing_token: int, timeout_ms: int
+    ) -> Result[DutyOutcome, Failure]:
+        """Take a VM down for its upkeep; all that runs there ends at once."""
+        body = {"machine": vm, "maintenance_wave": wave}
+        return await self._duty("machine-upkeep", body, fencing_token, timeout_ms)
+
+    async def _duty(
+        self, call: str, body: Mapping[str, Any], fencing_token: int, timeout_ms: int
+    ) -> Result[DutyOutcome, Failure]:
+        answer = await self._peer.exchange(
+            "POST",
+            f"/-/{call}",
+            step=f"vms.{call}",
+            timeout_ms=timeout_ms,
+            body=body,
+            headers={"X-Duty-Holder": self._holder, "X-Fencing-Token": str(fencing_token)},
+        )
+        if answer.is_error():
+            return Error(answer.error)
+        if answer.ok.status == _CONFLICT:
+            outcome = _CONFLICTS.get(answer.ok.body.get("reason", ""))
+        else:
+            outcome = _STATUSES.get(answer.ok.status)
+        return Error(self._failure(call, answer.ok.status)) if outcome is None else Ok(outcome)
+
+    def _failure(self, step: str, status: int) -> Failure:
+        refused = status in (_TOO_MANY_REQUESTS, _UNAVAILABLE)
+        return Failure(
+            Reason.NO_CAPACITY,
+            f"vms.{step}",
+            peer=self._peer.address,
+            detail=f"status {status}",
+            ran=Ran.NO if refused else Ran.UNKNOWN,
+        )
+
+
+def _decode_vm(item: Mapping[str, Any]) -> ListedVm:
+    return ListedVm(
+        name=item["machine"],
+        pool=item["pool"],
+        state=VmListState(item["state"]),
+        data_centre=item["zone"],
+        rack=rack_of(item.get("labels", [])),
+        capacity=decode_resources(item["capacity"]),
+        server_id=item.get("id") or "",
+    )
--- /dev/null
+++ b/fireflydeck/scheduling/dispatch.py
@@ -0,0 +1,343 @@
+"""Chooses what is started where, and sends the orders."""
+
+from collections.abc import Callable
+from functools import partial
+
+from attrs import define, field
+
+from fireflydeck.core import Clock, Failure, Ran
+from fireflydeck.core.backend_orders import (
+    EndedRun,
+    HoldReport,
+    RunEnd,
+    StartOrder,
+    StartOutcome,
+)
+from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
+from fireflydeck.kernel import Event, EventLog, Metrics
+from fireflydeck.observation.operators import OperatorDocuments
+from fireflydeck.observation.registrations import Registrations
+from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.policy.job_order import JobRank, objective_ms, rank
+from fireflydeck.policy.server_choice import Candidate, choose_server
+from fireflydeck.scheduling.fleet_usage import OrganisationUsage
+from fireflydeck.scheduling.servers import Server
+from fireflydeck.scheduling.session import HOLD_MS
+from fireflydeck.workload.life import (
+    Attempt,
+    AttemptPhase,
+    Job,
+    Task,
+    begin_attempt,
+    due_occurrences,
+    ready_tasks,
+)
+
+__all__ = ["Dispatch"]
+
+_ORDER_TIMEOUT_MS = 900
+_MAX_DOCUMENT_AGE_MS = 2500
+"""Oldest knowledge of operators' documents and registrations with which a run is started."""
+_CROWDED_PAUSE_MS = 150
+"""No start at a server for this long after it rejected one for want of room."""
+_BUSY_PAUSE_MS = 400
+_RETRY_PAUSE_MS = 100
+_MAX_RETRY_PAUSE_MS = 1600
+_RUNS_A_TERM = 1000
+"""Run numbers of a term begin above all that earlier holders may have used."""
+
+
+@define(eq=False)
+class _QueuedJob:
+    """A job in the order of its pool; `ready` is `None` if it has to be found again."""
+
+    job: Job
+    ready: list[Task] | None = None
+    next_due_ms: int = 0
+    is_lasting: bool = field(default=False)
+
+
+@define(eq=False, kw_only=True)
+class Dispatch:
+    """Decides starts from what is known, and sends starts, stops and paces.
+
+    Parameters
+    ----------
+    begin, drop
+        Reserve and free what an attempt uses.
+    """
+
+    term: int
+    lease: LeaseKeeper
+    operators: OperatorDocuments
+    registrations: Registrations
+    clock: Clock
+    log: EventLog
+    metrics: Metrics
+    usage: OrganisationUsage
+    begin: Callable[[Attempt], None]
+    drop: Callable[[Attempt], None]
+    on_fenced: Callable[[Server], None]
+    on_other_instance: Callable[[Server], None]
+    wake: Callable[[], None]
+    _queued: dict[str, _QueuedJob] = field(factory=dict, init=False)
+
+    # Jobs
+
+    def add_job(self, job: Job) -> None:
+        """Schedule a job."""
+        lasting = any(step.long_running for step in job.spec.steps)
+        self._queued[job.id] = _QueuedJob(job, is_lasting=lasting)
+
+    def remove_job(self, job: Job) -> None:
+        """Schedule a job no more."""
+        self._queued.pop(job.id, None)
+
+    def touch(self, job: Job) -> None:
+        """Look again for the ready tasks of a job."""
+        queued = self._queued.get(job.id)
+        if queued is not None:
+            queued.ready = None
+
+    def note_end(self, server: Server, task: Task, ended: EndedRun) -> None:
+        """Pause a task whose run failed."""
+        if ended.end == RunEnd.FAILED:
+            doublings = min(task.failures, 4)
+            pause_ms = min(_MAX_RETRY_PAUSE_MS, _RETRY_PAUSE_MS << doublings)
+            task.not_before_ms = self.clock.now_ms() + pause_ms
+        server.crowded_until_ms = 0
+
+    def observe(self, server: Server, report: HoldReport) -> None:
+        """Look at the load that a server reports."""
+
+    # Planning
+
+    def plan(
+        self, servers: dict[str, Server], unsettled_pools: set[str], since_version: int
+    ) -> list[tuple[Server, Attempt]]:
+        """Return the starts to send; their capacity is reserved."""
+        configuration = self.operators.configuration
+        if configuration is None or not self._is_fresh():
+            return []
+        now_ms = self.clock.now_ms()
+        open_servers = self._open_servers(servers, now_ms)
+        starts: list[tuple[Server, Attempt]] = []
+        for queue, queued in self._in_order(configuration, now_ms):
+            pool = open_servers.get(queue.pool)
+            if not pool:
+                continue
+            if queue.pool in unsettled_pools and queued.job.stored_version <= since_version:
+                continue
+            for task in self._ready(queued):
+                if task.not_before_ms > now_ms or task.attempts:
+                    continue
+                start = self._place(configuration, task, pool)
+                if start is not None:
+                    starts.append(start)
+        return starts
+
+    def _is_fresh(self) -> bool:
+        ages = (self.operators.age_ms, self.registrations.age_ms)
+        return all(age is not None and age <= _MAX_DOCUMENT_AGE_MS for age in ages)
+
+    def _open_servers(self, servers: dict[str, Server], now_ms: int) -> dict[str, list[Server]]:
+        evacuated = self.operators.evacuated_data_centres
+        by_pool: dict[str, list[Server]] = {}
+        for server in servers.values():
+            if server.takes_work(now_ms) and server.registration.data_centre not in evacuated:
+                by_pool.setdefault(server.registration.pool, []).append(server)
+        return by_pool
+
+    def _in_order(
+        self, configuration: FleetConfiguration, now_ms: int
+    ) -> list[tuple[JobQueue, _QueuedJob]]:
+        ranked: list[tuple[JobRank, str, JobQueue, _QueuedJob]] = []
+        for queued in self._queued.values():
+            queue = configuration.queue(queued.job.spec.queue)
+            if queue is None or not queued.job.is_open:
+                continue
+            if not self._ready(queued):
+                continue
+            job = queued.job
+            deadline_ms = job.accepted_at_ms + objective_ms(job.spec, queue)
+            job_rank = rank(
+                deadline_ms=deadline_ms,
+                priority=queue.priority,
+                is_lasting=queued.is_lasting,
+                now_ms=now_ms,
+            )
+            ranked.append((job_rank, job.id, queue, queued))
+        ranked.sort(key=lambda item: item[:2])
+        return [(queue, queued) for _, _, queue, queued in ranked]
+
+    def _ready(self, queued: _QueuedJob) -> list[Task]:
+        job = queued.job
+        if job.spec.occurrences > job.created_occurrences:
+            created = job.created_occurrences
+            due_occurrences(job, self.clock.wall_ms())
+            if job.created_occurrences > created:
+                queued.ready = None
+        if queued.ready is None:
+            queued.ready = list(ready_tasks(job))
+        else:
+            queued.ready = [task for task in queued.ready if not (task.done or task.attempts)]
+        return queued.ready
+
+    def _place(
+        self, configuration: FleetConfiguration, task: Task, pool: list[Server]
+    ) -> tuple[Server, Attempt] | None:
+        step = task.step
+        organisation = task.job.spec.organisation
+        if not self.usage.allows(configuration, organisation, step.demand):
+            return None
+        candidates = [self._candidate(server, task) for server in pool]
+        server_id = choose_server(step, candidates)
+        if server_id is None:
+            return None
+        server = next(server for server in pool if server.id == server_id)
+        attempt = begin_attempt(
+            task,
+            server_id,
+            least_run=(self.term - 1) * _RUNS_A_TERM + 1,
+            now_ms=self.clock.now_ms(),
+        )
+        self.begin(attempt)
+        return server, attempt
+
+    def _candidate(self, server: Server, task: Task) -> Candidate:
+        step = task.step
+        same_step = 0
+        disturbs = False
+        for attempt in server.attempts.values():
+            other = attempt.task
+            if other.job is task.job and other.key.step == task.key.step:
+                same_step += other.key.occurrence == task.key.occurrence
+            if step.fill:
+                disturbs = disturbs or other.step.target_tail_ms > 0
+            elif step.target_tail_ms > 0:
+                disturbs = disturbs or other.step.fill
+        return Candidate(
+            server_id=server.id,
+            free=server.free,
+            labels=server.registration.labels,
+            rack=server.registration.rack,
+            same_step=same_step,
+            was_avoided=server.id in task.avoided,
+            disturbs=disturbs,
+        )
+
+    # Orders
+
+    async def send_start(self, server: Server, attempt: Attempt) -> None:
+        """Send the start of an attempt, if it is still allowed at this moment."""
+        now_ms = self.clock.now_ms()
+        task = attempt.task
+        if not self._may_start(server, task, now_ms):
+            self.drop(attempt)
+            return
+        until_ms = server.clock_at(now_ms) + HOLD_MS
+        server.lease_until_ms = max(server.lease_until_ms, until_ms)
+        order = StartOrder(
+            task=task.name,
+            run=attempt.run,
+            payload=task.job.spec.payload,
+            lease_until_ms=until_ms,
+            fencing_token=self.term,
+            checkpoint=task.checkpoint if task.step.checkpointing else "",
+        )
+        result = await server.orders.start(order, timeout_ms=_ORDER_TIMEOUT_MS)
+        took_ms = self.clock.now_ms() - now_ms
+        self.metrics.observe_ms("start_order_ms", took_ms)
+        outcome = result.ok.value if result.is_ok() else "no answer"
+        self.log.emit(
+            Event.START_SENT,
+            task=task.name,
+            run=attempt.run,
+            server=server.id,
+            outcome=outcome,
+            took_ms=took_ms,
+            free_cpu=server.free.cpu,
+            operators_age_ms=self.operators.age_ms,
+            waited_ms=now_ms - (task.waiting_since_ms or task.job.accepted_at_ms),
+        )
+        if result.is_ok():
+            self._on_start_outcome(server, attempt, result.ok)
+        else:
+            self._on_start_failure(attempt, result.error)
+
+    def _may_start(self, server: Server, task: Task, now_ms: int) -> bool:
+        """Check at the moment of the send what a start depends on."""
+        return (
+            self.lease.is_valid()
+            and task.job.is_open
+            and not task.done
+            and self._is_fresh()
+            and server.takes_work(now_ms)
+            and server.registration.data_centre not in self.operators.evacuated_data_centres
+        )
+
+    def _on_start_outcome(self, server: Server, attempt: Attempt, outcome: StartOutcome) -> None:
+        now_ms = self.clock.now_ms()
+        if outcome == StartOutcome.ACCEPTED:
+            if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.UNCERTAIN):
+                attempt.enter(AttemptPhase.RUNNING, now_ms)
+            return
+        if attempt.phase != AttemptPhase.STARTING:
+            return
+        self.metrics.count("starts_rejected_total", reason=outcome.value)
+        attempt.task.not_before_ms = now_ms + _RETRY_PAUSE_MS
+        if outcome == StartOutcome.NO_ROOM:
+            server.crowded_until_ms = now_ms + _CROWDED_PAUSE_MS
+            attempt.task.not_before_ms = 0
+        elif outcome == StartOutcome.BUSY:
+            server.crowded_until_ms = now_ms + _BUSY_PAUSE_MS
+        elif outcome == StartOutcome.INVALID:
+            attempt.task.not_before_ms = now_ms + _MAX_RETRY_PAUSE_MS
+        elif outcome == StartOutcome.FENCED:
+            self.on_fenced(server)
+        self.drop(attempt)
+        if outcome == StartOutcome.OTHER_INSTANCE:
+            self.on_other_instance(server)
+
+    def _on_start_failure(self, attempt: Attempt, failure: Failure) -> None:
+        if attempt.phase != AttemptPhase.STARTING:
+            return
+        now_ms = self.clock.now_ms()
+        if failure.ran == Ran.NO:
+            attempt.task.not_before_ms = now_ms + _RETRY_PAUSE_MS
+            self.drop(attempt)
+            return
+        attempt.enter(AttemptPhase.UNCERTAIN, now_ms)
+
+    async def send_stop(self, server: Server, attempt: Attempt) -> None:
+        """Send the stop of an attempt; a run that has not begun then never will."""
+        result = await server.orders.stop(
+            task=attempt.task.name,
+            run=attempt.run,
+            fencing_token=self.term,
+            timeout_ms=_ORDER_TIMEOUT_MS,
+        )
+        taken = result.is_ok() and result.ok
+        self.log.emit(
+            Event.STOP_SENT,
+            task=attempt.task.name,
+            run=attempt.run,
+            server=server.id,
+            taken=taken,
+            phase=attempt.phase.value,
+        )
+        if taken:
+            attempt.enter(AttemptPhase.STOPPING, self.clock.now_ms())
+
+    async def stop_unknown(self, server: Server, task: str, run: int) -> None:
+        """Stop a run of a task that is over or not known."""
+        send = partial(server.orders.stop, task=task, run=run, fencing_token=self.term)
+        result = await send(timeout_ms=_ORDER_TIMEOUT_MS)
+        self.log.emit(
+            Event.STOP_SENT,
+            task=task,
+            run=run,
+            server=server.id,
+            taken=result.is_ok() and result.ok,
+            phase="unknown",
+        )
--- /dev/null
+++ b/fireflydeck/scheduling/job_book.py
@@ -0,0 +1,141 @@
+"""The accepted jobs, as the lease's holder follows them."""
+
+from collections.abc import Callable
+
+from fireflydeck.core import Clock, Failure
+from fireflydeck.core.rows import RowStore, StoredRow
+from fireflydeck.kernel import Event, EventLog
+from fireflydeck.observation.table_follower import TableFollower
+from fireflydeck.workload.life import Job, JobOutcome, due_occurrences, restore_progress
+from fireflydeck.workload.records import (
+    FLEET_PARTITION,
+    JOB_PARTITIONS,
+    JOBS_TABLE,
+    OUTCOMES_TABLE,
+    PROGRESS_TABLE,
+    JobProgress,
+    decode_outcome,
+    decode_progress,
+    is_cancellation,
+    job_id_of,
+)
+from fireflydeck.workload.specification import decode_job_spec
+
+__all__ = ["JobBook"]
+
+_PAUSE_MS = 10
+_READ_TIMEOUT_MS = 2000
+
+
+class JobBook(TableFollower):
+    """Jobs by id; follows submissions and cancellations.
+
+    Parameters
+    ----------
+    on_submitted, on_cancelled
+        Called after a job became known or was cancelled.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        clock: Clock,
+        log: EventLog,
+        *,
+        on_submitted: Callable[[Job], None],
+        on_cancelled: Callable[[Job], None],
+        on_applied: Callable[[], None],
+    ) -> None:
+        super().__init__(
+            store, clock, log, table=JOBS_TABLE, partitions=JOB_PARTITIONS, pause_ms=_PAUSE_MS
+        )
+        self._on_submitted = on_submitted
+        self._on_cancelled = on_cancelled
+        self._on_applied = on_applied
+        self._jobs: dict[str, Job] = {}
+        self._early_cancellations: set[str] = set()
+        self._outcomes: dict[str, JobOutcome] = {}
+        self._progress: dict[str, JobProgress] = {}
+
+    @property
+    def name(self) -> str:
+        """Name of the service."""
+        return "job-book"
+
+    @property
+    def jobs(self) -> dict[str, Job]:
+        """Jobs without an outcome, by id."""
+        return self._jobs
+
+    def outcome(self, job_id: str) -> JobOutcome | None:
+        """Return the stored outcome of a job."""
+        return self._outcomes.get(job_id)
+
+    def job(self, job_id: str) -> Job | None:
+        """Return a job without a stored outcome."""
+        return self._jobs.get(job_id)
+
+    def close_job(self, job: Job) -> None:
+        """Forget the tasks of a job whose outcome is stored and of which nothing runs."""
+        if job.outcome is not None and job.outcome_stored:
+            self._outcomes[job.id] = job.outcome
+            self._jobs.pop(job.id, None)
+
+    async def load(self) -> Failure | None:
+        """Read the outcomes and the progress that earlier holders of the lease stored."""
+        outcomes = await self._store.read(
+            OUTCOMES_TABLE, FLEET_PARTITION, timeout_ms=_READ_TIMEOUT_MS
+        )
+        if outcomes.is_error():
+            return outcomes.error
+        progress = await self._store.read(
+            PROGRESS_TABLE, FLEET_PARTITION, timeout_ms=_READ_TIMEOUT_MS
+        )
+        if progress.is_error():
+            return progress.error
+        self._outcomes = {row.id.key: decode_outcome(row.value) for row in outcomes.ok.rows}
+        self._progress = {
+            row.id.key: decode_progress(row.id.key, row.value) for row in progress.ok.rows
+        }
+        return None
+
+    def apply(self, row: StoredRow) -> None:
+        """Take over a submission or a cancellation."""
+        job_id = job_id_of(row.id)
+        if row.deleted or job_id in self._outcomes:
+            return
+        if is_cancellation(row.id):
+            self._cancel(job_id)
+        elif job_id not in self._jobs:
+            self._submit(job_id, row)
+
+    def applied(self) -> None:
+        """Tell that a batch of rows was taken over."""
+        self._on_applied()
+
+    def _submit(self, job_id: str, row: StoredRow) -> None:
+        try:
+            spec = decode_job_spec(row.value)
+        except ValueError as error:
+            self._log.emit(
+                Event.DOCUMENT_UNREADABLE, document=job_id, version=row.version, detail=str(error)
+            )
+            return
+        age_ms = max(0, self._clock.wall_ms() - spec.accepted_ms)
+        job = Job(spec, row.version, self._clock.now_ms() - age_ms)
+        due_occurrences(job, self._clock.wall_ms())
+        progress = self._progress.pop(job_id, None)
+        if progress is not None:
+            restore_progress(job, progress.done, progress.failures)
+        self._jobs[job_id] = job
+        self._on_submitted(job)
+        if job_id in self._early_cancellations:
+            self._cancel(job_id)
+
+    def _cancel(self, job_id: str) -> None:
+        job = self._jobs.get(job_id)
+        if job is None:
+            self._early_cancellations.add(job_id)
+        elif not job.cancelled:
+            job.cancelled = True
+            self._on_cancelled(job)
--- /dev/null
+++ b/fireflydeck/scheduling/journal.py
@@ -0,0 +1,101 @@
+"""Stores the progress of jobs in group commits."""
+
+from collections.abc import Callable
+
+import anyio
+
+from fireflydeck.core import Clock, Failure
+from fireflydeck.core.rows import RowKey, RowWrite
+from fireflydeck.kernel import Event, EventLog
+from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.workload.life import Job, JobOutcome
+from fireflydeck.workload.records import (
+    encode_outcome,
+    encode_progress,
+    outcome_key,
+    progress_key,
+)
+
+__all__ = ["ProgressJournal"]
+
+_GATHER_MS = 15
+_MAX_JOBS = 45
+"""Jobs in one transaction; each takes at most two of its hundred entries."""
+
+
+class ProgressJournal:
+    """Gathers changed jobs and commits them together.
+
+    Parameters
+    ----------
+    on_commit
+        Called with the ticket up to which everything is stored.
+    """
+
+    def __init__(
+        self,
+        lease: LeaseKeeper,
+        clock: Clock,
+        log: EventLog,
+        on_commit: Callable[[int], None],
+    ) -> None:
+        self._lease = lease
+        self._clock = clock
+        self._log = log
+        self._on_commit = on_commit
+        self._dirty: dict[str, Job] = {}
+        self._open_ticket = 1
+        self._wake = anyio.Event()
+
+    @property
+    def committed_ticket(self) -> int:
+        """Newest ticket whose changes are all stored, if nothing is gathered."""
+        return self._open_ticket - 1
+
+    def note(self, job: Job) -> int:
+        """Store the job's progress soon; returns the ticket of the commit."""
+        self._dirty[job.id] = job
+        self._wake.set()
+        return self._open_ticket
+
+    async def run(self) -> None:
+        """Commit until the lease is lost or the task is cancelled."""
+        while True:
+            await self._wake.wait()
+            await self._clock.sleep_ms(_GATHER_MS)
+            self._wake = anyio.Event()
+            jobs = list(self._dirty.values())
+            self._dirty = {}
+            ticket = self._open_ticket
+            self._open_ticket += 1
+            for first in range(0, len(jobs), _MAX_JOBS):
+                failure = await self._commit(jobs[first : first + _MAX_JOBS])
+                if failure is not None:
+                    return
+            self._on_commit(ticket)
+
+    async def _commit(self, jobs: list[Job]) -> Failure | None:
+        writes: list[RowWrite] = []
+        removals: list[RowKey] = []
+        ending: list[tuple[Job, JobOutcome]] = []
+        for job in jobs:
+            outcome = JobOutcome.CANCELLED if job.cancelled and not job.outcome else job.outcome
+            if outcome is None:
+                writes.append(RowWrite(progress_key(job.id), encode_progress(job)))
+                continue
+            content = encode_outcome(outcome, self._clock.wall_ms())
+            writes.append(RowWrite(outcome_key(job.id), content))
+            removals.append(progress_key(job.id))
+            ending.append((job, outcome))
+        failure = await self._lease.commit(writes, removals)
+        if failure is not None:
+            return failure
+        for job, outcome in ending:
+            self._note_outcome(job, outcome)
+        return None
+
+    def _note_outcome(self, job: Job, outcome: JobOutcome) -> None:
+        if not job.outcome_stored:
+            self._log.emit(Event.JOB_ENDED, job=job.id, outcome=outcome.value)
+        job.outcome = outcome
+        job.outcome_stored = True
--- /dev/null
+++ b/fireflydeck/scheduling/scheduler.py
@@ -0,0 +1,115 @@
+"""Runs the fleet's scheduling in the process that holds the lease."""
+
+import anyio
+from anyio.abc import TaskGroup
+
+from fireflydeck.core import Clock
+from fireflydeck.core.rows import RowStore
+from fireflydeck.kernel import EventLog, Metrics, Registry, Service, keep_running
+from fireflydeck.observation.operators import OperatorDocuments
+from fireflydeck.ownership.lease import LeaseKeeper, Tenure
+from fireflydeck.scheduling.tenure_run import OrdersFactory, TenureRun
+
+__all__ = ["Scheduler"]
+
+
+class Scheduler(Service):
+    """Starts a `TenureRun` whenever this process obtains the lease, and ends it with the lease."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+        make_orders: OrdersFactory,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._make_orders = make_orders
+        self._lease: LeaseKeeper | None = None
+        self._operators: OperatorDocuments | None = None
+        self._changed = anyio.Event()
+        self._run: TenureRun | None = None
+        self._scope: anyio.CancelScope | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of the service."""
+        return "scheduler"
+
+    @property
+    def current(self) -> TenureRun | None:
+        """The scheduling of this tenure, or `None` if another process holds the lease."""
+        return self._run
+
+    def state(self) -> dict[str, object]:
+        """Return the state to dump."""
+        run = self._run
+        if run is None:
+            return {"leads": False}
+        return {
+            "leads": True,
+            "term": run.term,
+            "open_jobs": len(run.book.jobs),
+            "pending": run.pending(),
+            "servers": {
+                server.id: {
+                    "pool": server.registration.pool,
+                    "held": server.is_held,
+                    "reachable": server.is_reachable,
+                    "attempts": len(server.attempts),
+                    "free_cpu": server.free.cpu,
+                }
+                for server in run.servers.values()
+            },
+        }
+
+    async def start(self, registry: Registry, tasks: TaskGroup) -> None:
+        """Wait for the lease."""
+        self._lease = registry.get("lease", LeaseKeeper)
+        self._operators = registry.get("operator-documents", OperatorDocuments)
+        self._lease.on_change(self._on_lease_change)
+        self._lease.publish_pending(self._pending)
+        tasks.start_soon(keep_running, self._clock, self._log, self.name, self._run_tenures)
+
+    def _pending(self) -> dict[str, int]:
+        return self._run.pending() if self._run is not None else {}
+
+    def _on_lease_change(self, tenure: Tenure | None) -> None:
+        self._changed.set()
+        if self._scope is not None:
+            self._scope.cancel()
+
+    async def _run_tenures(self) -> None:
+        while self._lease is not None:
+            await self._changed.wait()
+            self._changed = anyio.Event()
+            tenure = self._lease.tenure
+            if tenure is not None:
+                await self._schedule(tenure)
+
+    async def _schedule(self, tenure: Tenure) -> None:
+        if self._lease is None or self._operators is None:
+            return
+        run = TenureRun(
+            tenure=tenure,
+            store=self._store,
+            lease=self._lease,
+            operators=self._operators,
+            clock=self._clock,
+            log=self._log,
+            metrics=self._metrics,
+            make_orders=self._make_orders,
+        )
+        self._run = run
+        try:
+            with anyio.CancelScope() as self._scope:
+                await run.run()
+        finally:
+            self._run = None
+            self._scope = None
+            with anyio.CancelScope(shield=True):
+                await run.close()
--- /dev/null
+++ b/fireflydeck/scheduling/servers.py
@@ -0,0 +1,127 @@
+"""What the lease's holder knows of a backend server."""
+
+from collections import deque
+
+import anyio
+from attrs import Factory, define
+
+from fireflydeck.core.backend_orders import BackendServerOrders, HoldReport
+from fireflydeck.core.placement import BackendServerState, Registration, Resources
+from fireflydeck.workload.life import Attempt
+
+__all__ = ["Server"]
+
+_SLOWEST_CLOCK = 0.98
+"""Rate of the slowest clock of a backend server."""
+_LAPSE_MARGIN_MS = 60
+"""Added to the end of a lease for rounding."""
+
+
+@define(eq=False)
+class Server:
+    """One life of a backend server.
+
+    Parameters
+    ----------
+    clock_ms, clock_read_ms
+        Its own clock as last read, and when that answer arrived here; 0 before the first answer.
+    lease_until_ms
+        The latest end of a lease that any order of this process named, on its clock.
+    last_end
+        Number of the newest end that was processed here.
+    stored_end
+        Number of the newest end that is stored together with all before it.
+    unstored
+        Ends that wait for a commit: number and ticket.
+    is_held
+        Whether it answered this tenure's fencing token in this life.
+    is_reachable
+        Whether its last answer came in time.
+    """
+
+    registration: Registration
+    orders: BackendServerOrders
+    is_registered: bool = True
+    is_listed: bool = False
+    born_ms: int = 0
+    clock_ms: int = 0
+    clock_read_ms: int = 0
+    lease_until_ms: int = 0
+    last_end: int = 0
+    stored_end: int = 0
+    acknowledged_end: int = 0
+    unstored: deque[tuple[int, int]] = Factory(deque)
+    is_held: bool = False
+    is_reachable: bool = False
+    crowded_until_ms: int = 0
+    used: Resources = Factory(Resources)
+    attempts: dict[tuple[str, int], Attempt] = Factory(dict)
+    wake: anyio.Event = Factory(anyio.Event)
+
+    @property
+    def id(self) -> str:
+        """Id of the backend server."""
+        return self.registration.server_id
+
+    @property
+    def free(self) -> Resources:
+        """Capacity that no attempt uses."""
+        return self.registration.capacity - self.used
+
+    def takes_work(self, now_ms: int) -> bool:
+        """Whether new runs may be placed here."""
+        return (
+            self.is_registered
+            and self.is_listed
+            and self.is_held
+            and self.is_reachable
+            and self.registration.state == BackendServerState.READY
+            and now_ms >= self.crowded_until_ms
+        )
+
+    def needs_hold(self) -> bool:
+        """Whether something runs here, or an end is not acknowledged yet."""
+        return (
+            bool(self.attempts)
+            or not self.is_held
+            or not self.is_reachable
+            or self.acknowledged_end < self.last_end
+        )
+
+    def add(self, attempt: Attempt) -> None:
+        """Reserve the capacity of an attempt."""
+        self.attempts[attempt.task.name, attempt.run] = attempt
+        self.used = self.used + _reserved(attempt)
+        self.wake.set()
+
+    def remove(self, attempt: Attempt) -> None:
+        """Free the capacity of an attempt."""
+        if self.attempts.pop((attempt.task.name, attempt.run), None) is not None:
+            self.used = self.used - _reserved(attempt)
+
+    def clock_at(self, now_ms: int) -> int:
+        """Estimate of its clock; it runs at most 2% slow."""
+        return self.clock_ms + (now_ms - self.clock_read_ms)
+
+    def lease_has_lapsed(self, now_ms: int) -> bool:
+        """Whether every lease given by this process is certainly over."""
+        if self.clock_read_ms == 0:
+            return False
+        least_ms = self.clock_ms + int((now_ms - self.clock_read_ms) * _SLOWEST_CLOCK)
+        return least_ms > self.lease_until_ms + _LAPSE_MARGIN_MS
+
+    def read_clock(self, report: HoldReport, now_ms: int) -> None:
+        """Take over the clock of an answer."""
+        if report.clock_ms >= self.clock_at(now_ms) or report.clock_ms >= self.clock_ms:
+            self.clock_ms = report.clock_ms
+            self.clock_read_ms = now_ms
+
+    def note_stored(self, committed_ticket: int) -> None:
+        """Advance the stored ends up to a commit."""
+        while self.unstored and self.unstored[0][1] <= committed_ticket:
+            self.stored_end = self.unstored.popleft()[0]
+
+
+def _reserved(attempt: Attempt) -> Resources:
+    step = attempt.task.step
+    return step.demand.without_cpu() if step.fill else step.demand
--- /dev/null
+++ b/fireflydeck/scheduling/session.py
@@ -0,0 +1,109 @@
+"""Holds one backend server: extends its leases and collects what ended there."""
+
+from abc import ABC, abstractmethod
+
+import anyio
+
+from fireflydeck.core import Clock, Failure, Reason
+from fireflydeck.core.backend_orders import HoldReport
+from fireflydeck.scheduling.servers import Server
+
+__all__ = ["HOLD_MS", "ServerSession", "SessionOwner"]
+
+HOLD_MS = 3000
+"""Length of the leases given to backend servers."""
+_WAIT_MS = 700
+"""How long a hold waits for an end; a lease is extended at least this often."""
+_PAUSE_MS = 20
+"""Pause between two holds, in which more ends gather."""
+_RETRY_MS = 150
+_CALM_RETRY_MS = 600
+"""Pause between the tries to reach a server on which nothing runs."""
+
+
+class SessionOwner(ABC):
+    """What a session needs from the holder of the lease."""
+
+    @property
+    @abstractmethod
+    def term(self) -> int:
+        """Fencing token of the orders."""
+
+    @abstractmethod
+    def may_hold(self) -> bool:
+        """Whether leases may still be extended."""
+
+    @abstractmethod
+    def on_report(self, server: Server, report: HoldReport, sent_ms: int) -> None:
+        """Take over the answer to a hold that was sent at `sent_ms`."""
+
+    @abstractmethod
+    def on_unreachable(self, server: Server, failure: Failure) -> None:
+        """Note that a server did not answer."""
+
+    @abstractmethod
+    def on_other_instance(self, server: Server) -> None:
+        """Note that another life answers at the server's address."""
+
+    @abstractmethod
+    def on_fenced(self, server: Server) -> None:
+        """Note that the server has seen a higher fencing token."""
+
+
+class ServerSession:
+    """The loop that holds one server until it is cancelled."""
+
+    def __init__(self, server: Server, owner: SessionOwner, clock: Clock) -> None:
+        self._server = server
+        self._owner = owner
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Hold the server as long as something runs there."""
+        server = self._server
+        while True:
+            if not server.needs_hold():
+                server.wake = anyio.Event()
+                await server.wake.wait()
+            if not self._owner.may_hold():
+                await self._clock.sleep_ms(_RETRY_MS)
+                continue
+            await self._hold()
+
+    async def _hold(self) -> None:
+        server = self._server
+        sent_ms = self._clock.now_ms()
+        stored_end = server.stored_end
+        until_ms = self._lease_until_ms(sent_ms)
+        wait_ms = _WAIT_MS if server.attempts and server.is_reachable else 0
+        result = await server.orders.hold(
+            fencing_token=self._owner.term,
+            last_seen=stored_end,
+            lease_until_ms=until_ms,
+            wait_ms=wait_ms,
+        )
+        if result.is_ok():
+            server.acknowledged_end = max(server.acknowledged_end, stored_end)
+            server.read_clock(result.ok, self._clock.now_ms())
+            self._owner.on_report(server, result.ok, sent_ms)
+            await self._clock.sleep_ms(_PAUSE_MS)
+            return
+        await self._handle_failure(result.error)
+
+    def _lease_until_ms(self, now_ms: int) -> int:
+        server = self._server
+        if server.clock_read_ms == 0 or not server.attempts:
+            return 0
+        until_ms = server.clock_at(now_ms) + HOLD_MS
+        server.lease_until_ms = max(server.lease_until_ms, until_ms)
+        return until_ms
+
+    async def _handle_failure(self, failure: Failure) -> None:
+        server = self._server
+        if failure.reason == Reason.BACKEND_LOST:
+            self._owner.on_other_instance(server)
+        elif failure.reason == Reason.NOT_OWNER:
+            self._owner.on_fenced(server)
+        else:
+            self._owner.on_unreachable(server, failure)
+        await self._clock.sleep_ms(_RETRY_MS if server.attempts else _CALM_RETRY_MS)
--- /dev/null
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -0,0 +1,569 @@
+"""The work of the lease's holder for one tenure."""
+
+from collections.abc import Awaitable, Callable, Iterable
+
+import anyio
+import msgpack
+from anyio.abc import TaskGroup
+
+from fireflydeck.core import Clock, Failure
+from fireflydeck.core.backend_orders import BackendServerOrders, EndedRun, HoldReport
+from fireflydeck.core.placement import BackendServerState, Registration, Resources
+from fireflydeck.core.rows import RowStore, RowWrite
+from fireflydeck.kernel import Event, EventLog, Metrics, guard, keep_running
+from fireflydeck.observation.operators import OperatorDocuments
+from fireflydeck.observation.registrations import Registrations
+from fireflydeck.ownership.lease import LeaseKeeper, Tenure
+from fireflydeck.ownership.records import ROSTER_ROW
+from fireflydeck.scheduling.dispatch import Dispatch
+from fireflydeck.scheduling.fleet_usage import OrganisationUsage
+from fireflydeck.scheduling.job_book import JobBook
+from fireflydeck.scheduling.journal import ProgressJournal
+from fireflydeck.scheduling.servers import Server
+from fireflydeck.scheduling.session import HOLD_MS, ServerSession, SessionOwner
+from fireflydeck.workload.life import (
+    Attempt,
+    AttemptPhase,
+    Job,
+    Task,
+    confirm_attempt,
+    due_occurrences,
+    forget_attempt,
+    job_state,
+    note_end,
+)
+
+__all__ = ["EXTENDED_HOLD_MS", "OrdersFactory", "TenureRun"]
+
+OrdersFactory = Callable[[Registration], BackendServerOrders]
+
+EXTENDED_HOLD_MS = 4000
+"""How long after its last confirmation a holder goes on extending leases of what runs."""
+_CLOCK_RATE_MARGIN = 1.03
+"""Over the 2% by which a backend server's clock may be slow."""
+_SETTLE_SLACK_MS = 200
+_CHECK_MS = 100
+_PLAN_PAUSE_MS = 4
+_STOP_REPEAT_MS = 400
+_READ_TIMEOUT_MS = 2000
+_LOAD_RETRY_MS = 100
+
+
+class TenureRun(SessionOwner):
+    """Schedules the fleet's work while this process holds the lease.
+
+    Parameters
+    ----------
+    make_orders
+        Creates the client of a backend server.
+    """
+
+    def __init__(
+        self,
+        *,
+        tenure: Tenure,
+        store: RowStore,
+        lease: LeaseKeeper,
+        operators: OperatorDocuments,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+        make_orders: OrdersFactory,
+    ) -> None:
+        self._tenure = tenure
+        self._store = store
+        self._lease = lease
+        self._operators = operators
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._make_orders = make_orders
+        self._servers: dict[str, Server] = {}
+        self._sessions: dict[str, anyio.CancelScope] = {}
+        self._usage = OrganisationUsage()
+        self._tasks: TaskGroup | None = None
+        self._plan_wake = anyio.Event()
+        self._roster_wake = anyio.Event()
+        self._registrations = Registrations(store, clock, log, self._on_registration)
+        self._book = JobBook(
+            store,
+            clock,
+            log,
+            on_submitted=self._on_submitted,
+            on_cancelled=self._on_cancelled,
+            on_applied=self.wake,
+        )
+        self._journal = ProgressJournal(lease, clock, log, self._on_commit)
+        self._dispatch = Dispatch(
+            term=tenure.term,
+            lease=lease,
+            operators=operators,
+            clock=clock,
+            log=log,
+            metrics=metrics,
+            registrations=self._registrations,
+            begin=self._begin,
+            drop=self._drop,
+            usage=self._usage,
+            on_fenced=self.on_fenced,
+            on_other_instance=self.on_other_instance,
+            wake=self.wake,
+        )
+
+    @property
+    def term(self) -> int:
+        """Fencing token of the orders."""
+        return self._tenure.term
+
+    @property
+    def book(self) -> JobBook:
+        """The accepted jobs."""
+        return self._book
+
+    @property
+    def servers(self) -> dict[str, Server]:
+        """Known backend servers by id."""
+        return self._servers
+
+    def pending(self) -> dict[str, int]:
+        """Return the number of jobs that have not begun, by queue."""
+        counts: dict[str, int] = {}
+        for job in self._book.jobs.values():
+            if not job.begun and job.is_open:
+                counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
+        return counts
+
+    def job_state(self, job_id: str) -> str | None:
+        """Return a job's state, or `None` if it is not known here."""
+        outcome = self._book.outcome(job_id)
+        if outcome is not None:
+            return outcome.value
+        job = self._book.job(job_id)
+        return job_state(job) if job else None
+
+    def wake(self) -> None:
+        """Plan again soon."""
+        self._plan_wake.set()
+
+    def may_hold(self) -> bool:
+        """Whether leases may still be extended."""
+        return self._clock.now_ms() < self._lease.valid_until_ms + EXTENDED_HOLD_MS
+
+    async def run(self) -> None:
+        """Take the fleet over and schedule until cancelled."""
+        await self._load()
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self._keep_running("registrations", self._registrations.follow)
+            self._keep_running("job-book", self._book.follow)
+            self._keep_running("journal", self._journal.run)
+            self._keep_running("roster", self._keep_roster)
+            self._keep_running("leases", self._check_leases)
+            self._keep_running("plan", self._plan)
+
+    def _keep_running(self, step: str, function: Callable[..., Awaitable[None]]) -> None:
+        if self._tasks is not None:
+            self._tasks.start_soon(keep_running, self._clock, self._log, step, function)
+
+    def _send(self, step: str, function: Callable[..., Awaitable[None]], *args: object) -> None:
+        """Send an order in the background."""
+        if self._tasks is not None:
+            self._tasks.start_soon(guard, self._log, step, function, *args)
+
+    async def close(self) -> None:
+        """Close the connections to all backend servers."""
+        for server in self._servers.values():
+            await server.orders.close()
+
+    # Take-over
+
+    async def _load(self) -> None:
+        while True:
+            failure = await self._book.load() or await self._load_roster()
+            if failure is None:
+                return
+            self._log.emit(
+                Event.STORE_CALL_FAILED,
+                step=failure.step,
+                reason=failure.reason,
+                detail=failure.detail,
+            )
+            await self._clock.sleep_ms(_LOAD_RETRY_MS)
+
+    async def _load_roster(self) -> Failure | None:
+        """Read which backend servers an earlier holder may have given work to."""
+        result = await self._store.read(
+            ROSTER_ROW.table,
+            ROSTER_ROW.partition,
+            first=ROSTER_ROW.key,
+            before=ROSTER_ROW.key + "\0",
+            timeout_ms=_READ_TIMEOUT_MS,
+        )
+        if result.is_error():
+            return result.error
+        for row in result.ok.rows:
+            for server_id, pool, address in msgpack.unpackb(row.value):
+                registration = _placeholder(server_id, pool, address)
+                self._servers[server_id] = Server(
+                    registration, self._make_orders(registration), is_registered=False
+                )
+        return None
+
+    async def _keep_roster(self) -> None:
+        """Store which backend servers may have work before any is given to them."""
+        for server in self._servers.values():
+            self._start_session(server)
+        while True:
+            await self._roster_wake.wait()
+            self._roster_wake = anyio.Event()
+            servers = [server for server in self._servers.values()]
+            rows = [
+                [server.id, server.registration.pool, server.registration.address]
+                for server in servers
+            ]
+            writes = [RowWrite(ROSTER_ROW, msgpack.packb(rows))]
+            if await self._lease.commit(writes, []) is not None:
+                return
+            for server in servers:
+                server.is_listed = True
+            self.wake()
+
+    def _unsettled_pools(self) -> set[str]:
+        """Return the pools with a server that may run what an earlier holder started."""
+        now_ms = self._clock.now_ms()
+        settled_ms = self._tenure.since_ms + _SETTLE_SLACK_MS
+        settled_ms += EXTENDED_HOLD_MS + int(HOLD_MS * _CLOCK_RATE_MARGIN)
+        if now_ms >= settled_ms:
+            return set()
+        return {server.registration.pool for server in self._servers.values() if not server.is_held}
+
+    # What becomes known
+
+    def _on_registration(self, server_id: str) -> None:
+        registration = self._registrations.servers.get(server_id)
+        server = self._servers.get(server_id)
+        if registration is None:
+            if server is not None and server.is_registered:
+                server.is_registered = False
+                self._log.emit(Event.SERVER_GONE, server=server_id, running=len(server.attempts))
+                self._retire_if_idle(server)
+            return
+        if server is None:
+            server = Server(registration, self._make_orders(registration))
+            self._servers[server_id] = server
+            self._start_session(server)
+            self._roster_wake.set()
+            self._log.emit(
+                Event.SERVER_SEEN,
+                server=server_id,
+                pool=registration.pool,
+                state=registration.state.value,
+            )
+        elif server.registration.state != registration.state:
+            self._log.emit(Event.SERVER_STATE, server=server_id, state=registration.state.value)
+        if not server.is_registered:
+            self._roster_wake.set()
+        server.registration = registration
+        server.is_registered = True
+        self._note_life(server, registration.born_ms)
+        self.wake()
+
+    def _note_life(self, server: Server, born_ms: int) -> None:
+        """React to a new life under a known id: all earlier work is gone."""
+        if born_ms <= 0 or born_ms == server.born_ms:
+            return
+        if server.born_ms > 0 and born_ms > server.born_ms:
+            self._log.emit(
+                Event.SERVER_REBORN, server=server.id, born_ms=born_ms, running=len(server.attempts)
+            )
+            self._forget_all(server, "reborn")
+            server.last_end = server.stored_end = server.acknowledged_end = 0
+            server.unstored.clear()
+            server.clock_ms = server.clock_read_ms = server.lease_until_ms = 0
+            server.is_held = False
+            server.wake.set()
+        server.born_ms = max(server.born_ms, born_ms)
+
+    def _start_session(self, server: Server) -> None:
+        if self._tasks is None or server.id in self._sessions:
+            return
+        scope = anyio.CancelScope()
+        self._sessions[server.id] = scope
+        self._tasks.start_soon(self._run_session, server, scope)
+
+    async def _run_session(self, server: Server, scope: anyio.CancelScope) -> None:
+        with scope:
+            session = ServerSession(server, self, self._clock)
+            await keep_running(self._clock, self._log, f"session {server.id}", session.run)
+        await server.orders.close()
+
+    def _retire_if_idle(self, server: Server) -> None:
+        """Forget a server that is no longer registered and runs nothing that matters."""
+        if server.is_registered or server.attempts:
+            return
+        if not server.is_held and server.registration.pool in self._unsettled_pools():
+            return
+        self._servers.pop(server.id, None)
+        scope = self._sessions.pop(server.id, None)
+        if scope is not None:
+            scope.cancel()
+        self._roster_wake.set()
+
+    def _on_submitted(self, job: Job) -> None:
+        self._log.emit(
+            Event.JOB_KNOWN, job=job.id, queue=job.spec.queue, version=job.stored_version
+        )
+        self._dispatch.add_job(job)
+        if job.outcome is not None:
+            self._journal.note(job)
+
+    def _on_cancelled(self, job: Job) -> None:
+        self._log.emit(Event.JOB_CANCELLED, job=job.id)
+        self._stop_all(job)
+        self._journal.note(job)
+
+    def _on_commit(self, ticket: int) -> None:
+        for server in self._servers.values():
+            if server.unstored:
+                server.note_stored(ticket)
+                server.wake.set()
+        for job in list(self._book.jobs.values()):
+            if job.outcome_stored and not any(task.attempts for task in job.tasks.values()):
+                self._book.close_job(job)
+                self._dispatch.remove_job(job)
+
+    # Attempts
+
+    def _begin(self, attempt: Attempt) -> None:
+        self._servers[attempt.server_id].add(attempt)
+        self._usage.add(attempt)
+
+    def _drop(self, attempt: Attempt) -> None:
+        """Note that an attempt uses nothing any more."""
+        forget_attempt(attempt, self._clock.now_ms())
+        self._release(attempt)
+
+    def _release(self, attempt: Attempt) -> None:
+        server = self._servers.get(attempt.server_id)
+        if server is not None and (attempt.task.name, attempt.run) in server.attempts:
+            server.remove(attempt)
+            self._usage.remove(attempt)
+            self._dispatch.touch(attempt.task.job)
+        self.wake()
+
+    def _forget_all(self, server: Server, why: str) -> None:
+        for attempt in list(server.attempts.values()):
+            self._log.emit(
+                Event.RUN_LOST,
+                task=attempt.task.name,
+                run=attempt.run,
+                server=server.id,
+                why=why,
+                phase=attempt.phase.value,
+            )
+            self._drop(attempt)
+
+    def _stop_all(self, job: Job) -> None:
+        for task in job.tasks.values():
+            for attempt in list(task.attempts.values()):
+                self._request_stop(attempt)
+
+    def _request_stop(self, attempt: Attempt) -> None:
+        attempt.stop_requested = True
+        server = self._servers.get(attempt.server_id)
+        if server is not None:
+            self._send("stop", self._dispatch.send_stop, server, attempt)
+
+    # Reports
+
+    def on_report(self, server: Server, report: HoldReport, sent_ms: int) -> None:
+        """Take over the answer to a hold."""
+        self._note_life(server, report.born_ms)
+        if not server.is_held:
+            self._log.emit(
+                Event.SERVER_HELD,
+                server=server.id,
+                term=self.term,
+                running=len(report.running),
+                ended=len(report.ended),
+            )
+        server.is_held = True
+        server.is_reachable = True
+        for ended in report.ended:
+            if ended.number > server.last_end:
+                self._on_end(server, ended)
+        self._reconcile(server, report, sent_ms)
+        self._dispatch.observe(server, report)
+        self._retire_if_idle(server)
+        self.wake()
+
+    def _on_end(self, server: Server, ended: EndedRun) -> None:
+        server.last_end = ended.number
+        ticket = self._note_end(server, ended)
+        if server.unstored or ticket > 0:
+            newest = server.unstored[-1][1] if server.unstored else 0
+            server.unstored.append((ended.number, max(ticket, newest)))
+        else:
+            server.stored_end = ended.number
+
+    def _note_end(self, server: Server, ended: EndedRun) -> int:
+        """Note an end; returns the ticket of the commit that it waits for, 0 for none."""
+        task = self._task(ended.task)
+        if task is None:
+            return 0
+        attempt = task.attempts.get(ended.run)
+        self._log.emit(
+            Event.RUN_ENDED,
+            task=ended.task,
+            run=ended.run,
+            server=server.id,
+            end=ended.end.value,
+            end_number=ended.number,
+            known=attempt is not None,
+        )
+        self._metrics.count("runs_ended_total", end=ended.end.value)
+        changed = note_end(
+            task, ended, max_attempts=self._max_attempts(task.job), now_ms=self._clock.now_ms()
+        )
+        self._dispatch.note_end(server, task, ended)
+        if attempt is not None:
+            self._release(attempt)
+        self._dispatch.touch(task.job)
+        if task.done or task.job.outcome is not None:
+            self._stop_extra(task)
+        return self._journal.note(task.job) if changed else 0
+
+    def _stop_extra(self, task: Task) -> None:
+        if task.job.outcome is not None:
+            self._stop_all(task.job)
+            return
+        for attempt in list(task.attempts.values()):
+            self._request_stop(attempt)
+
+    def _reconcile(self, server: Server, report: HoldReport, sent_ms: int) -> None:
+        """Compare what is known of the server's runs with its list."""
+        now_ms = self._clock.now_ms()
+        listed = {(row.task, row.run): row for row in report.running}
+        for key, row in listed.items():
+            attempt = server.attempts.get(key)
+            if attempt is None:
+                self._adopt(server, row.task, row.run, now_ms)
+                continue
+            attempt.at_work = row.percent >= 100
+            if row.checkpoint:
+                attempt.task.checkpoint = row.checkpoint
+            if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.UNCERTAIN):
+                attempt.enter(AttemptPhase.RUNNING, now_ms)
+            if attempt.stop_requested and now_ms - attempt.changed_ms > _STOP_REPEAT_MS:
+                attempt.changed_ms = now_ms
+                self._request_stop(attempt)
+        for key, attempt in list(server.attempts.items()):
+            if key not in listed and attempt.changed_ms < sent_ms:
+                self._on_unlisted(server, attempt)
+
+    def _on_unlisted(self, server: Server, attempt: Attempt) -> None:
+        """Handle an attempt that the server neither runs nor lists as ended."""
+        if attempt.phase == AttemptPhase.UNCERTAIN:
+            attempt.changed_ms = self._clock.now_ms()
+            self._request_stop(attempt)
+        elif attempt.phase in (AttemptPhase.RUNNING, AttemptPhase.STOPPING):
+            self._log.emit(
+                Event.RUN_LOST,
+                task=attempt.task.name,
+                run=attempt.run,
+                server=server.id,
+                why="not listed",
+                phase=attempt.phase.value,
+            )
+            self._drop(attempt)
+
+    def _adopt(self, server: Server, name: str, run: int, now_ms: int) -> None:
+        """Take over a run that this process did not start, or stop it."""
+        task = self._task(name)
+        if task is None:
+            self._log.emit(Event.RUN_UNKNOWN, task=name, run=run, server=server.id)
+            self._send("stop", self._dispatch.stop_unknown, server, name, run)
+            return
+        others = bool(task.attempts)
+        attempt = confirm_attempt(task, run, server.id, now_ms)
+        attempt.server_id = server.id
+        self._begin(attempt)
+        self._dispatch.touch(task.job)
+        self._log.emit(Event.RUN_ADOPTED, task=name, run=run, server=server.id, others=others)
+        if others or task.done or not task.job.is_open:
+            self._request_stop(attempt)
+
+    def _task(self, name: str) -> Task | None:
+        job = self._book.job(name.partition(".")[0])
+        if job is None:
+            return None
+        if name not in job.tasks:
+            due_occurrences(job, self._clock.wall_ms())
+        return job.tasks.get(name)
+
+    def _max_attempts(self, job: Job) -> int:
+        configuration = self._operators.configuration
+        queue = configuration.queue(job.spec.queue) if configuration else None
+        return queue.max_attempts if queue else 1
+
+    def on_unreachable(self, server: Server, failure: Failure) -> None:
+        """Note that a server did not answer."""
+        if server.is_reachable:
+            self._log.emit(
+                Event.SERVER_UNREACHABLE,
+                server=server.id,
+                step=failure.step,
+                detail=failure.detail,
+                running=len(server.attempts),
+            )
+        server.is_reachable = False
+
+    def on_other_instance(self, server: Server) -> None:
+        """Note that the life that this record describes is over."""
+        self._log.emit(Event.SERVER_REPLACED, server=server.id, running=len(server.attempts))
+        server.is_registered = False
+        server.is_held = True
+        self._forget_all(server, "other instance")
+        self._retire_if_idle(server)
+
+    def on_fenced(self, server: Server) -> None:
+        """Note a higher fencing token: another process holds the lease."""
+        self._log.emit(Event.ORDER_FENCED, server=server.id, term=self.term)
+
+    async def _check_leases(self) -> None:
+        while True:
+            await self._clock.sleep_ms(_CHECK_MS)
+            now_ms = self._clock.now_ms()
+            for server in list(self._servers.values()):
+                if server.attempts and not server.is_reachable and server.lease_has_lapsed(now_ms):
+                    self._forget_all(server, "lease lapsed")
+                self._retire_if_idle(server)
+            self.wake()
+
+    # Planning
+
+    async def _plan(self) -> None:
+        while True:
+            await self._plan_wake.wait()
+            await self._clock.sleep_ms(_PLAN_PAUSE_MS)
+            self._plan_wake = anyio.Event()
+            if not self._lease.is_valid():
+                continue
+            starts: Iterable[tuple[Server, Attempt]] = self._dispatch.plan(
+                self._servers, self._unsettled_pools(), self._tenure.since_version
+            )
+            for server, attempt in starts:
+                self._send("start", self._dispatch.send_start, server, attempt)
+
+
+def _placeholder(server_id: str, pool: str, address: str) -> Registration:
+    """Return the entry of a server that an earlier holder knew and that is not registered."""
+    return Registration(
+        server_id=server_id,
+        pool=pool,
+        address=address,
+        data_centre="",
+        state=BackendServerState.DRAINING,
+        capacity=Resources(),
+        labels=frozenset(),
+    )
--- /dev/null
+++ b/fireflydeck/workload/life.py
@@ -0,0 +1,270 @@
+"""The life of a job and its tasks.
+
+A `Job` holds what is known of its tasks; the functions below change it for one event each. Events
+may come late, twice or out of order: a run that is not known any more changes nothing.
+"""
+
+from collections.abc import Iterator
+from enum import StrEnum
+
+from attrs import Factory, define, field
+
+from fireflydeck.core.backend_orders import EndedRun, RunEnd
+from fireflydeck.workload.specification import JobSpec, StepSpec, TaskKey
+
+__all__ = [
+    "Attempt",
+    "AttemptPhase",
+    "Job",
+    "JobOutcome",
+    "Task",
+    "begin_attempt",
+    "confirm_attempt",
+    "due_occurrences",
+    "forget_attempt",
+    "is_finished",
+    "job_state",
+    "note_end",
+    "ready_tasks",
+    "restore_progress",
+]
+
+
+class JobOutcome(StrEnum):
+    """Final state of a job."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class AttemptPhase(StrEnum):
+    """What is known of a run on a backend server.
+
+    `UNCERTAIN`: the start got no answer; it may run, or may be started later.
+    """
+
+    STARTING = "starting"
+    UNCERTAIN = "uncertain"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@define(eq=False)
+class Attempt:
+    """One run of a task.
+
+    Parameters
+    ----------
+    changed_ms
+        Time of the last change of the phase.
+    at_work
+        Whether the backend server reports the run at full work.
+    """
+
+    task: "Task"
+    run: int
+    server_id: str
+    phase: AttemptPhase
+    changed_ms: int
+    at_work: bool = False
+    stop_requested: bool = False
+    percent_allowed: int = 100
+
+    def enter(self, phase: AttemptPhase, now_ms: int) -> None:
+        """Change the phase."""
+        self.phase = phase
+        self.changed_ms = now_ms
+
+
+@define(eq=False)
+class Task:
+    """What is known of one task.
+
+    Parameters
+    ----------
+    last_run
+        Highest number that a run of this task had.
+    failures
+        Runs that ended `failed`.
+    not_before_ms
+        No start earlier than this: pause after a failure or a rejection.
+    avoided
+        Backend servers where a run of this task failed.
+    """
+
+    job: "Job"
+    key: TaskKey
+    name: str
+    last_run: int = 0
+    failures: int = 0
+    done: bool = False
+    checkpoint: str = ""
+    not_before_ms: int = 0
+    waiting_since_ms: int = 0
+    attempts: dict[int, Attempt] = Factory(dict)
+    avoided: set[str] = Factory(set)
+
+    @property
+    def step(self) -> StepSpec:
+        """Step of the task."""
+        return self.job.spec.steps[self.key.step]
+
+
+@define(eq=False)
+class Job:
+    """What is known of one job.
+
+    Parameters
+    ----------
+    stored_version
+        Version of the store that holds the job's row.
+    """
+
+    spec: JobSpec
+    stored_version: int
+    accepted_at_ms: int
+    tasks: dict[str, Task] = Factory(dict)
+    open_tasks: dict[tuple[int, int], int] = Factory(dict)
+    created_occurrences: int = 0
+    cancelled: bool = False
+    outcome: JobOutcome | None = None
+    outcome_stored: bool = False
+    begun: bool = False
+    completed_by_step: dict[int, int] = field(factory=dict)
+
+    @property
+    def id(self) -> str:
+        """Id of the job."""
+        return self.spec.job_id
+
+    @property
+    def is_open(self) -> bool:
+        """Whether tasks may still be started."""
+        return self.outcome is None and not self.cancelled
+
+
+def due_occurrences(job: Job, wall_ms: int) -> None:
+    """Create the tasks of the occurrences that are due."""
+    spec = job.spec
+    total = max(1, spec.occurrences)
+    while job.created_occurrences < total:
+        number = job.created_occurrences
+        if spec.occurrences > 0 and wall_ms < spec.first_due_ms + number * spec.interval_ms:
+            return
+        _create_occurrence(job, number)
+
+
+def _create_occurrence(job: Job, number: int) -> None:
+    for step_number, step in enumerate(job.spec.steps):
+        for index in range(step.count):
+            key = TaskKey(job.id, number, step_number, index)
+            name = str(key)
+            job.tasks[name] = Task(job, key, name)
+        job.open_tasks[number, step_number] = step.count
+    job.created_occurrences += 1
+
+
+def ready_tasks(job: Job) -> Iterator[Task]:
+    """Return the tasks that wait for a start and whose steps' dependencies are done."""
+    if not job.is_open:
+        return
+    for task in job.tasks.values():
+        if task.done or task.attempts:
+            continue
+        if _dependencies_done(job, task.key):
+            yield task
+
+
+def _dependencies_done(job: Job, key: TaskKey) -> bool:
+    step = job.spec.steps[key.step]
+    return all(job.open_tasks[key.occurrence, earlier] == 0 for earlier in step.depends_on)
+
+
+def begin_attempt(task: Task, server_id: str, *, least_run: int, now_ms: int) -> Attempt:
+    """Note that a start is about to be sent; its run number is higher than any before."""
+    task.last_run = max(task.last_run + 1, least_run)
+    attempt = Attempt(task, task.last_run, server_id, AttemptPhase.STARTING, now_ms)
+    task.attempts[attempt.run] = attempt
+    task.job.begun = True
+    return attempt
+
+
+def confirm_attempt(task: Task, run: int, server_id: str, now_ms: int) -> Attempt:
+    """Note that a run is at its backend server, also one that was not known."""
+    attempt = task.attempts.get(run)
+    if attempt is None:
+        attempt = Attempt(task, run, server_id, AttemptPhase.RUNNING, now_ms)
+        task.attempts[run] = attempt
+        task.last_run = max(task.last_run, run)
+        task.job.begun = True
+    elif attempt.phase in (AttemptPhase.STARTING, AttemptPhase.UNCERTAIN):
+        attempt.enter(AttemptPhase.RUNNING, now_ms)
+    return attempt
+
+
+def forget_attempt(attempt: Attempt, now_ms: int) -> None:
+    """Note that a run certainly does not run and never will."""
+    task = attempt.task
+    if task.attempts.pop(attempt.run, None) is not None:
+        task.waiting_since_ms = now_ms
+
+
+def note_end(task: Task, ended: EndedRun, *, max_attempts: int, now_ms: int) -> bool:
+    """Note the end of a run; returns whether the job's stored progress changes."""
+    known = task.attempts.pop(ended.run, None)
+    task.last_run = max(task.last_run, ended.run)
+    task.waiting_since_ms = now_ms
+    if ended.checkpoint:
+        task.checkpoint = ended.checkpoint
+    job = task.job
+    if task.done or not job.is_open or task.step.long_running:
+        return False
+    if ended.end == RunEnd.DONE:
+        _finish_task(task)
+        return True
+    if ended.end == RunEnd.FAILED and known is not None:
+        task.failures += 1
+        task.avoided.add(known.server_id)
+        if task.failures >= max_attempts:
+            job.outcome = JobOutcome.FAILED
+        return True
+    return False
+
+
+def _finish_task(task: Task) -> None:
+    job = task.job
+    task.done = True
+    job.open_tasks[task.key.occurrence, task.key.step] -= 1
+    job.completed_by_step[task.key.step] = job.completed_by_step.get(task.key.step, 0) + 1
+    if is_finished(job):
+        job.outcome = JobOutcome.COMPLETED
+
+
+def is_finished(job: Job) -> bool:
+    """Whether all tasks of all occurrences are done."""
+    return job.created_occurrences >= max(1, job.spec.occurrences) and not any(
+        job.open_tasks.values()
+    )
+
+
+def restore_progress(job: Job, done: list[str], failures: dict[str, int]) -> None:
+    """Take over what the store holds of a job's progress."""
+    for name in [*done, *failures]:
+        while name not in job.tasks and job.created_occurrences < max(1, job.spec.occurrences):
+            _create_occurrence(job, job.created_occurrences)
+    for name, count in failures.items():
+        job.tasks[name].failures = count
+    for name in done:
+        if not job.tasks[name].done:
+            _finish_task(job.tasks[name])
+    job.begun = job.begun or bool(done or failures)
+
+
+def job_state(job: Job) -> str:
+    """Return the state as callers see it; final states only once they are stored."""
+    if job.outcome is not None and job.outcome_stored:
+        return job.outcome.value
+    if job.cancelled:
+        return JobOutcome.CANCELLED.value
+    return "running" if job.begun else "queued"
--- /dev/null
+++ b/fireflydeck/workload/records.py
@@ -0,0 +1,109 @@
+"""Rows of jobs in the store.
+
+Table ``jobs`` holds a row a job and a row a cancellation, in partitions by the job's id; every
+entry process writes there. Tables ``progress`` and ``outcomes`` belong to the lease's holder and
+share the lease's partition.
+"""
+
+import zlib
+
+import msgpack
+from attrs import frozen
+
+from fireflydeck.core.rows import RowKey
+from fireflydeck.workload.life import Job, JobOutcome
+
+__all__ = [
+    "FLEET_PARTITION",
+    "JOBS_TABLE",
+    "JOB_PARTITIONS",
+    "OUTCOMES_TABLE",
+    "PROGRESS_TABLE",
+    "JobProgress",
+    "cancellation_key",
+    "decode_outcome",
+    "decode_progress",
+    "encode_outcome",
+    "encode_progress",
+    "is_cancellation",
+    "job_id_of",
+    "job_key",
+    "outcome_key",
+    "progress_key",
+]
+
+JOBS_TABLE = "jobs"
+PROGRESS_TABLE = "progress"
+OUTCOMES_TABLE = "outcomes"
+FLEET_PARTITION = "fleet"
+JOB_PARTITIONS = tuple(f"jobs-{number}" for number in range(4))
+_CANCELLATION_SUFFIX = "/cancelled"
+
+
+@frozen
+class JobProgress:
+    """Stored progress of a job: names of the tasks done, and failures by task."""
+
+    done: list[str]
+    failures: dict[str, int]
+
+
+def job_key(job_id: str) -> RowKey:
+    """Return the key of a job's row."""
+    return RowKey(JOBS_TABLE, _job_partition(job_id), job_id)
+
+
+def cancellation_key(job_id: str) -> RowKey:
+    """Return the key of the row that cancels a job."""
+    return RowKey(JOBS_TABLE, _job_partition(job_id), job_id + _CANCELLATION_SUFFIX)
+
+
+def progress_key(job_id: str) -> RowKey:
+    """Return the key of a job's progress."""
+    return RowKey(PROGRESS_TABLE, FLEET_PARTITION, job_id)
+
+
+def outcome_key(job_id: str) -> RowKey:
+    """Return the key of a job's outcome."""
+    return RowKey(OUTCOMES_TABLE, FLEET_PARTITION, job_id)
+
+
+def is_cancellation(key: RowKey) -> bool:
+    """Whether a row of the table of jobs cancels a job."""
+    return key.key.endswith(_CANCELLATION_SUFFIX)
+
+
+def job_id_of(key: RowKey) -> str:
+    """Return the id of the job that a row belongs to."""
+    return key.key.removesuffix(_CANCELLATION_SUFFIX)
+
+
+def encode_progress(job: Job) -> bytes:
+    """Encode a job's progress; names are stored without the job's id."""
+    prefix = len(job.id)
+    done = [task.name[prefix:] for task in job.tasks.values() if task.done]
+    failures = {task.name[prefix:]: task.failures for task in job.tasks.values() if task.failures}
+    return msgpack.packb([done, failures])
+
+
+def decode_progress(job_id: str, content: bytes) -> JobProgress:
+    """Decode a job's progress."""
+    done, failures = msgpack.unpackb(content)
+    return JobProgress(
+        [job_id + name for name in done],
+        {job_id + name: count for name, count in failures.items()},
+    )
+
+
+def encode_outcome(outcome: JobOutcome, wall_ms: int) -> bytes:
+    """Encode the outcome of a job and when it was reached."""
+    return msgpack.packb([outcome.value, wall_ms])
+
+
+def decode_outcome(content: bytes) -> JobOutcome:
+    """Decode the outcome of a job."""
+    return JobOutcome(msgpack.unpackb(content)[0])
+
+
+def _job_partition(job_id: str) -> str:
+    return JOB_PARTITIONS[zlib.crc32(job_id.encode()) % len(JOB_PARTITIONS)]
