--- a/fireflydeck/observation/table_follower.py
+++ b/fireflydeck/observation/table_follower.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 
+import anyio
 from anyio.abc import TaskGroup
 
 from fireflydeck.core import Clock, Failure
@@ -47,6 +48,11 @@
         self._versions: dict[RowKey, int] = {}
         self._confirmed_ms: int | None = None
         self._is_lost = False
+        self._loaded = anyio.Event()
+
+    async def wait_loaded(self) -> None:
+        """Wait until the table was read once as a whole."""
+        await self._loaded.wait()
 
     @property
     def age_ms(self) -> int | None:
@@ -91,6 +97,7 @@
         for row in found.values():
             self._take(row)
         self._confirm(sent_ms)
+        self._loaded.set()
         return version
 
     async def _follow_changes(self, version: int) -> None:
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -80,6 +80,7 @@
         self._make_orders = make_orders
         self._servers: dict[str, Server] = {}
         self._sessions: dict[str, anyio.CancelScope] = {}
+        self._sessions_open = False
         self._usage = OrganisationUsage()
         self._tasks: TaskGroup | None = None
         self._plan_wake = anyio.Event()
@@ -156,6 +157,9 @@
             self._tasks = tasks
             self._keep_running("registrations", self._registrations.follow)
             self._keep_running("job-book", self._book.follow)
+            await self._book.wait_loaded()
+            await self._registrations.wait_loaded()
+            self._open_sessions()
             self._keep_running("journal", self._journal.run)
             self._keep_running("roster", self._keep_roster)
             self._keep_running("leases", self._check_leases)
@@ -211,8 +215,6 @@
 
     async def _keep_roster(self) -> None:
         """Store which backend servers may have work before any is given to them."""
-        for server in self._servers.values():
-            self._start_session(server)
         while True:
             await self._roster_wake.wait()
             self._roster_wake = anyio.Event()
@@ -284,8 +286,14 @@
             server.wake.set()
         server.born_ms = max(server.born_ms, born_ms)
 
+    def _open_sessions(self) -> None:
+        """Begin to hold the backend servers; their runs can be told apart from now on."""
+        self._sessions_open = True
+        for server in self._servers.values():
+            self._start_session(server)
+
     def _start_session(self, server: Server) -> None:
-        if self._tasks is None or server.id in self._sessions:
+        if self._tasks is None or not self._sessions_open or server.id in self._sessions:
             return
         scope = anyio.CancelScope()
         self._sessions[server.id] = scope
