Waves of upkeep, moves of VMs by demand, and failed runs counted by number

Failed runs are now kept by their numbers, so an end counts once whoever sees it. Ruled out: lost commits (the second failure was listed to the new holder).

--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -23,6 +23,8 @@
     settings_path,
 )
 from fireflydeck.platform.store import PlatformStore
+from fireflydeck.platform.vm_client import VmClient
+from fireflydeck.scheduling.duties import DutyTimes
 from fireflydeck.scheduling.scheduler import Scheduler
 
 __all__ = ["run_entry"]
@@ -70,7 +72,23 @@
         metrics=metrics,
     )
     kernel.add(operators)
-    kernel.add(Scheduler(store, clock, log, metrics, _make_orders))
+    vm_orders = VmClient(settings.vm_api_address, settings.name)
+    times = DutyTimes(
+        duty_lease_ms=settings.bounds.duty_lease_ms,
+        migration_ms=settings.bounds.migration_ms,
+        maintenance_ms=settings.bounds.maintenance_ms,
+    )
+    kernel.add(
+        Scheduler(
+            store=store,
+            clock=clock,
+            log=log,
+            metrics=metrics,
+            make_orders=_make_orders,
+            vm_orders=vm_orders,
+            duty_times=times,
+        )
+    )
     kernel.add(link)
     kernel.add(
         StatusServer(
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -133,6 +133,21 @@
         written="A backend server runs a task of a job that is over or not known.",
         fields=("task", "run", "server"),
     ),
+    6501: EventNote(
+        written="The platform's VM interface gave no usable answer; it is asked again.",
+        action="See whether the interface works; waves and moves stand still until it does.",
+        fields=("step", "detail"),
+    ),
+    6502: EventNote(
+        written="A VM of a wave gets no new work, and its long-running tasks are stopped within "
+        "their budgets.",
+        fields=("vm", "server", "running", "stopped"),
+    ),
+    6503: EventNote(
+        written="A move or an upkeep was ordered and answered, or got no answer.",
+        fields=("duty", "vm", "pool", "target", "outcome", "list_age_ms"),
+    ),
+    6504: EventNote(written="The status of a wave was written.", fields=("wave", "state")),
     6401: EventNote(
         written="A caller got an answer other than a plain state.",
         action="For 503: see 1110 and 6402 of the same time.",
--- a/fireflydeck/platform/documents.py
+++ b/fireflydeck/platform/documents.py
@@ -16,6 +16,7 @@
     ServerPool,
 )
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
+from fireflydeck.core.rows import RowKey
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -32,7 +33,7 @@
     "decode_wave",
     "encode_wave_state",
     "rack_of",
-    "wave_status_key",
+    "wave_status_row",
 ]
 
 OPERATOR_TABLE = "op"
@@ -149,9 +150,9 @@
     return orjson.dumps({"state": state})
 
 
-def wave_status_key(number: int) -> str:
+def wave_status_row(number: int) -> RowKey:
     """Return the key of a wave's status row."""
-    return f"wave/{number}"
+    return RowKey(STATUS_TABLE, "", f"{WAVE_PREFIX}{number}")
 
 
 def rack_of(labels: list[str]) -> str:
--- a/fireflydeck/policy/server_choice.py
+++ b/fireflydeck/policy/server_choice.py
@@ -37,7 +37,7 @@
     """Return the id of the best candidate with room, or `None`.
 
     Preferred are servers where the task has not failed, where it disturbs nobody, near its data,
-    and then those with the most free processor time.
+    and then the fullest ones, so that the others become idle and their VMs free to move.
     """
     demand = step.demand.without_cpu() if step.fill else step.demand
     best: Candidate | None = None
@@ -57,4 +57,4 @@
 
 def _preference(step: StepSpec, candidate: Candidate) -> tuple[bool, bool, bool, int]:
     is_far = bool(step.data_rack) and candidate.rack != step.data_rack
-    return (candidate.was_avoided, candidate.disturbs, is_far, -candidate.free.cpu)
+    return (candidate.was_avoided, candidate.disturbs, is_far, candidate.free.cpu)
--- a/fireflydeck/scheduling/job_book.py
+++ b/fireflydeck/scheduling/job_book.py
@@ -126,7 +126,7 @@
         due_occurrences(job, self._clock.wall_ms())
         progress = self._progress.pop(job_id, None)
         if progress is not None:
-            restore_progress(job, progress.done, progress.failures)
+            restore_progress(job, progress.done, progress.failed_runs)
         self._jobs[job_id] = job
         self._on_submitted(job)
         if job_id in self._early_cancellations:
--- a/fireflydeck/scheduling/scheduler.py
+++ b/fireflydeck/scheduling/scheduler.py
@@ -5,9 +5,11 @@
 
 from fireflydeck.core import Clock
 from fireflydeck.core.rows import RowStore
+from fireflydeck.core.vm_orders import VmOrders
 from fireflydeck.kernel import EventLog, Metrics, Registry, Service, keep_running
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper, Tenure
+from fireflydeck.scheduling.duties import DutyTimes
 from fireflydeck.scheduling.tenure_run import OrdersFactory, TenureRun
 
 __all__ = ["Scheduler"]
@@ -18,17 +20,22 @@
 
     def __init__(
         self,
+        *,
         store: RowStore,
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
         make_orders: OrdersFactory,
+        vm_orders: VmOrders,
+        duty_times: DutyTimes,
     ) -> None:
         self._store = store
         self._clock = clock
         self._log = log
         self._metrics = metrics
         self._make_orders = make_orders
+        self._vm_orders = vm_orders
+        self._duty_times = duty_times
         self._lease: LeaseKeeper | None = None
         self._operators: OperatorDocuments | None = None
         self._changed = anyio.Event()
@@ -103,6 +110,8 @@
             log=self._log,
             metrics=self._metrics,
             make_orders=self._make_orders,
+            vm_orders=self._vm_orders,
+            duty_times=self._duty_times,
         )
         self._run = run
         try:
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -37,6 +37,8 @@
         Whether it answered this tenure's fencing token in this life.
     is_reachable
         Whether its last answer came in time.
+    is_cordoned
+        Whether it gets no new work because its VM is about to move or to go down.
     """
 
     registration: Registration
@@ -54,6 +56,7 @@
     is_held: bool = False
     is_reachable: bool = False
     crowded_until_ms: int = 0
+    is_cordoned: bool = False
     used: Resources = Factory(Resources)
     attempts: dict[tuple[str, int], Attempt] = Factory(dict)
     wake: anyio.Event = Factory(anyio.Event)
@@ -68,17 +71,25 @@
         """Capacity that no attempt uses."""
         return self.registration.capacity - self.used
 
-    def takes_work(self, now_ms: int) -> bool:
-        """Whether new runs may be placed here."""
+    def can_work(self) -> bool:
+        """Whether new runs may be placed here, now or after a pause."""
         return (
             self.is_registered
             and self.is_listed
             and self.is_held
             and self.is_reachable
+            and not self.is_cordoned
             and self.registration.state == BackendServerState.READY
-            and now_ms >= self.crowded_until_ms
         )
 
+    def takes_work(self, now_ms: int) -> bool:
+        """Whether new runs may be placed here now."""
+        return self.can_work() and now_ms >= self.crowded_until_ms
+
+    def is_quiet(self) -> bool:
+        """Whether certainly nothing runs here."""
+        return self.is_held and self.is_reachable and not self.attempts
+
     def needs_hold(self) -> bool:
         """Whether something runs here, or an end is not acknowledged yet."""
         return (
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -10,12 +10,14 @@
 from fireflydeck.core.backend_orders import BackendServerOrders, EndedRun, HoldReport
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
 from fireflydeck.core.rows import RowStore, RowWrite
+from fireflydeck.core.vm_orders import VmOrders
 from fireflydeck.kernel import Event, EventLog, Metrics, guard, keep_running
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.observation.registrations import Registrations
 from fireflydeck.ownership.lease import LeaseKeeper, Tenure
 from fireflydeck.ownership.records import ROSTER_ROW
 from fireflydeck.scheduling.dispatch import Dispatch
+from fireflydeck.scheduling.duties import DutyTimes, FleetDuties
 from fireflydeck.scheduling.fleet_usage import OrganisationUsage
 from fireflydeck.scheduling.job_book import JobBook
 from fireflydeck.scheduling.journal import ProgressJournal
@@ -56,6 +58,8 @@
     ----------
     make_orders
         Creates the client of a backend server.
+    vm_orders
+        The platform's VM interface.
     """
 
     def __init__(
@@ -69,6 +73,8 @@
         log: EventLog,
         metrics: Metrics,
         make_orders: OrdersFactory,
+        vm_orders: VmOrders,
+        duty_times: DutyTimes,
     ) -> None:
         self._tenure = tenure
         self._store = store
@@ -110,6 +116,20 @@
             on_other_instance=self.on_other_instance,
             wake=self.wake,
         )
+        self._duties = FleetDuties(
+            store=store,
+            tenure=tenure,
+            lease=lease,
+            operators=operators,
+            clock=clock,
+            log=log,
+            orders=vm_orders,
+            times=duty_times,
+            servers=self._servers,
+            demand=self._dispatch.demand,
+            request_stop=self._request_stop,
+            wake=self.wake,
+        )
 
     @property
     def term(self) -> int:
@@ -164,6 +184,7 @@
             self._keep_running("roster", self._keep_roster)
             self._keep_running("leases", self._check_leases)
             self._keep_running("plan", self._plan)
+            self._keep_running("duties", self._duties.run)
 
     def _keep_running(self, step: str, function: Callable[..., Awaitable[None]]) -> None:
         if self._tasks is not None:
--- a/fireflydeck/workload/life.py
+++ b/fireflydeck/workload/life.py
@@ -85,8 +85,8 @@
     ----------
     last_run
         Highest number that a run of this task had.
-    failures
-        Runs that ended `failed`.
+    failed_runs
+        Numbers of the runs that ended `failed`; an end may be listed again to a later holder.
     not_before_ms
         No start earlier than this: pause after a failure or a rejection.
     avoided
@@ -97,7 +97,7 @@
     key: TaskKey
     name: str
     last_run: int = 0
-    failures: int = 0
+    failed_runs: set[int] = Factory(set)
     done: bool = False
     checkpoint: str = ""
     not_before_ms: int = 0
@@ -105,6 +105,11 @@
     attempts: dict[int, Attempt] = Factory(dict)
     avoided: set[str] = Factory(set)
 
+    @property
+    def failures(self) -> int:
+        """Number of runs that ended `failed`."""
+        return len(self.failed_runs)
+
     @property
     def step(self) -> StepSpec:
         """Step of the task."""
@@ -223,9 +228,10 @@
     if ended.end == RunEnd.DONE:
         _finish_task(task)
         return True
-    if ended.end == RunEnd.FAILED and known is not None:
-        task.failures += 1
-        task.avoided.add(known.server_id)
+    if ended.end == RunEnd.FAILED and ended.run not in task.failed_runs:
+        task.failed_runs.add(ended.run)
+        if known is not None:
+            task.avoided.add(known.server_id)
         if task.failures >= max_attempts:
             job.outcome = JobOutcome.FAILED
         return True
@@ -248,17 +254,17 @@
     )
 
 
-def restore_progress(job: Job, done: list[str], failures: dict[str, int]) -> None:
+def restore_progress(job: Job, done: list[str], failed_runs: dict[str, list[int]]) -> None:
     """Take over what the store holds of a job's progress."""
-    for name in [*done, *failures]:
+    for name in [*done, *failed_runs]:
         while name not in job.tasks and job.created_occurrences < max(1, job.spec.occurrences):
             _create_occurrence(job, job.created_occurrences)
-    for name, count in failures.items():
-        job.tasks[name].failures = count
+    for name, runs in failed_runs.items():
+        job.tasks[name].failed_runs.update(runs)
     for name in done:
         if not job.tasks[name].done:
             _finish_task(job.tasks[name])
-    job.begun = job.begun or bool(done or failures)
+    job.begun = job.begun or bool(done or failed_runs)
 
 
 def job_state(job: Job) -> str:
--- a/fireflydeck/workload/records.py
+++ b/fireflydeck/workload/records.py
@@ -42,10 +42,10 @@
 
 @frozen
 class JobProgress:
-    """Stored progress of a job: names of the tasks done, and failures by task."""
+    """Stored progress of a job: names of the tasks done, and numbers of failed runs by task."""
 
     done: list[str]
-    failures: dict[str, int]
+    failed_runs: dict[str, list[int]]
 
 
 def job_key(job_id: str) -> RowKey:
@@ -82,16 +82,20 @@
     """Encode a job's progress; names are stored without the job's id."""
     prefix = len(job.id)
     done = [task.name[prefix:] for task in job.tasks.values() if task.done]
-    failures = {task.name[prefix:]: task.failures for task in job.tasks.values() if task.failures}
-    return msgpack.packb([done, failures])
+    failed_runs = {
+        task.name[prefix:]: sorted(task.failed_runs)
+        for task in job.tasks.values()
+        if task.failed_runs
+    }
+    return msgpack.packb([done, failed_runs])
 
 
 def decode_progress(job_id: str, content: bytes) -> JobProgress:
     """Decode a job's progress."""
-    done, failures = msgpack.unpackb(content)
+    done, failed_runs = msgpack.unpackb(content)
     return JobProgress(
         [job_id + name for name in done],
-        {job_id + name: count for name, count in failures.items()},
+        {job_id + name: runs for name, runs in failed_runs.items()},
     )
 
 
