--- /dev/null
+++ b/fireflydeck/entry/__init__.py
@@ -0,0 +1,15 @@
+"""The entry role: callers' interface, readiness and the process's assembly."""
+
+from fireflydeck.entry.caller_interface import CallerInterface
+from fireflydeck.entry.intake import Intake, StoredJob, Submission
+from fireflydeck.entry.role import run_entry
+from fireflydeck.entry.routing import QueueIndex
+
+__all__ = [
+    "CallerInterface",
+    "Intake",
+    "QueueIndex",
+    "StoredJob",
+    "Submission",
+    "run_entry",
+]
--- /dev/null
+++ b/fireflydeck/ownership/__init__.py
@@ -0,0 +1,22 @@
+"""The lease of the fleet: who schedules, and who takes over."""
+
+from fireflydeck.ownership.lease import LeaseKeeper, Tenure
+from fireflydeck.ownership.records import (
+    COMMIT_ROW,
+    LEASE_ROW,
+    OWNERSHIP_TABLE,
+    ROSTER_ROW,
+    LeaseRecord,
+    decode_lease,
+)
+
+__all__ = [
+    "COMMIT_ROW",
+    "LEASE_ROW",
+    "LeaseKeeper",
+    "LeaseRecord",
+    "OWNERSHIP_TABLE",
+    "ROSTER_ROW",
+    "Tenure",
+    "decode_lease",
+]
--- /dev/null
+++ b/fireflydeck/ownership/tests/test_lease.py
@@ -0,0 +1,185 @@
+"""The fleet's lease: take-over, renewal, lost and late answers, pauses, release."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from fireflydeck.core import Ran, Reason
+from fireflydeck.core.rows import RowKey, RowWrite
+from fireflydeck.kernel import EventLog, Registry
+from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.standins.memory_rows import MemoryRows
+from fireflydeck.testing.clock import FakeClock
+from fireflydeck.testing.rows import FakeRowStore, RowStoreFault
+
+pytestmark = pytest.mark.anyio
+
+_ROW = RowKey("progress", "fleet", "job")
+_LONG_MS = 6000
+
+
+class _Member:
+    def __init__(self, name, clock, rows):
+        self.store = FakeRowStore(clock, rows)
+        self.lease = LeaseKeeper(self.store, clock, EventLog(), name=name, address=f"{name}:1")
+
+
+@asynccontextmanager
+async def _members(clock, *names):
+    rows = MemoryRows()
+    members = [_Member(name, clock, rows) for name in names]
+    async with anyio.create_task_group() as tasks:
+        for member in members:
+            await member.lease.start(Registry(), tasks)
+        yield members
+        tasks.cancel_scope.cancel()
+
+
+def _holders(members):
+    return [member for member in members if member.lease.is_valid()]
+
+
+async def test_one_member_takes_a_free_lease():
+    clock = FakeClock()
+    async with _members(clock, "a", "b", "c") as members:
+        await clock.advance_ms(1000)
+        assert len(_holders(members)) == 1
+
+
+async def test_lease_stays_with_its_holder():
+    clock = FakeClock()
+    async with _members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        holder = _holders(members)[0]
+        for _ in range(20):
+            await clock.advance_ms(500)
+            assert _holders(members) == [holder]
+        assert holder.lease.tenure.term == 1
+
+
+@pytest.mark.parametrize("silence", list(Ran))
+async def test_no_two_valid_holders_when_one_loses_the_store(silence):
+    clock = FakeClock()
+    async with _members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = _holders(members)[0]
+        first.store.outage = silence
+        for _ in range(_LONG_MS // 20):
+            await clock.advance_ms(20)
+            assert len(_holders(members)) <= 1
+        second = _holders(members)[0]
+        assert second is not first
+        assert second.lease.tenure.term == 2
+
+
+async def test_deposed_holder_commits_nothing():
+    clock = FakeClock()
+    async with _members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = _holders(members)[0]
+        first.store.outage = Ran.NO
+        await clock.advance_ms(_LONG_MS)
+        first.store.outage = None
+        failure = await first.lease.commit([RowWrite(_ROW, b"old")], [])
+        assert failure.reason == Reason.NOT_OWNER
+        assert first.store.rows.get(_ROW) is None
+        assert first.lease.tenure is None
+
+
+@pytest.mark.parametrize("fault", list(RowStoreFault))
+async def test_commit_is_settled_after_a_fault(fault):
+    clock = FakeClock()
+    async with _members(clock, "a") as members:
+        await clock.advance_ms(1000)
+        member = members[0]
+        member.store.next_commits = [fault]
+        results = []
+
+        async def commit():
+            results.append(await member.lease.commit([RowWrite(_ROW, b"new")], []))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(commit)
+            await clock.advance_ms(3000)
+        assert results == [None]
+        assert member.store.rows.get(_ROW).value == b"new"
+
+
+async def test_late_commit_does_not_overwrite_a_newer_one():
+    clock = FakeClock()
+    async with _members(clock, "a") as members:
+        await clock.advance_ms(1000)
+        member = members[0]
+
+        async def commit(content):
+            assert await member.lease.commit([RowWrite(_ROW, content)], []) is None
+
+        async with anyio.create_task_group() as tasks:
+            member.store.next_commits = [RowStoreFault.LATE]
+            tasks.start_soon(commit, b"older")
+            await clock.advance_ms(2000)
+            tasks.start_soon(commit, b"newer")
+            await clock.advance_ms(2000)
+        member.store.deliver_late()
+        assert member.store.rows.get(_ROW).value == b"newer"
+
+
+async def test_renewal_that_took_effect_late_confirms_nothing():
+    """Others may have seen the renewal long before its holder learned of it."""
+    clock = FakeClock()
+    async with _members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = _holders(members)[0]
+        first.store.next_commits = [RowStoreFault.ANSWER_LOST]
+        await clock.advance_ms(350)
+        until_ms = first.lease.valid_until_ms
+        first.store.outage = Ran.NO
+        await clock.advance_ms(1000)
+        assert first.lease.valid_until_ms == until_ms
+        for _ in range(_LONG_MS // 20):
+            await clock.advance_ms(20)
+            assert len(_holders(members)) <= 1
+
+
+async def test_lost_renewals_keep_the_lease():
+    clock = FakeClock()
+    async with _members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = _holders(members)[0]
+        for _ in range(10):
+            first.store.next_commits = [RowStoreFault.ANSWER_LOST]
+            await clock.advance_ms(500)
+            assert _holders(members) == [first]
+
+
+async def test_released_lease_is_taken_at_once():
+    clock = FakeClock()
+    async with _members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = _holders(members)[0]
+        await first.lease.stop()
+        assert not first.lease.is_valid()
+        await clock.advance_ms(600)
+        assert _holders(members) != []
+        assert first not in _holders(members)
+
+
+async def test_paused_holder_finds_its_lease_over():
+    """A pause shows as time that passed without a renewal."""
+    clock = FakeClock()
+    async with _members(clock, "a") as members:
+        await clock.advance_ms(1000)
+        clock._now_ms += _LONG_MS
+        assert not members[0].lease.is_valid()
+
+
+async def test_forgotten_history_is_read_again():
+    clock = FakeClock()
+    async with _members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = _holders(members)[0]
+        await clock.advance_ms(2000)
+        first.store.rows.forget_history()
+        await clock.advance_ms(2000)
+        assert _holders(members) == [first]
--- /dev/null
+++ b/fireflydeck/standins/memory_rows.py
@@ -0,0 +1,98 @@
+"""Rows in memory with the semantics of the platform's store."""
+
+from fireflydeck.core.rows import (
+    ABSENT_VERSION,
+    RowChanges,
+    RowCondition,
+    RowKey,
+    RowTransaction,
+    StoredRow,
+)
+
+__all__ = ["MemoryRows"]
+
+
+class MemoryRows:
+    """Rows with versions, conditional transactions and a history of changes.
+
+    Examples
+    --------
+    >>> from fireflydeck.core.rows import RowWrite
+    >>> rows, key = MemoryRows(), RowKey("t", "", "a")
+    >>> first = RowTransaction(conditions=(RowCondition(key, 0),), writes=(RowWrite(key, b"1"),))
+    >>> rows.commit(first)
+    ()
+    >>> rows.commit(first)
+    (RowCondition(id=RowKey(table='t', partition='', key='a'), version=0),)
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[RowKey, StoredRow] = {}
+        self._history: list[StoredRow] = []
+        self._version = ABSENT_VERSION
+        self._forgotten = ABSENT_VERSION
+
+    @property
+    def version(self) -> int:
+        """Version of the last transaction."""
+        return self._version
+
+    def get(self, key: RowKey) -> StoredRow | None:
+        """Return a row."""
+        return self._rows.get(key)
+
+    def commit(self, transaction: RowTransaction) -> tuple[RowCondition, ...]:
+        """Apply the transaction and return nothing, or change nothing and return what failed."""
+        failed = tuple(
+            condition
+            for condition in transaction.conditions
+            if self._version_of(condition.id) != condition.version
+        )
+        if failed:
+            return failed
+        self._version += 1
+        for write in transaction.writes:
+            self._note(StoredRow(write.id, write.value, self._version))
+        for key in transaction.removals:
+            if key in self._rows:
+                self._note(StoredRow(key, b"", self._version, deleted=True))
+        return ()
+
+    def read(self, table: str, partition: str, first: str, before: str) -> RowChanges:
+        """Return the rows of a range of keys, in order."""
+        rows = [
+            row
+            for key, row in self._rows.items()
+            if (key.table, key.partition) == (table, partition)
+            and key.key >= first
+            and (not before or key.key < before)
+        ]
+        rows.sort(key=lambda row: row.id.key.encode())
+        return RowChanges(tuple(rows), self._version)
+
+    def changes(self, table: str, after: int) -> RowChanges | None:
+        """Return what changed after a version; `None` if that history is forgotten."""
+        if after < self._forgotten:
+            return None
+        rows = [row for row in self._history if row.version > after and row.id.table == table]
+        return RowChanges(tuple(rows), self._version)
+
+    def forget_history(self) -> None:
+        """Discard the history up to now."""
+        self._history.clear()
+        self._forgotten = self._version
+
+    def partitions(self, table: str) -> list[str]:
+        """Return the partitions of a table."""
+        return sorted({key.partition for key in self._rows if key.table == table})
+
+    def _version_of(self, key: RowKey) -> int:
+        row = self._rows.get(key)
+        return row.version if row else ABSENT_VERSION
+
+    def _note(self, row: StoredRow) -> None:
+        self._history.append(row)
+        if row.deleted:
+            self._rows.pop(row.id, None)
+        else:
+            self._rows[row.id] = row
--- /dev/null
+++ b/fireflydeck/standins/task_server.py
@@ -0,0 +1,139 @@
+"""A backend server in memory that runs tasks under leases and fences."""
+
+from attrs import define, field
+
+from fireflydeck.core import Clock
+from fireflydeck.core.backend_orders import (
+    EndedRun,
+    HoldReport,
+    RunEnd,
+    RunningTask,
+    StartOrder,
+    StartOutcome,
+)
+from fireflydeck.core.placement import Resources
+
+__all__ = ["TaskServer"]
+
+_MAX_LEASE_MS = 6000
+
+
+@define
+class _Run:
+    task: str
+    run: int
+    ends_at_ms: int | None
+    end: RunEnd = RunEnd.DONE
+
+
+@define(eq=False)
+class TaskServer:
+    """One backend server; it starts again with `crash`.
+
+    Parameters
+    ----------
+    duration_ms
+        How long a task runs; `None` for tasks that end only by an order.
+    clock_offset_ms
+        Difference of its own clock.
+    """
+
+    clock: Clock
+    capacity: Resources
+    duration_ms: int | None = 600
+    clock_offset_ms: int = 0
+    born_ms: int = 1
+    fencing_token: int = 0
+    lease_until_ms: int = 0
+    starts: list[tuple[str, int]] = field(factory=list)
+    end_of_next: RunEnd = RunEnd.DONE
+    _running: dict[tuple[str, int], _Run] = field(factory=dict)
+    _ended: list[EndedRun] = field(factory=list)
+    _last_number: int = 0
+    _least_run: dict[str, int] = field(factory=dict)
+
+    def clock_ms(self) -> int:
+        """Its own steady clock."""
+        return self.clock.now_ms() + self.clock_offset_ms
+
+    def crash(self) -> None:
+        """Begin a new life that knows nothing."""
+        self.born_ms += 1
+        self.fencing_token = 0
+        self.lease_until_ms = 0
+        self._running.clear()
+        self._ended.clear()
+        self._least_run.clear()
+        self._last_number = 0
+
+    def running(self) -> list[str]:
+        """Return the names of the tasks that run."""
+        self._advance()
+        return sorted(task for task, _ in self._running)
+
+    def start(self, order: StartOrder) -> StartOutcome:
+        """Start a run."""
+        self._advance()
+        if order.fencing_token < self.fencing_token:
+            return StartOutcome.FENCED
+        self.fencing_token = order.fencing_token
+        if order.lease_until_ms <= self.clock_ms():
+            return StartOutcome.LATE
+        self._extend(order.lease_until_ms)
+        if (order.task, order.run) in self._running:
+            return StartOutcome.ACCEPTED
+        if order.run <= self._least_run.get(order.task, 0):
+            return StartOutcome.OLD_RUN
+        ends_at_ms = None if self.duration_ms is None else self.clock.now_ms() + self.duration_ms
+        run = _Run(order.task, order.run, ends_at_ms, self.end_of_next)
+        self._running[order.task, order.run] = run
+        self.starts.append((order.task, order.run))
+        return StartOutcome.ACCEPTED
+
+    def stop(self, task: str, run: int, fencing_token: int) -> bool:
+        """Stop a run; one that is not there is rejected from now on."""
+        self._advance()
+        if fencing_token < self.fencing_token:
+            return False
+        self.fencing_token = fencing_token
+        self._least_run[task] = max(run, self._least_run.get(task, 0))
+        if (task, run) in self._running:
+            self._end((task, run), RunEnd.STOPPED)
+        return True
+
+    def hold(self, fencing_token: int, last_seen: int, lease_until_ms: int) -> HoldReport | None:
+        """Extend all leases and return the lists; `None` for a fencing token that is too low."""
+        self._advance()
+        if fencing_token < self.fencing_token:
+            return None
+        self.fencing_token = fencing_token
+        self._ended = [ended for ended in self._ended if ended.number > last_seen]
+        if lease_until_ms:
+            self._extend(lease_until_ms)
+        running = tuple(RunningTask(task, run, "", 100, None) for task, run in self._running)
+        return HoldReport(
+            clock_ms=self.clock_ms(),
+            born_ms=self.born_ms,
+            running=running,
+            ended=tuple(self._ended),
+        )
+
+    def _extend(self, until_ms: int) -> None:
+        longest_ms = self.clock_ms() + _MAX_LEASE_MS
+        self.lease_until_ms = max(self.lease_until_ms, min(until_ms, longest_ms))
+
+    def _advance(self) -> None:
+        now_ms = self.clock.now_ms()
+        if self._running and self.clock_ms() > self.lease_until_ms:
+            for key in list(self._running):
+                self._end(key, RunEnd.LAPSED)
+        for key, run in list(self._running.items()):
+            if run.ends_at_ms is not None and now_ms >= run.ends_at_ms:
+                self._end(key, run.end)
+
+    def _end(self, key: tuple[str, int], end: RunEnd) -> None:
+        del self._running[key]
+        self._last_number += 1
+        task, run = key
+        self._least_run[task] = max(run, self._least_run.get(task, 0))
+        self._ended.append(EndedRun(self._last_number, task, run, end, ""))
--- /dev/null
+++ b/fireflydeck/testing/fleet_fakes.py
@@ -0,0 +1,155 @@
+"""Backend servers and VMs in memory, reached by orders with faults on demand."""
+
+from enum import StrEnum
+
+import anyio.lowlevel
+from expression import Error, Ok, Result
+
+from fireflydeck.core import Clock, Failure, Ran, Reason
+from fireflydeck.core.backend_orders import (
+    BackendServerOrders,
+    HoldReport,
+    StartOrder,
+    StartOutcome,
+)
+from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmOrders
+from fireflydeck.standins.task_server import TaskServer
+
+__all__ = ["FakeOrders", "FakeVmOrders", "OrderFault"]
+
+_POLL_MS = 20
+
+
+class OrderFault(StrEnum):
+    """Fault of one start.
+
+    `LATE` gets no answer and is carried out when the test calls `deliver_late`.
+    """
+
+    ANSWER_LOST = "answer-lost"
+    LATE = "late"
+    NOT_SENT = "not-sent"
+
+
+class FakeOrders(BackendServerOrders):
+    """Orders to a `TaskServer`.
+
+    Attributes
+    ----------
+    is_cut
+        While set, nothing arrives and nothing is answered.
+    next_starts
+        Faults of the next starts, first one first.
+    """
+
+    def __init__(self, server: TaskServer, clock: Clock) -> None:
+        self.server = server
+        self.is_cut = False
+        self.next_starts: list[OrderFault | None] = []
+        self._late: list[StartOrder] = []
+        self._clock = clock
+
+    def deliver_late(self) -> list[StartOutcome]:
+        """Carry out the late starts; returns their outcomes."""
+        late, self._late = self._late, []
+        return [self.server.start(order) for order in late]
+
+    async def close(self) -> None:
+        """Nothing to close."""
+
+    async def start(self, order: StartOrder, *, timeout_ms: int) -> Result[StartOutcome, Failure]:
+        """Start a run."""
+        await anyio.lowlevel.checkpoint()
+        fault = self.next_starts.pop(0) if self.next_starts else None
+        if fault == OrderFault.NOT_SENT:
+            return Error(_unreachable("backend.start", Ran.NO))
+        if self.is_cut:
+            return Error(_unreachable("backend.start", Ran.UNKNOWN))
+        if fault == OrderFault.LATE:
+            self._late.append(order)
+            return Error(_unreachable("backend.start", Ran.UNKNOWN))
+        outcome = self.server.start(order)
+        if fault == OrderFault.ANSWER_LOST:
+            return Error(_unreachable("backend.start", Ran.UNKNOWN))
+        return Ok(outcome)
+
+    async def stop(
+        self, *, task: str, run: int, fencing_token: int, timeout_ms: int
+    ) -> Result[bool, Failure]:
+        """Stop a run."""
+        await anyio.lowlevel.checkpoint()
+        if self.is_cut:
+            return Error(_unreachable("backend.stop", Ran.UNKNOWN))
+        return Ok(self.server.stop(task, run, fencing_token))
+
+    async def pace(
+        self, *, task: str, run: int, percent: int, fencing_token: int, timeout_ms: int
+    ) -> Result[bool, Failure]:
+        """Take the order."""
+        await anyio.lowlevel.checkpoint()
+        return Ok(True)
+
+    async def hold(
+        self, *, fencing_token: int, last_seen: int, lease_until_ms: int, wait_ms: int
+    ) -> Result[HoldReport, Failure]:
+        """Hold the server; waits for an end."""
+        until_ms = self._clock.now_ms() + wait_ms
+        extended_ms = lease_until_ms
+        while True:
+            await anyio.lowlevel.checkpoint()
+            if self.is_cut:
+                await self._clock.sleep_ms(_POLL_MS)
+                return Error(_unreachable("backend.hold", Ran.UNKNOWN))
+            report = self.server.hold(fencing_token, last_seen, extended_ms)
+            if report is None:
+                return Error(Failure(Reason.NOT_OWNER, "backend.hold"))
+            if report.ended or self._clock.now_ms() >= until_ms:
+                return Ok(report)
+            extended_ms = 0
+            await self._clock.sleep_ms(_POLL_MS)
+
+
+class FakeVmOrders(VmOrders):
+    """The VM interface in memory.
+
+    Attributes
+    ----------
+    orders
+        The orders taken: duty, VM, target pool or wave, fencing token.
+    """
+
+    def __init__(self, *vms: ListedVm) -> None:
+        self.vms = {vm.name: vm for vm in vms}
+        self.orders: list[tuple[str, str, str, int]] = []
+        self.next_outcomes: list[DutyOutcome | None] = []
+
+    async def list_vms(self, *, timeout_ms: int) -> Result[tuple[ListedVm, ...], Failure]:
+        """Return all VMs."""
+        await anyio.lowlevel.checkpoint()
+        return Ok(tuple(self.vms.values()))
+
+    async def move(
+        self, *, vm: str, pool: str, fencing_token: int, timeout_ms: int
+    ) -> Result[DutyOutcome, Failure]:
+        """Take a move."""
+        return await self._take("move", vm, pool, fencing_token)
+
+    async def upkeep(
+        self, *, vm: str, wave: int, fencing_token: int, timeout_ms: int
+    ) -> Result[DutyOutcome, Failure]:
+        """Take an upkeep."""
+        return await self._take("upkeep", vm, str(wave), fencing_token)
+
+    async def _take(
+        self, duty: str, vm: str, target: str, fencing_token: int
+    ) -> Result[DutyOutcome, Failure]:
+        await anyio.lowlevel.checkpoint()
+        self.orders.append((duty, vm, target, fencing_token))
+        outcome = self.next_outcomes.pop(0) if self.next_outcomes else DutyOutcome.TAKEN
+        if outcome is None:
+            return Error(_unreachable("vms.duty", Ran.UNKNOWN))
+        return Ok(outcome)
+
+
+def _unreachable(step: str, ran: Ran) -> Failure:
+    return Failure(Reason.BACKEND_UNREACHABLE, step, peer="fake", ran=ran)
--- /dev/null
+++ b/fireflydeck/testing/rows.py
@@ -0,0 +1,109 @@
+"""A store of rows with faults on demand."""
+
+from collections.abc import Callable
+from enum import StrEnum
+
+import anyio
+import anyio.lowlevel
+from expression import Error, Ok, Result
+
+from fireflydeck.core import Clock, Failure, Ran, Reason
+from fireflydeck.core.rows import RowChanges, RowStore, RowTransaction
+from fireflydeck.standins.memory_rows import MemoryRows
+
+__all__ = ["FakeRowStore", "RowStoreFault"]
+
+_POLL_MS = 20
+
+
+class RowStoreFault(StrEnum):
+    """Fault of one commit.
+
+    `ANSWER_LOST` takes effect without an answer; `LATE` takes effect when the test calls
+    `deliver_late`; `NO_EFFECT` gets no answer and never takes effect.
+    """
+
+    REFUSED = "refused"
+    ANSWER_LOST = "answer-lost"
+    LATE = "late"
+    NO_EFFECT = "no-effect"
+
+
+class FakeRowStore(RowStore):
+    """Rows in memory.
+
+    Attributes
+    ----------
+    outage
+        While set, every call fails: `Ran.NO` for refusals, `Ran.UNKNOWN` for silence.
+    next_commits
+        Faults of the next commits, first one first.
+    commits
+        The transactions that took effect.
+    on_commit
+        Called before a transaction takes effect.
+    """
+
+    def __init__(self, clock: Clock, rows: MemoryRows | None = None) -> None:
+        self.rows = rows or MemoryRows()
+        self.outage: Ran | None = None
+        self.next_commits: list[RowStoreFault | None] = []
+        self.commits: list[RowTransaction] = []
+        self.on_commit: Callable[[RowTransaction], None] | None = None
+        self._late: list[RowTransaction] = []
+        self._clock = clock
+
+    def deliver_late(self) -> list[bool]:
+        """Apply the late transactions; returns for each whether its conditions held."""
+        late, self._late = self._late, []
+        return [not self.rows.commit(transaction) for transaction in late]
+
+    async def commit(self, transaction: RowTransaction, *, timeout_ms: int) -> Result[int, Failure]:
+        """Apply a transaction."""
+        await anyio.lowlevel.checkpoint()
+        if self.outage is not None:
+            return Error(_unavailable("store.commit", self.outage))
+        fault = self.next_commits.pop(0) if self.next_commits else None
+        if fault == RowStoreFault.REFUSED:
+            return Error(_unavailable("store.commit", Ran.NO))
+        if fault == RowStoreFault.LATE:
+            self._late.append(transaction)
+        if fault in (RowStoreFault.LATE, RowStoreFault.NO_EFFECT):
+            return Error(_unavailable("store.commit", Ran.UNKNOWN))
+        if self.on_commit is not None:
+            self.on_commit(transaction)
+        failed = self.rows.commit(transaction)
+        if not failed:
+            self.commits.append(transaction)
+        if fault == RowStoreFault.ANSWER_LOST:
+            return Error(_unavailable("store.commit", Ran.UNKNOWN))
+        if failed:
+            return Error(Failure(Reason.CONFLICT, "store.commit", peer="store"))
+        return Ok(self.rows.version)
+
+    async def read(
+        self, table: str, partition: str, *, first: str = "", before: str = "", timeout_ms: int
+    ) -> Result[RowChanges, Failure]:
+        """Return the rows of a range of keys."""
+        await anyio.lowlevel.checkpoint()
+        if self.outage is not None:
+            return Error(_unavailable("store.read", self.outage))
+        return Ok(self.rows.read(table, partition, first, before))
+
+    async def changes(self, table: str, *, after: int, wait_ms: int) -> Result[RowChanges, Failure]:
+        """Return what changed after a version."""
+        until_ms = self._clock.now_ms() + wait_ms
+        while True:
+            await anyio.lowlevel.checkpoint()
+            if self.outage is not None:
+                return Error(_unavailable("store.changes", self.outage))
+            changes = self.rows.changes(table, after)
+            if changes is None:
+                return Error(Failure(Reason.NOT_FOUND, "store.changes", peer="store"))
+            if changes.rows or self._clock.now_ms() >= until_ms:
+                return Ok(changes)
+            await self._clock.sleep_ms(_POLL_MS)
+
+
+def _unavailable(step: str, ran: Ran) -> Failure:
+    return Failure(Reason.STORE_UNAVAILABLE, step, peer="store", ran=ran)
--- /dev/null
+++ b/fireflydeck/workload/tests/conftest.py
@@ -0,0 +1,6 @@
+import pytest
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
