A silent backend server gets no longer leases; tests of runs and take-overs in memory

Cause: each repeated hold of a server that did not answer counted as a longer lease, so its runs were never taken as over and their tasks never started again (found by test_run_of_a_silent_server_starts_again_after_its_lease, seen failing before the change).

--- a/fireflydeck/observation/table_follower.py
+++ b/fireflydeck/observation/table_follower.py
@@ -5,7 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from fireflydeck.core import Clock, Failure
+from fireflydeck.core import Clock, Failure, Reason
 from fireflydeck.core.rows import RowKey, RowStore, StoredRow
 from fireflydeck.kernel import Event, EventLog, Registry, Service, keep_running
 
@@ -131,6 +131,8 @@
         self.applied()
 
     def _note_failure(self, failure: Failure) -> None:
+        if self._is_lost or failure.reason == Reason.NOT_FOUND:
+            return
         self._is_lost = True
         self._log.emit(
             Event.STORE_CALL_FAILED,
--- a/fireflydeck/scheduling/session.py
+++ b/fireflydeck/scheduling/session.py
@@ -91,8 +91,13 @@
         await self._handle_failure(result.error)
 
     def _lease_until_ms(self, now_ms: int) -> int:
+        """Return the new end of the lease, 0 to leave it.
+
+        A server that does not answer gets no longer lease, so that its runs can end and be
+        started elsewhere.
+        """
         server = self._server
-        if server.clock_read_ms == 0 or not server.attempts:
+        if server.clock_read_ms == 0 or not server.attempts or not server.is_reachable:
             return 0
         until_ms = server.clock_at(now_ms) + HOLD_MS
         server.lease_until_ms = max(server.lease_until_ms, until_ms)
--- /dev/null
+++ b/fireflydeck/scheduling/tests/fleet.py
@@ -0,0 +1,134 @@
+"""A fleet in memory: store, backend servers and members that schedule it."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+
+from fireflydeck.kernel import EventLog, Metrics, Registry
+from fireflydeck.observation import OperatorDocuments
+from fireflydeck.ownership import LeaseKeeper
+from fireflydeck.scheduling.duties import DutyTimes
+from fireflydeck.scheduling.scheduler import Scheduler
+from fireflydeck.standins.memory_rows import MemoryRows
+from fireflydeck.standins.task_server import TaskServer
+from fireflydeck.testing.clock import FakeClock
+from fireflydeck.testing.fleet_builders import (
+    CORES,
+    configuration_document,
+    put_operator_document,
+    put_registration,
+)
+from fireflydeck.testing.fleet_fakes import FakeOrders, FakeVmOrders
+from fireflydeck.testing.rows import FakeRowStore
+from fireflydeck.workload import decode_outcome, outcome_key
+
+START_MS = 1000
+"""Time until a member holds the lease and all backend servers."""
+_TIMES = DutyTimes(duty_lease_ms=3000, migration_ms=1500, maintenance_ms=2000)
+
+
+class Member:
+    """One entry process: lease, operators' documents and scheduler."""
+
+    def __init__(self, name, fleet):
+        clock, log = fleet.clock, EventLog()
+        self.store = FakeRowStore(clock, fleet.rows)
+        self.lease = LeaseKeeper(self.store, clock, log, name=name, address=f"{name}:1")
+        self.operators = OperatorDocuments(self.store, clock, log)
+        self.orders = {}
+        self.unreachable = set()
+        self.scheduler = Scheduler(
+            store=self.store,
+            clock=clock,
+            log=log,
+            metrics=Metrics(),
+            make_orders=lambda registration: self._orders(fleet, registration.server_id),
+            vm_orders=fleet.vm_orders,
+            duty_times=_TIMES,
+        )
+        self.registry = Registry()
+        for service in (self.lease, self.operators, self.scheduler):
+            self.registry.add(service)
+
+    def _orders(self, fleet, server_id):
+        self.orders[server_id] = FakeOrders(fleet.servers[server_id], fleet.clock)
+        self.orders[server_id].is_cut = server_id in self.unreachable
+        return self.orders[server_id]
+
+    async def start(self, tasks):
+        """Start the services; the lease last."""
+        for service in (self.operators, self.scheduler, self.lease):
+            await service.start(self.registry, tasks)
+
+    @property
+    def leads(self):
+        return self.lease.is_valid()
+
+
+class Fleet:
+    """The store, the backend servers ``s1``, ``s2``, ... and the members."""
+
+    def __init__(self, servers=2, members=1, **configuration):
+        self.clock = FakeClock()
+        self.rows = MemoryRows()
+        self.vm_orders = FakeVmOrders()
+        self.servers = {}
+        put_operator_document(self.rows, "config", configuration_document(**configuration))
+        for number in range(1, servers + 1):
+            self.add_server(f"s{number}")
+        self.members = [Member(f"m{number}", self) for number in range(1, members + 1)]
+
+    def add_server(self, server_id, **fields):
+        """Add a backend server and register it."""
+        self.servers[server_id] = TaskServer(self.clock, CORES)
+        put_registration(self.rows, server_id, **{"address": f"{server_id}:1", **fields})
+
+    @property
+    def leader(self):
+        """The member that holds the lease."""
+        return next(member for member in self.members if member.leads)
+
+    def starts(self):
+        """Names and runs of all starts, by backend server."""
+        return [start for server in self.servers.values() for start in server.starts]
+
+    def running(self):
+        """Names of the tasks that run, over all backend servers."""
+        return [task for server in self.servers.values() for task in server.running()]
+
+    def outcome(self, job_id):
+        """The stored outcome of a job."""
+        row = self.rows.get(outcome_key(job_id))
+        return decode_outcome(row.value).value if row else None
+
+    async def advance_ms(self, duration_ms, step_ms=20, check=None):
+        """Let time pass in steps, with a check after each."""
+        for _ in range(duration_ms // step_ms):
+            await self.clock.advance_ms(step_ms)
+            if check is not None:
+                check()
+
+
+def never_twice(fleet):
+    """Return a check that no task runs twice."""
+
+    def check():
+        running = fleet.running()
+        assert len(running) == len(set(running)), running
+
+    return check
+
+
+@asynccontextmanager
+async def running_fleet(**options):
+    """Run a fleet until the block ends."""
+    fleet = Fleet(**options)
+    async with anyio.create_task_group() as tasks:
+        for member in fleet.members:
+            await member.start(tasks)
+        await fleet.advance_ms(START_MS)
+        yield fleet
+        tasks.cancel_scope.cancel()
+
+
+__all__ = ["START_MS", "Fleet", "Member", "never_twice", "running_fleet"]
--- /dev/null
+++ b/fireflydeck/scheduling/tests/test_runs.py
@@ -0,0 +1,169 @@
+"""Runs of one holder: ends are stored first, lost answers, lapses, cancellations, limits."""
+
+import pytest
+
+from fireflydeck.core import Ran
+from fireflydeck.core.backend_orders import RunEnd
+from fireflydeck.core.rows import RowKey, RowTransaction
+from fireflydeck.scheduling.session import HOLD_MS
+from fireflydeck.scheduling.tests.fleet import never_twice, running_fleet
+from fireflydeck.testing.fleet_builders import (
+    CONFIGURATION,
+    JOB_ID,
+    accept_job,
+    build_spec,
+    build_step,
+    cancel_job,
+    put_operator_document,
+    put_registration,
+)
+from fireflydeck.testing.fleet_fakes import OrderFault
+from fireflydeck.workload import outcome_key
+
+pytestmark = pytest.mark.anyio
+
+_TASK = f"{JOB_ID}.0.0.0"
+
+
+async def test_job_is_completed_step_by_step():
+    async with running_fleet() as fleet:
+        accept_job(fleet.rows, build_spec(build_step(count=3), build_step(depends_on=(0,))))
+        await fleet.advance_ms(2000, check=never_twice(fleet))
+        assert fleet.outcome(JOB_ID) == "completed"
+        assert len(fleet.starts()) == 4
+
+
+async def test_end_is_acknowledged_only_after_it_is_stored():
+    async with running_fleet(servers=1) as fleet:
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(400)
+        server = fleet.servers["s1"]
+        fleet.leader.store.outage = Ran.UNKNOWN
+        await fleet.advance_ms(1000)
+        listed = server.hold(server.fencing_token, 0, 0).ended
+        assert [ended.end for ended in listed] == [RunEnd.DONE]
+        fleet.members[0].store.outage = None
+        await fleet.advance_ms(3000)
+        assert fleet.rows.get(outcome_key(JOB_ID)) is not None
+        assert server.hold(server.fencing_token, 0, 0).ended == ()
+        assert len(fleet.starts()) == 1
+
+
+@pytest.mark.parametrize("fault", [OrderFault.ANSWER_LOST, OrderFault.LATE, OrderFault.NOT_SENT])
+async def test_start_without_an_answer(fault):
+    async with running_fleet(servers=2) as fleet:
+        for orders in fleet.leader.orders.values():
+            orders.next_starts = [fault]
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(800, check=never_twice(fleet))
+        for orders in fleet.leader.orders.values():
+            orders.deliver_late()
+        await fleet.advance_ms(3000, check=never_twice(fleet))
+        assert fleet.outcome(JOB_ID) == "completed"
+
+
+async def test_run_of_a_silent_server_starts_again_after_its_lease():
+    async with running_fleet(servers=2) as fleet:
+        for server in fleet.servers.values():
+            server.duration_ms = 20_000
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(500)
+        first = next(key for key, server in fleet.servers.items() if server.starts)
+        fleet.leader.orders[first].is_cut = True
+        await fleet.advance_ms(3 * HOLD_MS, check=never_twice(fleet))
+        other = next(server for key, server in fleet.servers.items() if key != first)
+        assert other.running() == [_TASK]
+
+
+async def test_run_starts_again_after_a_new_life():
+    async with running_fleet(servers=1) as fleet:
+        server = fleet.servers["s1"]
+        server.duration_ms = 3000
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(500)
+        server.crash()
+        await fleet.advance_ms(1000)
+        assert server.running() == [_TASK]
+        assert [run for _, run in server.starts] == [1, 2]
+
+
+async def test_cancelled_job_is_stopped_and_never_started_again():
+    async with running_fleet(servers=1) as fleet:
+        fleet.servers["s1"].duration_ms = 20_000
+        accept_job(fleet.rows, build_spec(build_step(count=3)))
+        await fleet.advance_ms(500)
+        assert len(fleet.running()) == 3
+        cancel_job(fleet.rows, JOB_ID)
+        await fleet.advance_ms(1000)
+        assert fleet.running() == []
+        await fleet.advance_ms(3000)
+        assert len(fleet.starts()) == 3
+        assert fleet.outcome(JOB_ID) == "cancelled"
+
+
+async def test_task_that_fails_too_often_fails_its_job():
+    async with running_fleet() as fleet:
+        for server in fleet.servers.values():
+            server.end_of_next = RunEnd.FAILED
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(6000)
+        assert fleet.outcome(JOB_ID) == "failed"
+        assert len(fleet.starts()) == CONFIGURATION["routes"][0]["max_attempts"]
+
+
+async def test_limit_of_an_organisation_holds():
+    async with running_fleet(servers=4) as fleet:
+        accept_job(fleet.rows, build_spec(build_step(count=40)))
+        await fleet.advance_ms(500)
+        assert len(fleet.running()) == 32
+
+
+async def test_no_start_in_an_evacuated_data_centre():
+    async with running_fleet(servers=1) as fleet:
+        put_operator_document(fleet.rows, "evacuate/zvolen", b"{}")
+        await fleet.advance_ms(1200)
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(1000)
+        assert fleet.starts() == []
+        fleet.rows.commit(RowTransaction(removals=(RowKey("op", "", "evacuate/zvolen"),)))
+        await fleet.advance_ms(1000)
+        assert len(fleet.starts()) == 1
+
+
+@pytest.mark.parametrize(
+    "fields", [{"state": "draining"}, {"state": "sleeping"}, {"capacity": 7}, {"address": "x"}]
+)
+async def test_no_start_on_a_server_that_drains_or_is_not_readable(fields):
+    async with running_fleet(servers=1) as fleet:
+        put_registration(fleet.rows, "s1", **{"address": "s1:1", **fields})
+        await fleet.advance_ms(1500)
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(1000)
+        assert fleet.starts() == []
+
+
+async def test_no_start_without_a_confirmed_lease():
+    async with running_fleet(servers=1) as fleet:
+        accept_job(fleet.rows, build_spec())
+        member = fleet.members[0]
+        fleet.servers["s1"].duration_ms = 20_000
+        await fleet.advance_ms(200)
+        member.store.outage = Ran.UNKNOWN
+        await fleet.advance_ms(3000)
+        starts = len(fleet.starts())
+        accept_job(fleet.rows, build_spec(job_id="00000000000000c3"))
+        await fleet.advance_ms(2000)
+        assert len(fleet.starts()) == starts
+
+
+async def test_runs_outlive_a_short_outage_of_the_store():
+    async with running_fleet(servers=1) as fleet:
+        fleet.servers["s1"].duration_ms = 6000
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(500)
+        fleet.members[0].store.outage = Ran.UNKNOWN
+        await fleet.advance_ms(4000)
+        fleet.members[0].store.outage = None
+        await fleet.advance_ms(4000)
+        assert fleet.outcome(JOB_ID) == "completed"
+        assert len(fleet.starts()) == 1
--- /dev/null
+++ b/fireflydeck/scheduling/tests/test_take_over.py
@@ -0,0 +1,104 @@
+"""One holder of the lease follows another: nothing runs twice, nothing is forgotten."""
+
+import pytest
+
+from fireflydeck.core import Ran
+from fireflydeck.scheduling.session import HOLD_MS
+from fireflydeck.scheduling.tenure_run import EXTENDED_HOLD_MS
+from fireflydeck.scheduling.tests.fleet import never_twice, running_fleet
+from fireflydeck.testing.fleet_builders import JOB_ID, accept_job, build_spec, build_step
+from fireflydeck.testing.fleet_fakes import OrderFault
+
+pytestmark = pytest.mark.anyio
+
+_LONG_MS = 4000
+_OTHER_JOB = "00000000000000b2"
+
+
+def _long_tasks(fleet):
+    for server in fleet.servers.values():
+        server.duration_ms = _LONG_MS
+
+
+async def test_runs_go_on_under_the_next_holder():
+    """The book was still loading when backend servers answered: open runs were stopped."""
+    async with running_fleet(servers=2, members=2) as fleet:
+        _long_tasks(fleet)
+        accept_job(fleet.rows, build_spec(build_step(count=4)))
+        await fleet.advance_ms(500)
+        assert len(fleet.starts()) == 4
+        await fleet.leader.lease.stop()
+        await fleet.advance_ms(_LONG_MS + 1000, check=never_twice(fleet))
+        assert len(fleet.starts()) == 4
+        assert fleet.outcome(JOB_ID) == "completed"
+
+
+@pytest.mark.parametrize("silence", list(Ran))
+async def test_holder_that_lost_the_store_is_followed(silence):
+    async with running_fleet(servers=2, members=2) as fleet:
+        _long_tasks(fleet)
+        accept_job(fleet.rows, build_spec(build_step(count=4)))
+        await fleet.advance_ms(500)
+        first = fleet.leader
+        first.store.outage = silence
+        await fleet.advance_ms(_LONG_MS + 3000, check=never_twice(fleet))
+        assert fleet.leader is not first
+        assert len(fleet.starts()) == 4
+        assert fleet.outcome(JOB_ID) == "completed"
+
+
+async def test_run_on_an_unreachable_server_is_not_started_again_while_it_may_run():
+    async with running_fleet(servers=2, members=2) as fleet:
+        _long_tasks(fleet)
+        accept_job(fleet.rows, build_spec(build_step(count=2)))
+        await fleet.advance_ms(500)
+        first = fleet.leader
+        second = next(member for member in fleet.members if member is not first)
+        second.unreachable = {task_server for task_server in fleet.servers}
+        first.store.outage = Ran.UNKNOWN
+        while not second.leads:
+            await fleet.advance_ms(20)
+        await fleet.advance_ms(EXTENDED_HOLD_MS + 2 * HOLD_MS, check=never_twice(fleet))
+        runs = [run for _, run in fleet.starts()]
+        assert all(run < 1000 for run in runs)
+
+
+async def test_new_job_is_served_beside_an_unreachable_server():
+    """A job that was stored after the take-over can't run anywhere yet."""
+    async with running_fleet(servers=2, members=2) as fleet:
+        first = fleet.leader
+        second = next(member for member in fleet.members if member is not first)
+        second.unreachable = {"s1"}
+        first.store.outage = Ran.UNKNOWN
+        while not second.leads:
+            await fleet.advance_ms(20)
+        await fleet.advance_ms(200)
+        accept_job(fleet.rows, build_spec(job_id=_OTHER_JOB))
+        await fleet.advance_ms(600)
+        assert [task for task, _ in fleet.starts()] == [f"{_OTHER_JOB}.0.0.0"]
+
+
+async def test_end_that_was_listed_to_the_earlier_holder_is_not_lost():
+    async with running_fleet(servers=1, members=2) as fleet:
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(400)
+        first = fleet.leader
+        first.store.outage = Ran.UNKNOWN
+        await fleet.advance_ms(6000, check=never_twice(fleet))
+        assert fleet.starts() == [(f"{JOB_ID}.0.0.0", 1)]
+        assert fleet.outcome(JOB_ID) == "completed"
+
+
+async def test_late_start_of_a_deposed_holder_is_rejected():
+    async with running_fleet(servers=1, members=2) as fleet:
+        _long_tasks(fleet)
+        first = fleet.leader
+        first.orders["s1"].next_starts = [OrderFault.LATE]
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(100)
+        await first.lease.stop()
+        await fleet.advance_ms(1500)
+        first.orders["s1"].deliver_late()
+        await fleet.advance_ms(_LONG_MS, check=never_twice(fleet))
+        assert fleet.outcome(JOB_ID) == "completed"
+        assert len(fleet.starts()) == 1
