--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -24,7 +24,7 @@
     Parameters
     ----------
     clock_ms, clock_read_ms
-        Its own clock as last read, and when that answer arrived here; 0 before the first answer.
+        Its own clock as last read, and when that answer arrived here; `None` before the first.
     lease_until_ms
         The latest end of a lease that any order of this process named, on its clock.
     last_end
@@ -47,7 +47,7 @@
     is_listed: bool = False
     born_ms: int = 0
     clock_ms: int = 0
-    clock_read_ms: int = 0
+    clock_read_ms: int | None = None
     lease_until_ms: int = 0
     last_end: int = 0
     stored_end: int = 0
@@ -112,18 +112,20 @@
 
     def clock_at(self, now_ms: int) -> int:
         """Estimate of its clock; it runs at most 2% slow."""
+        if self.clock_read_ms is None:
+            return self.clock_ms
         return self.clock_ms + (now_ms - self.clock_read_ms)
 
     def lease_has_lapsed(self, now_ms: int) -> bool:
         """Whether every lease given by this process is certainly over."""
-        if self.clock_read_ms == 0:
+        if self.clock_read_ms is None:
             return False
         least_ms = self.clock_ms + int((now_ms - self.clock_read_ms) * _SLOWEST_CLOCK)
         return least_ms > self.lease_until_ms + _LAPSE_MARGIN_MS
 
     def read_clock(self, report: HoldReport, now_ms: int) -> None:
         """Take over the clock of an answer."""
-        if report.clock_ms >= self.clock_at(now_ms) or report.clock_ms >= self.clock_ms:
+        if self.clock_read_ms is None or report.clock_ms >= self.clock_ms:
             self.clock_ms = report.clock_ms
             self.clock_read_ms = now_ms
 
--- a/fireflydeck/scheduling/session.py
+++ b/fireflydeck/scheduling/session.py
@@ -97,7 +97,7 @@
         started elsewhere.
         """
         server = self._server
-        if server.clock_read_ms == 0 or not server.attempts or not server.is_reachable:
+        if server.clock_read_ms is None or not server.attempts or not server.is_reachable:
             return 0
         until_ms = server.clock_at(now_ms) + HOLD_MS
         server.lease_until_ms = max(server.lease_until_ms, until_ms)
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -302,7 +302,8 @@
             self._forget_all(server, "reborn")
             server.last_end = server.stored_end = server.acknowledged_end = 0
             server.unstored.clear()
-            server.clock_ms = server.clock_read_ms = server.lease_until_ms = 0
+            server.clock_ms = server.lease_until_ms = 0
+            server.clock_read_ms = None
             server.is_held = False
             server.wake.set()
         server.born_ms = max(server.born_ms, born_ms)
