--- /dev/null
+++ b/fireflydeck/platform/standin/__init__.py
@@ -0,0 +1,8 @@
+"""Servers that speak the platform's protocol from memory, for tests and demonstrations."""
+
+from fireflydeck.platform.standin.http_fault import HttpFault, HttpFaults
+from fireflydeck.platform.standin.server_app import ServerApp
+from fireflydeck.platform.standin.store_app import StoreApp
+from fireflydeck.platform.standin.vm_app import VmApp
+
+__all__ = ["HttpFault", "HttpFaults", "ServerApp", "StoreApp", "VmApp"]
--- /dev/null
+++ b/fireflydeck/platform/standin/server_app.py
@@ -0,0 +1,94 @@
+"""A backend server over HTTP, from a `TaskServer` in memory."""
+
+from typing import Any
+
+import anyio
+import orjson
+from aiohttp import web
+
+from fireflydeck.core.backend_orders import HoldReport, StartOrder, StartOutcome
+from fireflydeck.platform.standin.http_fault import HttpFaults
+from fireflydeck.standins.task_server import TaskServer
+
+__all__ = ["ServerApp"]
+
+_POLL_S = 0.01
+_MS_PER_S = 1000
+_REASONS = {
+    StartOutcome.FENCED: "fence",
+    StartOutcome.OLD_RUN: "old",
+    StartOutcome.LATE: "late",
+    StartOutcome.NO_ROOM: "room",
+    StartOutcome.NO_TICKET: "ticket",
+}
+
+
+class ServerApp:
+    """Handles the orders to one backend server.
+
+    Attributes
+    ----------
+    faults
+        Faults of the next calls.
+    """
+
+    def __init__(self, server_id: str, server: TaskServer) -> None:
+        self._server_id = server_id
+        self._server = server
+        self.faults = HttpFaults()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one order."""
+        return await self.faults.serve(request, self._answer)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        expected = request.headers.get("X-Expected-Instance", self._server_id)
+        if expected != self._server_id:
+            return web.Response(status=421)
+        body = orjson.loads(await request.read())
+        if request.path == "/-/run-start":
+            return self._start(body)
+        if request.path == "/-/run-stop":
+            taken = self._server.stop(body["task"], body["run"], body["fencing_token"])
+            return self._json({}, 200 if taken else 409)
+        if request.path == "/-/pace":
+            return self._json({}, 200)
+        if request.path == "/-/hold":
+            return await self._hold(body)
+        return web.Response(status=404)
+
+    def _start(self, body: dict[str, Any]) -> web.Response:
+        order = StartOrder(
+            task=body["task"],
+            run=body["run"],
+            payload=body["spec"],
+            lease_until_ms=body["deadline_ms"],
+            fencing_token=body["fencing_token"],
+            checkpoint=body.get("checkpoint", ""),
+        )
+        outcome = self._server.start(order)
+        if outcome == StartOutcome.ACCEPTED:
+            return self._json({}, 200)
+        return self._json({"reason": _REASONS[outcome]}, 409)
+
+    async def _hold(self, body: dict[str, Any]) -> web.Response:
+        report: HoldReport | None = None
+        until_ms = body.get("deadline_ms", 0)
+        with anyio.move_on_after(body.get("wait_ms", 0) / _MS_PER_S):
+            while True:
+                report = self._server.hold(body["fencing_token"], body["last_seen"], until_ms)
+                if report is None or report.ended:
+                    break
+                await anyio.sleep(_POLL_S)
+        if report is None:
+            return self._json({"reason": "fence"}, 409)
+        running = [[row.task, row.run, row.checkpoint, row.percent] for row in report.running]
+        finished = [
+            [row.number, row.task, row.run, row.end.value, row.checkpoint] for row in report.ended
+        ]
+        return self._json({"running": running, "finished": finished}, 200)
+
+    def _json(self, body: dict[str, Any], status: int) -> web.Response:
+        clock = {"clock_ms": self._server.clock_ms(), "born": self._server.born_ms}
+        content = orjson.dumps({**clock, **body})
+        return web.Response(status=status, body=content, content_type="application/json")
--- /dev/null
+++ b/fireflydeck/platform/tests/local_server.py
@@ -0,0 +1,19 @@
+"""Serves a handler on a free port of loopback."""
+
+from contextlib import asynccontextmanager
+
+from aiohttp import web
+
+
+@asynccontextmanager
+async def local_server(handler):
+    """Serve until the block ends; yields the address."""
+    runner = web.ServerRunner(web.Server(handler), shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    host, port = runner.addresses[0]
+    try:
+        yield f"{host}:{port}"
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/fireflydeck/platform/tests/test_backend_server_client.py
@@ -0,0 +1,122 @@
+"""Contract of the orders to backend servers, with each fault."""
+
+import pytest
+
+from fireflydeck.core import Ran, Reason, SystemClock
+from fireflydeck.core.backend_orders import RunEnd, StartOrder, StartOutcome
+from fireflydeck.platform.backend_server_client import BackendServerClient
+from fireflydeck.platform.standin import HttpFault, ServerApp
+from fireflydeck.platform.tests.local_server import local_server
+from fireflydeck.standins.task_server import TaskServer
+from fireflydeck.testing.fleet_builders import CORES
+
+pytestmark = pytest.mark.anyio
+
+_TASK = "00000000000000a1.0.0.0"
+_TIMEOUT_MS = 300
+
+
+def _server(**fields):
+    return TaskServer(SystemClock(), CORES, duration_ms=None, **fields)
+
+
+def _order(server, **fields):
+    order = {
+        "task": _TASK,
+        "run": 1,
+        "payload": "text",
+        "lease_until_ms": server.clock_ms() + 3000,
+        "fencing_token": 2,
+    }
+    return StartOrder(**{**order, **fields})
+
+
+async def _hold(client, **fields):
+    order = {"fencing_token": 2, "last_seen": 0, "lease_until_ms": 0, "wait_ms": 0}
+    return await client.hold(**{**order, **fields})
+
+
+async def test_start_hold_stop():
+    server = _server()
+    async with local_server(ServerApp("i-1", server).handle) as address:
+        client = BackendServerClient("i-1", address)
+        started = await client.start(_order(server), timeout_ms=_TIMEOUT_MS)
+        assert started.ok == StartOutcome.ACCEPTED
+        report = (await _hold(client)).ok
+        assert [(row.task, row.run, row.percent) for row in report.running] == [(_TASK, 1, 100)]
+        assert report.born_ms == 1
+        stopped = await client.stop(task=_TASK, run=1, fencing_token=2, timeout_ms=_TIMEOUT_MS)
+        assert stopped.ok
+        report = (await _hold(client)).ok
+        assert [(row.number, row.end) for row in report.ended] == [(1, RunEnd.STOPPED)]
+        assert (await _hold(client, last_seen=1)).ok.ended == ()
+        await client.close()
+
+
+@pytest.mark.parametrize(
+    ("fields", "outcome"),
+    [
+        ({"fencing_token": 1}, StartOutcome.FENCED),
+        ({"lease_until_ms": 1}, StartOutcome.LATE),
+        ({"task": "stopped"}, StartOutcome.OLD_RUN),
+    ],
+)
+async def test_rejected_starts(fields, outcome):
+    server = _server(fencing_token=2)
+    server.stop("stopped", 1, 2)
+    async with local_server(ServerApp("i-1", server).handle) as address:
+        client = BackendServerClient("i-1", address)
+        result = await client.start(_order(server, **fields), timeout_ms=_TIMEOUT_MS)
+        assert result.ok == outcome
+        assert server.running() == []
+        await client.close()
+
+
+async def test_other_instance_at_the_address():
+    server = _server()
+    async with local_server(ServerApp("i-2", server).handle) as address:
+        client = BackendServerClient("i-1", address)
+        result = await client.start(_order(server), timeout_ms=_TIMEOUT_MS)
+        assert result.ok == StartOutcome.OTHER_INSTANCE
+        assert (await _hold(client)).error.reason == Reason.BACKEND_LOST
+        await client.close()
+
+
+async def test_hold_with_a_lower_fencing_token():
+    server = _server(fencing_token=3)
+    async with local_server(ServerApp("i-1", server).handle) as address:
+        client = BackendServerClient("i-1", address)
+        assert (await _hold(client)).error.reason == Reason.NOT_OWNER
+        await client.close()
+
+
+@pytest.mark.parametrize(
+    ("fault", "outcome", "ran", "runs"),
+    [
+        (HttpFault.BUSY, StartOutcome.BUSY, None, 0),
+        (HttpFault.UNAVAILABLE, StartOutcome.BUSY, None, 0),
+        (HttpFault.ANSWER_LOST, None, Ran.UNKNOWN, 1),
+        (HttpFault.RESET, None, Ran.UNKNOWN, 0),
+        (HttpFault.SILENT, None, Ran.UNKNOWN, 0),
+    ],
+)
+async def test_start_with_a_fault(fault, outcome, ran, runs):
+    server = _server()
+    app = ServerApp("i-1", server)
+    app.faults.next = [fault]
+    async with local_server(app.handle) as address:
+        client = BackendServerClient("i-1", address)
+        result = await client.start(_order(server), timeout_ms=_TIMEOUT_MS)
+        assert (result.ok if result.is_ok() else None) == outcome
+        assert (result.error.ran if result.is_error() else None) == ran
+        assert len(server.running()) == runs
+        await client.close()
+
+
+async def test_unreadable_report_is_a_failure():
+    app = ServerApp("i-1", _server())
+    app.faults.next = [HttpFault.GARBAGE]
+    async with local_server(app.handle) as address:
+        client = BackendServerClient("i-1", address)
+        assert (await _hold(client)).error.reason == Reason.ANSWER_INVALID
+        await client.close()
--- /dev/null
+++ b/fireflydeck/platform/tests/test_store.py
@@ -0,0 +1,96 @@
+"""Contract of the store's client, with each fault of the store."""
+
+import pytest
+
+from fireflydeck.core import Ran, Reason
+from fireflydeck.core.rows import RowCondition, RowKey, RowTransaction, RowWrite
+from fireflydeck.platform.standin import HttpFault, StoreApp
+from fireflydeck.platform.store import PlatformStore
+from fireflydeck.platform.tests.local_server import local_server
+
+pytestmark = pytest.mark.anyio
+
+_KEY = RowKey("t", "p", "k")
+_INSERT = RowTransaction(conditions=(RowCondition(_KEY, 0),), writes=(RowWrite(_KEY, b"\x00v"),))
+_TIMEOUT_MS = 300
+
+
+async def test_insert_read_and_conflict():
+    app = StoreApp()
+    async with local_server(app.handle) as address:
+        store = PlatformStore(address)
+        assert (await store.commit(_INSERT, timeout_ms=_TIMEOUT_MS)).ok == 1
+        assert (await store.commit(_INSERT, timeout_ms=_TIMEOUT_MS)).error.reason == Reason.CONFLICT
+        read = (await store.read("t", "p", timeout_ms=_TIMEOUT_MS)).ok
+        assert [(row.id, row.value, row.version) for row in read.rows] == [(_KEY, b"\x00v", 1)]
+        await store.close()
+
+
+async def test_read_follows_pages():
+    app = StoreApp()
+    app.page_rows = 2
+    for name in "abcde":
+        write = RowWrite(RowKey("t", "p", name), name.encode())
+        app.rows.commit(RowTransaction(writes=(write,)))
+    async with local_server(app.handle) as address:
+        store = PlatformStore(address)
+        rows = (await store.read("t", "p", first="b", before="e", timeout_ms=_TIMEOUT_MS)).ok.rows
+        assert [row.id.key for row in rows] == ["b", "c", "d"]
+        await store.close()
+
+
+async def test_changes_come_in_order_with_removals():
+    app = StoreApp()
+    async with local_server(app.handle) as address:
+        store = PlatformStore(address)
+        await store.commit(_INSERT, timeout_ms=_TIMEOUT_MS)
+        await store.commit(RowTransaction(removals=(_KEY,)), timeout_ms=_TIMEOUT_MS)
+        changes = (await store.changes("t", after=0, wait_ms=50)).ok
+        assert [(row.version, row.deleted) for row in changes.rows] == [(1, False), (2, True)]
+        assert (await store.changes("t", after=2, wait_ms=1)).ok.rows == ()
+        await store.close()
+
+
+async def test_forgotten_history():
+    app = StoreApp()
+    app.rows.commit(_INSERT)
+    app.rows.forget_history()
+    async with local_server(app.handle) as address:
+        store = PlatformStore(address)
+        result = await store.changes("t", after=0, wait_ms=1)
+        assert result.error.reason == Reason.NOT_FOUND
+        await store.close()
+
+
+@pytest.mark.parametrize(
+    ("fault", "reason", "ran", "is_stored"),
+    [
+        (HttpFault.BUSY, Reason.TOO_MANY_REQUESTS, Ran.NO, False),
+        (HttpFault.UNAVAILABLE, Reason.STORE_UNAVAILABLE, Ran.NO, False),
+        (HttpFault.ANSWER_LOST, Reason.STORE_UNAVAILABLE, Ran.UNKNOWN, True),
+        (HttpFault.RESET, Reason.STORE_UNAVAILABLE, Ran.UNKNOWN, False),
+        (HttpFault.SILENT, Reason.STORE_UNAVAILABLE, Ran.UNKNOWN, False),
+        (HttpFault.GARBAGE, Reason.ANSWER_INVALID, Ran.UNKNOWN, False),
+    ],
+)
+async def test_commit_with_a_fault(fault, reason, ran, is_stored):
+    app = StoreApp()
+    app.faults.next = [fault]
+    async with local_server(app.handle) as address:
+        store = PlatformStore(address)
+        failure = (await store.commit(_INSERT, timeout_ms=_TIMEOUT_MS)).error
+        assert (failure.reason, failure.ran, failure.step) == (reason, ran, "store.commit")
+        assert failure.peer == address
+        assert (app.rows.get(_KEY) is not None) == is_stored
+        again = await store.commit(_INSERT, timeout_ms=_TIMEOUT_MS)
+        assert again.is_ok() != is_stored
+        await store.close()
+
+
+async def test_store_that_can_not_be_reached():
+    async with local_server(StoreApp().handle) as address:
+        pass
+    store = PlatformStore(address)
+    failure = (await store.commit(_INSERT, timeout_ms=_TIMEOUT_MS)).error
+    assert (failure.reason, failure.ran) == (Reason.STORE_UNAVAILABLE, Ran.NO)
+    await store.close()
