Pools give VMs only as long as all given together leave what they need; tests of duties, intake and callers

Cause: each idle VM was weighed alone against its pool, so a pool could give several at once and fall below what it keeps for its peak. Seen failing in test_peak_of_one_pool_is_served_by_idle_and_standby_vms.

--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -5,9 +5,9 @@
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
-from fireflydeck.entry.holder_link import HolderLink
 from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.routing import QueueIndex
+from fireflydeck.entry.state_source import StateSource
 from fireflydeck.kernel import Event, EventLog, Metrics
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper
@@ -50,7 +50,7 @@
         *,
         operators: OperatorDocuments,
         lease: LeaseKeeper,
-        holder_link: HolderLink,
+        states: StateSource,
         intake: Intake,
         clock: Clock,
         log: EventLog,
@@ -58,7 +58,7 @@
     ) -> None:
         self._operators = operators
         self._lease = lease
-        self._holder_link = holder_link
+        self._states = states
         self._intake = intake
         self._clock = clock
         self._log = log
@@ -163,7 +163,7 @@
         return web.Response(status=200, body=b"{}", content_type="application/json")
 
     async def _state(self, call: _Call) -> web.Response:
-        state = await self._holder_link.job_state(call.job_id)
+        state = await self._states.job_state(call.job_id)
         if state is None:
             found = await self._intake.find(call.job_id, deadline_ms=call.deadline_ms)
             if found.is_error():
--- a/fireflydeck/entry/holder_link.py
+++ b/fireflydeck/entry/holder_link.py
@@ -4,6 +4,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, DummyCookieJar, TCPConnector, web
 from anyio.abc import TaskGroup
 
+from fireflydeck.entry.state_source import StateSource
 from fireflydeck.kernel import Registry, Service
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.scheduling.scheduler import Scheduler
@@ -15,7 +16,7 @@
 _CONNECTIONS = 8
 
 
-class HolderLink(Service):
+class HolderLink(Service, StateSource):
     """Serves and asks for the states of jobs between the entry processes.
 
     Parameters
--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -65,7 +65,7 @@
     interface = CallerInterface(
         operators=operators,
         lease=lease,
-        holder_link=link,
+        states=link,
         intake=Intake(store, clock),
         clock=clock,
         log=log,
--- /dev/null
+++ b/fireflydeck/entry/tests/test_caller_interface.py
@@ -0,0 +1,143 @@
+"""The job interface over HTTP: routing, keys, bad input, refusals and states."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+import orjson
+import pytest
+from aiohttp import ClientSession
+
+from fireflydeck.core import Ran, SystemClock
+from fireflydeck.entry.caller_interface import CallerInterface
+from fireflydeck.entry.intake import Intake
+from fireflydeck.entry.state_source import StateSource
+from fireflydeck.kernel import EventLog, Metrics, Registry
+from fireflydeck.observation import OperatorDocuments
+from fireflydeck.ownership import LeaseKeeper
+from fireflydeck.platform.tests.local_server import local_server
+from fireflydeck.testing.fleet_builders import (
+    CONFIGURATION,
+    JOB_ID,
+    configuration_document,
+    put_operator_document,
+)
+from fireflydeck.testing.rows import FakeRowStore
+from fireflydeck.workload import job_key
+
+pytestmark = pytest.mark.anyio
+
+_BODY = orjson.dumps({"spec": "text", "steps": [{"count": 1, "cpu": 500}]})
+_HEADERS = {"Host": "paint.example", "Api-Key": "key-1"}
+
+
+class _NoStates(StateSource):
+    async def job_state(self, job_id):
+        return None
+
+
+class _Callers:
+    def __init__(self, address, store):
+        self._address = address
+        self.store = store
+
+    async def call(self, method, path, body=None, **headers):
+        async with ClientSession() as session:
+            url = f"http://{self._address}{path}"
+            sent = {**_HEADERS, **headers}
+            async with session.request(method, url, data=body, headers=sent) as response:
+                return response.status, await response.read(), response.headers
+
+
+@asynccontextmanager
+async def _callers(*, configured=True):
+    clock, log = SystemClock(), EventLog()
+    store = FakeRowStore(clock)
+    if configured:
+        put_operator_document(store.rows, "config", configuration_document())
+    operators = OperatorDocuments(store, clock, log)
+    lease = LeaseKeeper(store, clock, log, name="m1", address="m1:1")
+    interface = CallerInterface(
+        operators=operators,
+        lease=lease,
+        states=_NoStates(),
+        intake=Intake(store, clock),
+        clock=clock,
+        log=log,
+        metrics=Metrics(),
+    )
+    async with anyio.create_task_group() as tasks:
+        await operators.start(Registry(), tasks)
+        await lease.start(Registry(), tasks)
+        await operators.wait_loaded()
+        while lease.holder is None:
+            await anyio.sleep(0.01)
+        async with local_server(interface.handle) as address:
+            yield _Callers(address, store)
+        tasks.cancel_scope.cancel()
+
+
+async def test_job_is_submitted_asked_for_and_cancelled():
+    async with _callers() as callers:
+        path = f"/swatch/{JOB_ID}"
+        assert (await callers.call("GET", path))[0] == 410
+        assert (await callers.call("POST", path, _BODY))[0] == 200
+        assert (await callers.call("POST", path, _BODY))[0] == 200
+        assert (await callers.call("GET", path))[:2] == (200, b'{"state":"queued"}')
+        assert (await callers.call("DELETE", path))[0] == 200
+        assert (await callers.call("GET", path))[:2] == (200, b'{"state":"cancelled"}')
+        assert (await callers.call("GET", "/swatch/"))[:2] == (200, b'{"pending":0}')
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        (f"/swatch/{JOB_ID}", {"Host": "other.example"}, 404),
+        (f"/elsewhere/{JOB_ID}", {}, 404),
+        (f"/swatch/{JOB_ID}", {"Api-Key": "key-2"}, 401),
+        (f"/swatch/{JOB_ID}", {"Api-Key": ""}, 401),
+        ("/swatch/xyz", {}, 404),
+        (f"/swatch/{JOB_ID}0", {}, 404),
+        ("/swatch/", {}, 405),
+    ],
+)
+async def test_refused_submissions(path, headers, status):
+    async with _callers() as callers:
+        answer = await callers.call("POST", path, _BODY, **headers)
+        assert answer[0] == status
+        assert callers.store.rows.get(job_key(JOB_ID)) is None
+
+
+@pytest.mark.parametrize(
+    ("body", "status"), [(b"", 400), (b"{", 400), (b"[]", 400), (b"x" * 2001, 413)]
+)
+async def test_bad_bodies(body, status):
+    async with _callers() as callers:
+        assert (await callers.call("POST", f"/swatch/{JOB_ID}", body))[0] == status
+
+
+async def test_key_that_was_taken_away_is_refused():
+    async with _callers() as callers:
+        organisation = {**CONFIGURATION["tenants"][0], "api_keys": []}
+        document = configuration_document(version=4, tenants=[organisation])
+        put_operator_document(callers.store.rows, "config", document)
+        with anyio.fail_after(5):
+            while (await callers.call("GET", "/swatch/"))[0] != 401:
+                await anyio.sleep(0.02)
+
+
+async def test_older_configuration_does_not_come_back():
+    async with _callers() as callers:
+        document = configuration_document(version=2, tenants=[])
+        put_operator_document(callers.store.rows, "config", document)
+        await anyio.sleep(0.2)
+        assert (await callers.call("GET", "/swatch/"))[0] == 200
+
+
+@pytest.mark.parametrize(("outage", "status"), [(Ran.NO, 503), (Ran.UNKNOWN, 504)])
+async def test_store_outage(outage, status):
+    async with _callers() as callers:
+        callers.store.outage = outage
+        headers = {"X-Deadline-Ms": "900"}
+        answer = await callers.call("POST", f"/swatch/{JOB_ID}", _BODY, **headers)
+        assert answer[0] == status
+        assert ("Retry-After" in answer[2]) == (status == 503)
--- /dev/null
+++ b/fireflydeck/entry/tests/test_intake.py
@@ -0,0 +1,114 @@
+"""Submissions, cancellations and states at the store, with each fault."""
+
+import anyio
+import pytest
+
+from fireflydeck.core import Ran
+from fireflydeck.core.rows import RowTransaction, RowWrite
+from fireflydeck.entry.intake import Intake, Submission
+from fireflydeck.testing.clock import FakeClock
+from fireflydeck.testing.fleet_builders import JOB_ID, build_spec
+from fireflydeck.testing.rows import FakeRowStore, RowStoreFault
+from fireflydeck.workload import (
+    JobOutcome,
+    cancellation_key,
+    encode_outcome,
+    job_key,
+    outcome_key,
+)
+
+pytestmark = pytest.mark.anyio
+
+_DEADLINE_MS = 2000
+
+
+async def _result(clock, function, *args, **kwargs):
+    """Run a call while time passes."""
+    results = []
+
+    async def run():
+        results.append(await function(*args, deadline_ms=clock.now_ms() + _DEADLINE_MS, **kwargs))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
+        for _ in range(_DEADLINE_MS // 50 + 10):
+            await clock.advance_ms(50)
+            if results:
+                break
+    return results[0]
+
+
+def _store():
+    clock = FakeClock()
+    return clock, FakeRowStore(clock)
+
+
+async def test_submission_is_stored_once():
+    clock, store = _store()
+    intake = Intake(store, clock)
+    assert (await _result(clock, intake.submit, build_spec())).ok == Submission.ACCEPTED
+    assert (await _result(clock, intake.submit, build_spec())).ok == Submission.KNOWN
+    assert len(store.commits) == 1
+
+
+@pytest.mark.parametrize("fault", [RowStoreFault.ANSWER_LOST, RowStoreFault.NO_EFFECT])
+async def test_submission_without_an_answer_is_settled(fault):
+    clock, store = _store()
+    store.next_commits = [fault]
+    result = await _result(clock, Intake(store, clock).submit, build_spec())
+    assert result.is_ok()
+    assert store.rows.get(job_key(JOB_ID)) is not None
+
+
+async def test_refusal_is_only_said_for_what_is_certainly_not_stored():
+    clock, store = _store()
+    store.outage = Ran.NO
+    result = await _result(clock, Intake(store, clock).submit, build_spec())
+    assert result.error.ran == Ran.NO
+
+
+async def test_refusal_after_a_call_without_an_answer_is_not_said():
+    """The first call may still take effect, whatever the later ones say."""
+    clock, store = _store()
+    store.next_commits = [RowStoreFault.LATE, *[RowStoreFault.REFUSED] * 100]
+    result = await _result(clock, Intake(store, clock).submit, build_spec())
+    assert result.error.ran == Ran.UNKNOWN
+    assert store.deliver_late() == [True]
+
+
+async def test_refused_store_is_not_waited_for_until_the_deadline():
+    clock, store = _store()
+    store.outage = Ran.NO
+    await _result(clock, Intake(store, clock).submit, build_spec())
+    assert clock.now_ms() < _DEADLINE_MS / 2
+
+
+async def test_cancellation_needs_a_job():
+    clock, store = _store()
+    intake = Intake(store, clock)
+    assert (await _result(clock, intake.cancel, JOB_ID)).ok is False
+    await _result(clock, intake.submit, build_spec())
+    assert (await _result(clock, intake.cancel, JOB_ID)).ok
+    assert (await _result(clock, intake.cancel, JOB_ID)).ok
+    assert store.rows.get(cancellation_key(JOB_ID)) is not None
+    assert len(store.commits) == 2
+
+
+async def test_states_from_the_store():
+    clock, store = _store()
+    intake = Intake(store, clock)
+    assert (await _result(clock, intake.find, JOB_ID)).ok is None
+    await _result(clock, intake.submit, build_spec())
+    assert (await _result(clock, intake.find, JOB_ID)).ok.state == "queued"
+    await _result(clock, intake.cancel, JOB_ID)
+    assert (await _result(clock, intake.find, JOB_ID)).ok.state == "cancelled"
+    outcome = RowWrite(outcome_key(JOB_ID), encode_outcome(JobOutcome.COMPLETED, 0))
+    store.rows.commit(RowTransaction(writes=(outcome,)))
+    assert (await _result(clock, intake.find, JOB_ID)).ok.state == "completed"
+
+
+async def test_unreachable_store_tells_no_state():
+    clock, store = _store()
+    store.outage = Ran.UNKNOWN
+    result = await _result(clock, Intake(store, clock).find, JOB_ID)
+    assert result.is_error()
--- a/fireflydeck/policy/pool_sizes.py
+++ b/fireflydeck/policy/pool_sizes.py
@@ -87,8 +87,7 @@
     """
     moves: list[VmMove] = []
     by_name = {pool.name: pool for pool in pools}
-    spare = [vm for vm in vms if _may_give(vm, by_name, move_s)]
-    spare.sort(key=lambda vm: (by_name[vm.pool].standby, -vm.idle_ms, vm.name))
+    spare = _spare_vms(by_name, vms, move_s)
     for pool in sorted(pools, key=lambda pool: -_wanted_cores(pool, move_s)):
         wanted = _wanted_cores(pool, move_s)
         for vm in [vm for vm in spare if vm.pool != pool.name]:
@@ -111,6 +110,18 @@
     return pool.arriving_cores + left_core_s / _CLEAR_S - cores
 
 
+def _spare_vms(pools: dict[str, PoolLoad], vms: Sequence[VmLoad], move_s: float) -> list[VmLoad]:
+    """Return the VMs that their pools can do without, all together; standby comes last."""
+    rest = dict(pools)
+    spare: list[VmLoad] = []
+    for vm in sorted(vms, key=lambda vm: (-vm.idle_ms, vm.name)):
+        if _may_give(vm, rest, move_s):
+            spare.append(vm)
+            pool = rest[vm.pool]
+            rest[vm.pool] = evolve(pool, available_cores=pool.available_cores - vm.cores)
+    return sorted(spare, key=lambda vm: pools[vm.pool].standby)
+
+
 def _may_give(vm: VmLoad, pools: dict[str, PoolLoad], move_s: float) -> bool:
     pool = pools.get(vm.pool)
     if pool is None:
--- /dev/null
+++ b/fireflydeck/policy/tests/test_upkeep.py
@@ -0,0 +1,41 @@
+"""Which VMs of a wave are emptied."""
+
+from attrs import evolve
+
+from fireflydeck.policy.upkeep import DueVm, choose_vms_to_empty
+
+
+def _vm(name, **fields):
+    known = DueVm(
+        name=name, pool="paint", running=0, may_stop=True, is_emptying=False, is_pressed=False
+    )
+    return evolve(known, **fields)
+
+
+def _chosen(*due, down=0, max_at_once=3, is_urgent=False):
+    return choose_vms_to_empty(due, down=down, max_at_once=max_at_once, is_urgent=is_urgent)
+
+
+def test_idle_vms_go_first():
+    assert _chosen(_vm("a", running=2), _vm("b"), max_at_once=1) == ["b"]
+
+
+def test_bound_counts_what_is_down_or_being_emptied():
+    due = [_vm("a", is_emptying=True), _vm("b"), _vm("c")]
+    assert _chosen(*due, down=1, max_at_once=3) == ["b"]
+    assert _chosen(*due, down=2, max_at_once=3) == []
+
+
+def test_one_busy_vm_a_pool():
+    due = [_vm("a", running=1), _vm("b", running=1), _vm("c", running=1, pool="mane")]
+    assert _chosen(*due) == ["a", "c"]
+
+
+def test_pool_with_a_backlog_gives_busy_vms_only_when_the_time_is_short():
+    due = [_vm("a", running=1, is_pressed=True)]
+    assert _chosen(*due) == []
+    assert _chosen(*due, is_urgent=True) == ["a"]
+
+
+def test_budgets_hold_also_when_the_time_is_short():
+    assert _chosen(_vm("a", running=1, may_stop=False), is_urgent=True) == []
--- /dev/null
+++ b/fireflydeck/scheduling/tests/test_duties.py
@@ -0,0 +1,152 @@
+"""Moves and waves of upkeep: budgets, bounds, holders, lost answers."""
+
+import orjson
+import pytest
+from attrs import evolve
+
+from fireflydeck.core.rows import RowKey
+from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState
+from fireflydeck.scheduling.tests.fleet import running_fleet
+from fireflydeck.testing.fleet_builders import (
+    CORES,
+    accept_job,
+    build_spec,
+    build_step,
+    put_operator_document,
+)
+
+pytestmark = pytest.mark.anyio
+
+_READY_MS = 4000
+"""Time until a new holder may order duties."""
+
+
+def _list(fleet, *server_ids, pool="paint"):
+    for server_id in server_ids:
+        name = f"vm-{server_id}"
+        fleet.vm_orders.vms[name] = ListedVm(
+            name=name,
+            pool=pool,
+            state=VmListState.UP,
+            data_centre="zvolen",
+            rack="r1-3",
+            capacity=CORES,
+            server_id=server_id,
+        )
+
+
+def _request_wave(fleet, *server_ids, max_at_once=1):
+    document = {
+        "maintenance_wave": 1,
+        "machines": [f"vm-{server_id}" for server_id in server_ids],
+        "duration_s": 20,
+        "cap": max_at_once,
+    }
+    put_operator_document(fleet.rows, "wave/1", orjson.dumps(document))
+
+
+def _status(fleet):
+    row = fleet.rows.get(RowKey("status", "", "wave/1"))
+    return orjson.loads(row.value)["state"] if row else None
+
+
+def _bring_back(fleet, server_id, new_id):
+    """Let a VM come back from its upkeep with a new backend server."""
+    del fleet.servers[server_id]
+    fleet.add_server(new_id)
+    vm = fleet.vm_orders.vms[f"vm-{server_id}"]
+    fleet.vm_orders.vms[vm.name] = evolve(vm, server_id=new_id)
+
+
+def _ordered(fleet):
+    return [(duty, vm) for duty, vm, _, _ in fleet.vm_orders.orders]
+
+
+async def test_wave_goes_through_within_its_bound():
+    async with running_fleet(servers=2) as fleet:
+        _list(fleet, "s1", "s2")
+        _request_wave(fleet, "s1", "s2")
+        await fleet.advance_ms(_READY_MS)
+        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+        assert _status(fleet) == "running"
+        await fleet.advance_ms(3000)
+        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+        _bring_back(fleet, "s1", "s3")
+        await fleet.advance_ms(2000)
+        assert _ordered(fleet) == [("upkeep", "vm-s1"), ("upkeep", "vm-s2")]
+        assert _status(fleet) == "running"
+        _bring_back(fleet, "s2", "s4")
+        await fleet.advance_ms(2000)
+        assert _status(fleet) == "completed"
+
+
+async def test_no_duty_within_the_lease_time_of_the_holder_before():
+    async with running_fleet(servers=2) as fleet:
+        _list(fleet, "s1", "s2")
+        _request_wave(fleet, "s1")
+        await fleet.advance_ms(1900)
+        assert _ordered(fleet) == []
+
+
+async def test_order_without_an_answer_counts_as_down():
+    async with running_fleet(servers=2) as fleet:
+        _list(fleet, "s1", "s2")
+        _request_wave(fleet, "s1", "s2")
+        fleet.vm_orders.next_outcomes = [None]
+        await fleet.advance_ms(_READY_MS + 4000)
+        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+        assert _status(fleet) == "running"
+
+
+async def test_refused_upkeep_is_tried_again():
+    async with running_fleet(servers=2) as fleet:
+        _list(fleet, "s1", "s2")
+        _request_wave(fleet, "s1")
+        fleet.vm_orders.next_outcomes = [DutyOutcome.BUSY]
+        await fleet.advance_ms(_READY_MS)
+        assert _ordered(fleet)[:2] == [("upkeep", "vm-s1")] * 2
+
+
+async def test_budget_of_long_running_tasks_holds_in_a_wave():
+    async with running_fleet(servers=2) as fleet:
+        for server in fleet.servers.values():
+            server.duration_ms = None
+        lasting = build_step(count=2, long_running=True, max_unavailable=1, max_per_server=1)
+        accept_job(fleet.rows, build_spec(lasting))
+        await fleet.advance_ms(1000)
+        _list(fleet, "s1", "s2")
+        _request_wave(fleet, "s1", "s2", max_at_once=2)
+        stopped = []
+        for _ in range(300):
+            await fleet.advance_ms(20)
+            stopped.append(2 - len(fleet.running()))
+        assert max(stopped) == 1
+        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+
+
+async def test_vm_with_quick_work_is_emptied_first():
+    async with running_fleet(servers=1) as fleet:
+        fleet.servers["s1"].duration_ms = 2500
+        _list(fleet, "s1")
+        await fleet.advance_ms(_READY_MS)
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(300)
+        _request_wave(fleet, "s1")
+        await fleet.advance_ms(1500)
+        assert _ordered(fleet) == []
+        await fleet.advance_ms(2500)
+        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+        assert len(fleet.starts()) == 1
+
+
+async def test_standby_vms_come_for_a_backlog():
+    async with running_fleet(servers=1) as fleet:
+        fleet.servers["s1"].duration_ms = 600
+        _list(fleet, "s1")
+        _list(fleet, "", pool="spare")
+        await fleet.advance_ms(_READY_MS)
+        for number in range(40):
+            spec = build_spec(build_step(count=16, estimated_ms=2000), job_id=f"{number:016x}")
+            accept_job(fleet.rows, spec)
+        await fleet.advance_ms(1000)
+        assert fleet.vm_orders.orders == [("move", "vm-", "paint", 1)]
