Only VMs that came from standby move between pools, by the cores that open jobs need

Arrival rates took one large job for a peak of its pool, eleven VMs went there and the pools in their turn lacked them afterwards. Ruled out: lost orders (all taken), take-overs (none). Reverted: remembered peaks of pools.

--- a/fireflydeck/ownership/__init__.py
+++ b/fireflydeck/ownership/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflydeck.ownership.lease import LeaseKeeper, Tenure
 from fireflydeck.ownership.records import (
+    BORROWED_ROW,
     COMMIT_ROW,
     LEASE_ROW,
     OWNERSHIP_TABLE,
@@ -11,6 +12,7 @@
 )
 
 __all__ = [
+    "BORROWED_ROW",
     "COMMIT_ROW",
     "LEASE_ROW",
     "LeaseKeeper",
--- a/fireflydeck/ownership/records.py
+++ b/fireflydeck/ownership/records.py
@@ -7,6 +7,7 @@
 from fireflydeck.workload.records import FLEET_PARTITION
 
 __all__ = [
+    "BORROWED_ROW",
     "COMMIT_ROW",
     "LEASE_ROW",
     "OWNERSHIP_TABLE",
@@ -23,6 +24,8 @@
 
 ROSTER_ROW = RowKey("roster", FLEET_PARTITION, "servers")
 """Backend servers that may run what the holder started."""
+BORROWED_ROW = RowKey("roster", FLEET_PARTITION, "borrowed-vms")
+"""VMs that were taken from standby, with the pool that they came from."""
 
 
 @frozen(kw_only=True)
--- a/fireflydeck/policy/pool_sizes.py
+++ b/fireflydeck/policy/pool_sizes.py
@@ -6,16 +6,10 @@
 
 __all__ = ["PoolLoad", "VmLoad", "VmMove", "choose_moves"]
 
-_CLEAR_S = 1.5
-"""Time in which a pool should clear what waits once VMs have moved in."""
 _PRESSED_S = 0.25
 """Backlog that a pool clears by itself in this time needs no VMs from elsewhere."""
 _GIVING_MARGIN = 1.5
-"""A pool that gives a VM keeps this many times the cores that its arrivals need."""
-_KEPT_FOR_PEAK = 0.6
-"""Part of its remembered peak that a pool keeps when another one lacks cores."""
-_KEPT_BEFORE_STANDBY = 0.8
-"""Part of its remembered peak that a pool keeps when its VMs go to standby."""
+"""A pool that gives a VM keeps this many times the cores that its open jobs need."""
 _IDLE_BEFORE_MOVE_MS = 150
 _IDLE_BEFORE_STANDBY_MS = 3000
 """An idle VM costs more than its way to standby and back after about this time."""
@@ -23,7 +17,7 @@
 
 @frozen(kw_only=True)
 class VmLoad:
-    """A VM that is up.
+    """A VM that is up and may move: one of the standby pool, or taken from there.
 
     Parameters
     ----------
@@ -45,10 +39,8 @@
     ----------
     waiting_core_s
         Work in sight that does not run yet, in core-seconds.
-    arriving_cores
-        Work that arrived of late, in core-seconds a second.
-    peak_cores
-        Highest arrivals that are remembered; infinite while too little is known.
+    needed_cores
+        Cores with which the open jobs would be done in time.
     available_cores
         Cores of the VMs that take work, less what long-running tasks use.
     incoming_cores
@@ -59,8 +51,7 @@
 
     name: str
     waiting_core_s: float
-    arriving_cores: float
-    peak_cores: float
+    needed_cores: float
     available_cores: float
     incoming_cores: float
     standby: bool = False
@@ -104,10 +95,10 @@
     if pool.standby:
         return 0.0
     cores = pool.available_cores + pool.incoming_cores
-    left_core_s = pool.waiting_core_s + (pool.arriving_cores - cores) * move_s
+    left_core_s = pool.waiting_core_s + (pool.needed_cores - cores) * move_s
     if left_core_s <= cores * _PRESSED_S:
         return 0.0
-    return pool.arriving_cores + left_core_s / _CLEAR_S - cores
+    return max(0.0, pool.needed_cores - cores)
 
 
 def _spare_vms(pools: dict[str, PoolLoad], vms: Sequence[VmLoad], move_s: float) -> list[VmLoad]:
@@ -131,8 +122,7 @@
     if vm.idle_ms < _IDLE_BEFORE_MOVE_MS:
         return False
     rest = evolve(pool, available_cores=pool.available_cores - vm.cores)
-    kept = max(pool.arriving_cores * _GIVING_MARGIN, pool.peak_cores * _KEPT_FOR_PEAK)
-    if rest.available_cores < kept:
+    if rest.available_cores < pool.needed_cores * _GIVING_MARGIN:
         return False
     return rest.available_cores > 0 and _wanted_cores(rest, move_s) <= 0
 
@@ -148,8 +138,6 @@
         pool = pools[vm.pool]
         if pool.standby or vm.pool in given or vm.idle_ms < _IDLE_BEFORE_STANDBY_MS:
             continue
-        if pool.available_cores - vm.cores < pool.peak_cores * _KEPT_BEFORE_STANDBY:
-            continue
         given.add(vm.pool)
         moves.append(VmMove(vm.name, vm.pool, standby[0]))
     return moves
--- a/fireflydeck/scheduling/demand.py
+++ b/fireflydeck/scheduling/demand.py
@@ -1,48 +1,36 @@
-"""Work in sight and of late, by pool."""
-
-import math
+"""Work in sight, and the cores that it needs, by pool."""
 
 from attrs import frozen
 
 from fireflydeck.workload.life import Job
-from fireflydeck.workload.specification import JobSpec
 
-__all__ = ["ArrivalRates", "PoolDemand", "job_core_s", "waiting_core_s"]
+__all__ = ["PoolDemand", "needed_cores", "waiting_core_s"]
 
 _CORE_SECOND = 1_000_000
 """Thousandths of a core, times milliseconds."""
-_WINDOW_MS = 1500
-"""Time over which arrivals are averaged; about the time of a move."""
-
-_MEMORY_MS = 120_000
-"""Time in which a remembered peak fades to about a third."""
-_LEARNING_MS = 20_000
-"""No peak is taken as known before this much was observed."""
+_MS_PER_S = 1000
+_LEAST_TIME_S = 1.5
+"""A job near its deadline is planned over at least this time; about that of a move."""
+_LATE_TIME_S = 4.0
+"""Time over which a job that is late already is planned."""
+_RUNNING_SHARE = 0.5
+"""Part of its work that a running task still has to do, on average."""
 
 
 @frozen
 class PoolDemand:
-    """Work that waits, in core-seconds, and arrivals, in core-seconds a second.
+    """Demand of a pool.
 
     Parameters
     ----------
-    peak_cores
-        Highest arrivals that are remembered; infinite while too little is known.
+    waiting_core_s
+        Work that neither runs nor is done, in core-seconds.
+    needed_cores
+        Cores with which the open jobs would be done in time.
     """
 
     waiting_core_s: float = 0.0
-    arriving_cores: float = 0.0
-    peak_cores: float = math.inf
-
-
-def job_core_s(spec: JobSpec) -> float:
-    """Return the work of one occurrence of a job by the caller's estimates, in core-seconds."""
-    work = sum(
-        step.count * step.demand.cpu * step.estimated_ms
-        for step in spec.steps
-        if not step.long_running
-    )
-    return work / _CORE_SECOND
+    needed_cores: float = 0.0
 
 
 def waiting_core_s(job: Job) -> float:
@@ -55,39 +43,12 @@
     return work / _CORE_SECOND
 
 
-class ArrivalRates:
-    """Exponential averages of the work that arrived, and their peaks, by pool.
-
-    Parameters
-    ----------
-    since_ms
-        When the observation began.
-    """
-
-    def __init__(self, since_ms: int) -> None:
-        self._since_ms = since_ms
-        self._rates: dict[str, tuple[float, int]] = {}
-        self._peaks: dict[str, tuple[float, int]] = {}
-
-    def add(self, pool: str, core_s: float, now_ms: int) -> None:
-        """Count work that arrived now."""
-        rate = self.rate(pool, now_ms) + core_s * 1000 / _WINDOW_MS
-        self._rates[pool] = (rate, now_ms)
-        if rate >= self.peak(pool, now_ms):
-            self._peaks[pool] = (rate, now_ms)
-
-    def known_peak(self, pool: str, now_ms: int) -> float:
-        """Return the remembered peak; infinite as long as too little was observed."""
-        if now_ms - self._since_ms < _LEARNING_MS:
-            return math.inf
-        return self.peak(pool, now_ms)
-
-    def peak(self, pool: str, now_ms: int) -> float:
-        """Return the highest rate so far, which fades over minutes."""
-        peak, at_ms = self._peaks.get(pool, (0.0, now_ms))
-        return peak * math.exp((at_ms - now_ms) / _MEMORY_MS)
-
-    def rate(self, pool: str, now_ms: int) -> float:
-        """Return the arrivals in core-seconds a second."""
-        rate, at_ms = self._rates.get(pool, (0.0, now_ms))
-        return rate * math.exp((at_ms - now_ms) / _WINDOW_MS)
+def needed_cores(job: Job, *, left_ms: int) -> float:
+    """Return the cores with which a job would be done in the time that is left for it."""
+    work = 0.0
+    for task in job.tasks.values():
+        if not (task.done or task.step.long_running):
+            share = _RUNNING_SHARE if task.attempts else 1.0
+            work += share * task.step.demand.cpu * task.step.estimated_ms
+    left_s = left_ms / _MS_PER_S if left_ms > 0 else _LATE_TIME_S
+    return work / _CORE_SECOND / max(_LEAST_TIME_S, left_s)
--- a/fireflydeck/scheduling/dispatch.py
+++ b/fireflydeck/scheduling/dispatch.py
@@ -20,12 +20,7 @@
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.policy.job_order import JobRank, objective_ms, rank
 from fireflydeck.policy.server_choice import Candidate, choose_server
-from fireflydeck.scheduling.demand import (
-    ArrivalRates,
-    PoolDemand,
-    job_core_s,
-    waiting_core_s,
-)
+from fireflydeck.scheduling.demand import PoolDemand, needed_cores, waiting_core_s
 from fireflydeck.scheduling.fleet_usage import OrganisationUsage
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import HOLD_MS
@@ -87,11 +82,6 @@
     on_other_instance: Callable[[Server], None]
     wake: Callable[[], None]
     _queued: dict[str, _QueuedJob] = field(factory=dict, init=False)
-    _arrivals: ArrivalRates = field(init=False)
-
-    @_arrivals.default
-    def _begin_observation(self) -> ArrivalRates:
-        return ArrivalRates(self.clock.now_ms())
 
     # Jobs
 
@@ -99,10 +89,6 @@
         """Schedule a job."""
         lasting = any(step.long_running for step in job.spec.steps)
         self._queued[job.id] = _QueuedJob(job, is_lasting=lasting)
-        configuration = self.operators.configuration
-        queue = configuration.queue(job.spec.queue) if configuration else None
-        if queue is not None:
-            self._arrivals.add(queue.pool, job_core_s(job.spec), self.clock.now_ms())
 
     def remove_job(self, job: Job) -> None:
         """Schedule a job no more."""
@@ -134,19 +120,19 @@
             return {}
         now_ms = self.clock.now_ms()
         waiting: dict[str, float] = {}
+        needed: dict[str, float] = {}
         for queued in self._queued.values():
-            queue = configuration.queue(queued.job.spec.queue)
-            if queue is not None and queued.job.is_open and not queued.is_lasting:
-                work = waiting_core_s(queued.job)
-                waiting[queue.pool] = waiting.get(queue.pool, 0.0) + work
-        return {
-            pool.name: PoolDemand(
-                waiting.get(pool.name, 0.0),
-                self._arrivals.rate(pool.name, now_ms),
-                self._arrivals.known_peak(pool.name, now_ms),
-            )
-            for pool in configuration.pools
-        }
+            job = queued.job
+            queue = configuration.queue(job.spec.queue)
+            if queue is None or not job.is_open or queued.is_lasting:
+                continue
+            left_ms = job.accepted_at_ms + objective_ms(job.spec, queue) - now_ms
+            waiting[queue.pool] = waiting.get(queue.pool, 0.0) + waiting_core_s(job)
+            needed[queue.pool] = needed.get(queue.pool, 0.0) + needed_cores(job, left_ms=left_ms)
+        demand: dict[str, PoolDemand] = {}
+        for pool in configuration.pools:
+            demand[pool.name] = PoolDemand(waiting.get(pool.name, 0.0), needed.get(pool.name, 0.0))
+        return demand
 
     def plan(
         self, servers: dict[str, Server], unsettled_pools: set[str], since_version: int
--- a/fireflydeck/scheduling/duties.py
+++ b/fireflydeck/scheduling/duties.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import msgpack
 from attrs import define, field
 from expression import Result
 
@@ -12,6 +13,7 @@
 from fireflydeck.kernel import Event, EventLog
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper, Tenure
+from fireflydeck.ownership.records import BORROWED_ROW
 from fireflydeck.platform.documents import WaveState, encode_wave_state, wave_status_row
 from fireflydeck.policy.pool_sizes import PoolLoad, VmLoad, choose_moves
 from fireflydeck.policy.upkeep import DueVm, choose_vms_to_empty
@@ -39,7 +41,7 @@
 """How long a VM stays out of work after an order for it got no answer."""
 _URGENT_SHARE = 0.6
 """Part of a wave's time after which VMs are emptied in spite of a backlog."""
-_STATUS_TIMEOUT_MS = 1200
+_STORE_TIMEOUT_MS = 1200
 _PRESSED_CORE_S = 20.0
 """A pool with more work waiting than this gives no busy VM to a wave."""
 
@@ -92,6 +94,7 @@
     request_stop: Callable[[Attempt], None]
     wake: Callable[[], None]
     _vms: dict[str, ListedVm] = field(factory=dict, init=False)
+    _borrowed: dict[str, str] | None = field(default=None, init=False)
     _listed_ms: int | None = field(default=None, init=False)
     _sent: dict[str, _Order] = field(factory=dict, init=False)
     _kept: set[tuple[int, str]] = field(factory=set, init=False)
@@ -119,7 +122,7 @@
         demand = self.demand()
         if not waves and not self._wants_moves(configuration, demand):
             return
-        if not await self._refresh():
+        if not await self._refresh() or not await self._load_borrowed():
             return
         for wave in waves:
             await self._serve_wave(wave, demand)
@@ -174,6 +177,44 @@
             server.is_cordoned = False
             self.wake()
 
+    # Borrowed VMs
+
+    async def _load_borrowed(self) -> bool:
+        """Read which VMs earlier holders took from standby; returns whether it is known."""
+        if self._borrowed is not None:
+            return True
+        result = await self.store.read(
+            BORROWED_ROW.table,
+            BORROWED_ROW.partition,
+            first=BORROWED_ROW.key,
+            before=BORROWED_ROW.key + "\0",
+            timeout_ms=_STORE_TIMEOUT_MS,
+        )
+        if result.is_error():
+            self.log.emit(
+                Event.STORE_CALL_FAILED,
+                step=result.error.step,
+                reason=result.error.reason,
+                detail=result.error.detail,
+            )
+            return False
+        rows = result.ok.rows
+        self._borrowed = msgpack.unpackb(rows[0].value) if rows else {}
+        return True
+
+    async def _borrow(self, vm: ListedVm) -> bool:
+        """Store that a VM leaves standby, before it does; returns whether it is stored."""
+        if self._borrowed is None:
+            return False
+        if vm.name in self._borrowed:
+            return True
+        borrowed = {**self._borrowed, vm.name: vm.pool}
+        content = RowWrite(BORROWED_ROW, msgpack.packb(borrowed))
+        if await self.lease.commit([content], []) is not None:
+            return False
+        self._borrowed = borrowed
+        return True
+
     # Waves
 
     def _is_open(self, wave: MaintenanceWave) -> bool:
@@ -292,7 +333,7 @@
         conditions = (RowCondition(key, ABSENT_VERSION),) if state == WaveState.RUNNING else ()
         result = await self.store.commit(
             RowTransaction(conditions=conditions, writes=(content,)),
-            timeout_ms=_STATUS_TIMEOUT_MS,
+            timeout_ms=_STORE_TIMEOUT_MS,
         )
         if result.is_error() and state == WaveState.COMPLETED:
             self.log.emit(
@@ -326,11 +367,17 @@
         kept: set[str],
     ) -> None:
         pools = self._pool_loads(configuration, demand)
-        vms = [self._vm_load(vm) for vm in self._vms.values() if self._is_movable(vm)]
+        standby = {pool.name for pool in configuration.pools if pool.standby}
+        movable = [
+            vm
+            for vm in self._vms.values()
+            if self._is_movable(vm) and (vm.pool in standby or vm.name in (self._borrowed or {}))
+        ]
+        vms = [self._vm_load(vm) for vm in movable]
         done = {name for wave, name in self._kept}
         vms = [vm for vm in vms if vm.name not in kept or vm.name in done]
         for move in choose_moves(pools, vms, move_s=self.times.migration_ms / _MS_PER_S):
-            if not self._is_current():
+            if not await self._borrow(self._vms[move.vm]) or not self._is_current():
                 return
             await self._order_move(self._vms[move.vm], move.target)
 
@@ -354,8 +401,7 @@
                 PoolLoad(
                     name=pool.name,
                     waiting_core_s=wanted.waiting_core_s,
-                    arriving_cores=wanted.arriving_cores,
-                    peak_cores=wanted.peak_cores,
+                    needed_cores=wanted.needed_cores,
                     available_cores=sum(map(_available_cores, servers)),
                     incoming_cores=sum(vm.capacity.cpu for vm in incoming) / _CORE,
                     standby=pool.standby,
--- /dev/null
+++ b/fireflydeck/scheduling/tests/test_demand.py
@@ -0,0 +1,30 @@
+"""Cores that open jobs need."""
+
+import pytest
+
+from fireflydeck.core.placement import Resources
+from fireflydeck.scheduling.demand import needed_cores, waiting_core_s
+from fireflydeck.testing.fleet_builders import build_job, build_step
+from fireflydeck.workload import begin_attempt
+
+
+def _job():
+    return build_job(build_step(count=10, demand=Resources(2000, 0), estimated_ms=600))
+
+
+def test_waiting_work_leaves_out_what_runs():
+    job = _job()
+    assert waiting_core_s(job) == pytest.approx(12.0)
+    begin_attempt(next(iter(job.tasks.values())), "s", least_run=1, now_ms=0)
+    assert waiting_core_s(job) == pytest.approx(10.8)
+
+
+@pytest.mark.parametrize(("left_ms", "cores"), [(6000, 2.0), (100, 8.0), (0, 3.0), (-500, 3.0)])
+def test_need_spreads_over_the_time_left(left_ms, cores):
+    assert needed_cores(_job(), left_ms=left_ms) == pytest.approx(cores)
+
+
+def test_lasting_tasks_need_nothing():
+    job = build_job(build_step(count=5, long_running=True))
+    assert needed_cores(job, left_ms=1000) == 0
+    assert waiting_core_s(job) == 0
--- a/fireflydeck/scheduling/tests/test_duties.py
+++ b/fireflydeck/scheduling/tests/test_duties.py
@@ -1,11 +1,13 @@
 """Moves and waves of upkeep: budgets, bounds, holders, lost answers."""
 
+import msgpack
 import orjson
 import pytest
 from attrs import evolve
 
-from fireflydeck.core.rows import RowKey
+from fireflydeck.core.rows import RowKey, RowTransaction, RowWrite
 from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState
+from fireflydeck.ownership import BORROWED_ROW
 from fireflydeck.scheduling.tests.fleet import running_fleet
 from fireflydeck.testing.fleet_builders import (
     CORES,
@@ -150,3 +152,19 @@
             accept_job(fleet.rows, spec)
         await fleet.advance_ms(1000)
         assert fleet.vm_orders.orders == [("move", "vm-", "paint", 1)]
+
+
+async def test_vms_that_were_not_on_standby_stay():
+    async with running_fleet(servers=2) as fleet:
+        _list(fleet, "s1", "s2")
+        await fleet.advance_ms(20_000)
+        assert fleet.vm_orders.orders == []
+
+
+async def test_next_holder_knows_which_vms_came_from_standby():
+    async with running_fleet(servers=2, members=2) as fleet:
+        _list(fleet, "s1", "s2")
+        row = RowWrite(BORROWED_ROW, msgpack.packb({"vm-s2": "spare"}))
+        fleet.rows.commit(RowTransaction(writes=(row,)))
+        await fleet.advance_ms(_READY_MS + 4000)
+        assert fleet.vm_orders.orders == [("move", "vm-s2", "spare", 1)]
