--- a/fireflydeck/scheduling/dispatch.py
+++ b/fireflydeck/scheduling/dispatch.py
@@ -150,12 +150,38 @@
                 continue
             if queue.pool in unsettled_pools and queued.job.stored_version <= since_version:
                 continue
-            for task in self._ready(queued):
-                if task.not_before_ms > now_ms or task.attempts:
-                    continue
-                start = self._place(configuration, task, pool)
-                if start is not None:
-                    starts.append(start)
+            for tasks in self._units(queued, now_ms):
+                starts.extend(self._place_together(configuration, tasks, pool))
+        return starts
+
+    def _units(self, queued: _QueuedJob, now_ms: int) -> list[list[Task]]:
+        """Return the ready tasks by what has to start together: alone, or as a whole gang."""
+        units: list[list[Task]] = []
+        gangs: dict[tuple[int, int], list[Task]] = {}
+        for task in self._ready(queued):
+            if task.not_before_ms > now_ms or task.attempts:
+                continue
+            if task.step.gang:
+                gangs.setdefault((task.key.occurrence, task.key.step), []).append(task)
+            else:
+                units.append([task])
+        whole = [members for members in gangs.values() if len(members) == members[0].step.count]
+        return units + whole
+
+    def _place_together(
+        self, configuration: FleetConfiguration, tasks: list[Task], pool: list[Server]
+    ) -> list[tuple[Server, Attempt]]:
+        """Reserve room for all tasks under one run number, or for none."""
+        first_run = (self.term - 1) * _RUNS_A_TERM + 1
+        least_run = max([first_run, *(task.last_run + 1 for task in tasks)])
+        starts: list[tuple[Server, Attempt]] = []
+        for task in tasks:
+            start = self._place(configuration, task, pool, least_run)
+            if start is None:
+                for _, attempt in starts:
+                    self.drop(attempt)
+                return []
+            starts.append(start)
         return starts
 
     def _is_fresh(self) -> bool:
@@ -206,23 +232,21 @@
         return queued.ready
 
     def _place(
-        self, configuration: FleetConfiguration, task: Task, pool: list[Server]
+        self, configuration: FleetConfiguration, task: Task, pool: list[Server], least_run: int
     ) -> tuple[Server, Attempt] | None:
         step = task.step
+        if not any(server.fits(step) for server in pool):
+            return None
         organisation = task.job.spec.organisation
         if not self.usage.allows(configuration, organisation, step.demand):
             return None
-        candidates = [self._candidate(server, task) for server in pool]
+        candidates = [self._candidate(server, task) for server in pool if server.fits(step)]
         server_id = choose_server(step, candidates)
         if server_id is None:
             return None
         server = next(server for server in pool if server.id == server_id)
-        attempt = begin_attempt(
-            task,
-            server_id,
-            least_run=(self.term - 1) * _RUNS_A_TERM + 1,
-            now_ms=self.clock.now_ms(),
-        )
+        now_ms = self.clock.now_ms()
+        attempt = begin_attempt(task, server_id, least_run=least_run, now_ms=now_ms)
         self.begin(attempt)
         return server, attempt
 
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -8,6 +8,7 @@
 from fireflydeck.core.backend_orders import BackendServerOrders, HoldReport
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
 from fireflydeck.workload.life import Attempt
+from fireflydeck.workload.specification import StepSpec
 
 __all__ = ["Server"]
 
@@ -71,6 +72,15 @@
         """Capacity that no attempt uses."""
         return self.registration.capacity - self.used
 
+    def fits(self, step: StepSpec) -> bool:
+        """Whether a task of the step has room here."""
+        capacity, used, demand = self.registration.capacity, self.used, step.demand
+        return (
+            (step.fill or used.cpu + demand.cpu <= capacity.cpu)
+            and used.memory_mb + demand.memory_mb <= capacity.memory_mb
+            and used.accelerators + demand.accelerators <= capacity.accelerators
+        )
+
     def can_work(self) -> bool:
         """Whether new runs may be placed here, now or after a pause."""
         return (
--- a/fireflydeck/scheduling/tests/test_runs.py
+++ b/fireflydeck/scheduling/tests/test_runs.py
@@ -4,6 +4,7 @@
 
 from fireflydeck.core import Ran
 from fireflydeck.core.backend_orders import RunEnd
+from fireflydeck.core.placement import Resources
 from fireflydeck.core.rows import RowKey, RowTransaction
 from fireflydeck.scheduling.session import HOLD_MS
 from fireflydeck.scheduling.tests.fleet import never_twice, running_fleet
@@ -167,3 +168,25 @@
         await fleet.advance_ms(4000)
         assert fleet.outcome(JOB_ID) == "completed"
         assert len(fleet.starts()) == 1
+
+
+async def test_gang_starts_as_a_whole_under_one_run_number():
+    async with running_fleet(servers=2) as fleet:
+        for server in fleet.servers.values():
+            server.duration_ms = 3000
+        big = Resources(20_000, 1000)
+        accept_job(fleet.rows, build_spec(build_step(count=2, gang=True, demand=big)))
+        await fleet.advance_ms(200)
+        assert {run for _, run in fleet.starts()} == {1}
+        assert len(fleet.running()) == 2
+
+
+async def test_gang_without_room_for_all_waits_and_holds_nothing():
+    async with running_fleet(servers=2) as fleet:
+        big = Resources(20_000, 1000)
+        accept_job(fleet.rows, build_spec(build_step(count=3, gang=True, demand=big)))
+        other = build_spec(build_step(count=2, demand=big), job_id="00000000000000d4")
+        accept_job(fleet.rows, other)
+        await fleet.advance_ms(2000)
+        assert {task.partition(".")[0] for task, _ in fleet.starts()} == {other.job_id}
+        assert fleet.outcome(other.job_id) == "completed"
--- a/fireflydeck/workload/life.py
+++ b/fireflydeck/workload/life.py
@@ -226,20 +226,35 @@
     if task.done or not job.is_open or task.step.long_running:
         return False
     if ended.end == RunEnd.DONE:
-        _finish_task(task)
+        for member in _members(task):
+            _finish_task(member)
         return True
     if ended.end == RunEnd.FAILED and ended.run not in task.failed_runs:
         task.failed_runs.add(ended.run)
         if known is not None:
             task.avoided.add(known.server_id)
-        if task.failures >= max_attempts:
+        failed_runs = set().union(*(member.failed_runs for member in _members(task)))
+        if len(failed_runs) >= max_attempts:
             job.outcome = JobOutcome.FAILED
         return True
     return False
 
 
+def _members(task: Task) -> list[Task]:
+    """Return the tasks that end and fail as one: the gang, or the task alone."""
+    if not task.step.gang:
+        return [task]
+    return [
+        other
+        for other in task.job.tasks.values()
+        if other.key.occurrence == task.key.occurrence and other.key.step == task.key.step
+    ]
+
+
 def _finish_task(task: Task) -> None:
     job = task.job
+    if task.done:
+        return
     task.done = True
     job.open_tasks[task.key.occurrence, task.key.step] -= 1
     job.completed_by_step[task.key.step] = job.completed_by_step.get(task.key.step, 0) + 1
--- a/fireflydeck/workload/tests/test_life.py
+++ b/fireflydeck/workload/tests/test_life.py
@@ -115,6 +115,21 @@
     assert job.outcome is None
 
 
+def test_gang_is_done_with_its_first_member():
+    job = build_job(build_step(count=3, gang=True), build_step(depends_on=(0,)))
+    _end(_task(job, index=1), 1, RunEnd.DONE)
+    assert _names(job) == [".0.1.0"]
+
+
+def test_gang_fails_once_a_run_whichever_member_failed():
+    job = build_job(build_step(count=3, gang=True))
+    _end(_task(job, index=0), 1, RunEnd.FAILED)
+    _end(_task(job, index=1), 1, RunEnd.FAILED)
+    assert job.outcome is None
+    _end(_task(job, index=2), 2, RunEnd.FAILED)
+    assert job.outcome == JobOutcome.FAILED
+
+
 def test_occurrences_are_created_when_they_are_due():
     spec = build_spec(first_due_ms=1000, interval_ms=500, occurrences=2)
     job = Job(spec, 1, 0)
