--- a/fireflydeck/scheduling/demand.py
+++ b/fireflydeck/scheduling/demand.py
@@ -4,7 +4,7 @@
 
 from fireflydeck.workload.life import Job
 
-__all__ = ["PoolDemand", "needed_cores", "waiting_core_s"]
+__all__ = ["Inflow", "PoolDemand", "needed_cores", "waiting_core_s"]
 
 _CORE_SECOND = 1_000_000
 """Thousandths of a core, times milliseconds."""
@@ -52,3 +52,26 @@
             work += share * task.step.demand.cpu * task.step.estimated_ms
     left_s = left_ms / _MS_PER_S if left_ms > 0 else _LATE_TIME_S
     return work / _CORE_SECOND / max(_LEAST_TIME_S, left_s)
+
+
+class Inflow:
+    """Cores with which jobs as they come in are done in time, by pool.
+
+    Each job counts with its work over the time of its objective, for that time, whether it is done
+    sooner or not: jobs of its kind will follow.
+    """
+
+    def __init__(self) -> None:
+        self._jobs: dict[str, list[tuple[int, float]]] = {}
+
+    def add(self, pool: str, job: Job, *, objective_ms: int, now_ms: int) -> None:
+        """Count a job that was accepted."""
+        cores = needed_cores(job, left_ms=objective_ms)
+        until_ms = now_ms + max(int(_LEAST_TIME_S * _MS_PER_S), objective_ms)
+        self._jobs.setdefault(pool, []).append((until_ms, cores))
+
+    def cores(self, pool: str, now_ms: int) -> float:
+        """Return the cores that jobs need as they come in now."""
+        current = [item for item in self._jobs.get(pool, []) if item[0] > now_ms]
+        self._jobs[pool] = current
+        return sum(cores for _, cores in current)
