--- a/fireflydeck/scheduling/dispatch.py
+++ b/fireflydeck/scheduling/dispatch.py
@@ -20,7 +20,7 @@
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.policy.job_order import JobRank, objective_ms, rank
 from fireflydeck.policy.server_choice import Candidate, choose_server
-from fireflydeck.scheduling.demand import PoolDemand, needed_cores, waiting_core_s
+from fireflydeck.scheduling.demand import Inflow, PoolDemand, needed_cores, waiting_core_s
 from fireflydeck.scheduling.fleet_usage import OrganisationUsage
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import HOLD_MS
@@ -82,6 +82,7 @@
     on_other_instance: Callable[[Server], None]
     wake: Callable[[], None]
     _queued: dict[str, _QueuedJob] = field(factory=dict, init=False)
+    _inflow: Inflow = field(factory=Inflow, init=False)
 
     # Jobs
 
@@ -89,6 +90,15 @@
         """Schedule a job."""
         lasting = any(step.long_running for step in job.spec.steps)
         self._queued[job.id] = _QueuedJob(job, is_lasting=lasting)
+        configuration = self.operators.configuration
+        queue = configuration.queue(job.spec.queue) if configuration else None
+        if queue is not None:
+            self._inflow.add(
+                queue.pool,
+                job,
+                objective_ms=objective_ms(job.spec, queue),
+                now_ms=self.clock.now_ms(),
+            )
 
     def remove_job(self, job: Job) -> None:
         """Schedule a job no more."""
@@ -131,7 +141,8 @@
             needed[queue.pool] = needed.get(queue.pool, 0.0) + needed_cores(job, left_ms=left_ms)
         demand: dict[str, PoolDemand] = {}
         for pool in configuration.pools:
-            demand[pool.name] = PoolDemand(waiting.get(pool.name, 0.0), needed.get(pool.name, 0.0))
+            cores = max(needed.get(pool.name, 0.0), self._inflow.cores(pool.name, now_ms))
+            demand[pool.name] = PoolDemand(waiting.get(pool.name, 0.0), cores)
         return demand
 
     def plan(
--- a/fireflydeck/scheduling/duties.py
+++ b/fireflydeck/scheduling/duties.py
@@ -39,7 +39,7 @@
 """Added to the lease time between the duties of two holders."""
 _UNCERTAIN_MS = 15_000
 """How long a VM stays out of work after an order for it got no answer."""
-_URGENT_SHARE = 0.6
+_URGENT_SHARE = 0.4
 """Part of a wave's time after which VMs are emptied in spite of a backlog."""
 _STORE_TIMEOUT_MS = 1200
 _PRESSED_CORE_S = 20.0
--- a/fireflydeck/scheduling/tests/test_demand.py
+++ b/fireflydeck/scheduling/tests/test_demand.py
@@ -3,7 +3,7 @@
 import pytest
 
 from fireflydeck.core.placement import Resources
-from fireflydeck.scheduling.demand import needed_cores, waiting_core_s
+from fireflydeck.scheduling.demand import Inflow, needed_cores, waiting_core_s
 from fireflydeck.testing.fleet_builders import build_job, build_step
 from fireflydeck.workload import begin_attempt
 
@@ -28,3 +28,18 @@
     job = build_job(build_step(count=5, long_running=True))
     assert needed_cores(job, left_ms=1000) == 0
     assert waiting_core_s(job) == 0
+
+
+def test_turn_of_quick_jobs_shows_before_a_backlog_does():
+    """Thirty jobs a second of twelve core-seconds each need 360 cores, done or not."""
+    inflow = Inflow()
+    for number in range(60):
+        inflow.add("paint", _job(), objective_ms=2000, now_ms=number * 33)
+    assert inflow.cores("paint", 1980) == pytest.approx(360, rel=0.02)
+    assert inflow.cores("paint", 4000) == 0
+
+
+def test_large_job_counts_over_its_own_time():
+    inflow = Inflow()
+    inflow.add("carve", _job(), objective_ms=12_000, now_ms=0)
+    assert inflow.cores("carve", 11_000) == pytest.approx(1.0)
