--- a/fireflydeck/scheduling/duties.py
+++ b/fireflydeck/scheduling/duties.py
@@ -159,15 +159,25 @@
         """Forget the orders that the list shows to be carried out."""
         listed_ms = self._listed_ms or 0
         for order in list(self._sent.values()):
-            vm = self._vms.get(order.vm)
-            is_new_life = vm is not None and vm.state == VmListState.UP
-            is_new_life = is_new_life and vm.server_id not in ("", order.server_id)
-            lasted_ms = listed_ms - order.sent_ms
-            is_given_up = not order.is_certain and lasted_ms > _UNCERTAIN_MS
-            if vm is None or is_new_life or is_given_up:
+            if self._is_settled(order, listed_ms - order.sent_ms):
                 del self._sent[order.vm]
                 self._uncordon(order.server_id)
 
+    def _is_settled(self, order: _Order, lasted_ms: int) -> bool:
+        """Whether the list, read `lasted_ms` after an order, shows what became of it.
+
+        A VM that is back has a new backend server, or none while it is on standby.
+        """
+        vm = self._vms.get(order.vm)
+        if vm is None:
+            return True
+        if not order.is_certain:
+            is_new_life = vm.server_id not in ("", order.server_id)
+            return (is_new_life and vm.state == VmListState.UP) or lasted_ms > _UNCERTAIN_MS
+        least_ms = self.times.maintenance_ms if order.wave else self.times.migration_ms
+        is_old_life = vm.server_id != "" and vm.server_id == order.server_id
+        return vm.state == VmListState.UP and lasted_ms >= least_ms and not is_old_life
+
     def _server_of(self, vm: ListedVm) -> Server | None:
         return self.servers.get(vm.server_id) if vm.server_id else None
 
--- a/fireflydeck/scheduling/tests/test_duties.py
+++ b/fireflydeck/scheduling/tests/test_duties.py
@@ -168,3 +168,19 @@
         fleet.rows.commit(RowTransaction(writes=(row,)))
         await fleet.advance_ms(_READY_MS + 4000)
         assert fleet.vm_orders.orders == [("move", "vm-s2", "spare", 1)]
+
+
+async def test_vm_that_came_back_to_standby_can_move_again():
+    """Without a backend server it looked as if its upkeep never ended."""
+    async with running_fleet(servers=1) as fleet:
+        _list(fleet, "s1")
+        _list(fleet, "", pool="spare")
+        _request_wave(fleet, "")
+        await fleet.advance_ms(_READY_MS + 4000)
+        assert _ordered(fleet) == [("upkeep", "vm-")]
+        assert _status(fleet) == "completed"
+        for number in range(40):
+            spec = build_spec(build_step(count=16, estimated_ms=2000), job_id=f"{number:016x}")
+            accept_job(fleet.rows, spec)
+        await fleet.advance_ms(1000)
+        assert fleet.vm_orders.orders[-1] == ("move", "vm-", "paint", 1)
