--- a/fireflydeck/scheduling/duties.py
+++ b/fireflydeck/scheduling/duties.py
@@ -2,24 +2,24 @@
 
 from collections.abc import Callable
 
-import msgpack
 from attrs import define, field
 from expression import Result
 
 from fireflydeck.core import Clock, Failure, Ran
 from fireflydeck.core.fleet_configuration import FleetConfiguration, MaintenanceWave
-from fireflydeck.core.rows import ABSENT_VERSION, RowCondition, RowStore, RowTransaction, RowWrite
+from fireflydeck.core.rows import RowStore
 from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState, VmOrders
 from fireflydeck.kernel import Event, EventLog
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper, Tenure
-from fireflydeck.ownership.records import BORROWED_ROW
-from fireflydeck.platform.documents import WaveState, encode_wave_state, wave_status_row
+from fireflydeck.platform.documents import WaveState
 from fireflydeck.policy.pool_sizes import PoolLoad, VmLoad, choose_moves
 from fireflydeck.policy.upkeep import DueVm, choose_vms_to_empty
 from fireflydeck.scheduling.availability import may_disrupt
+from fireflydeck.scheduling.borrowed_vms import BorrowedVms
 from fireflydeck.scheduling.demand import PoolDemand
 from fireflydeck.scheduling.servers import Server
+from fireflydeck.scheduling.wave_status import report_wave
 from fireflydeck.workload.life import Attempt
 
 __all__ = ["DutyTimes", "FleetDuties"]
@@ -41,7 +41,6 @@
 """How long a VM stays out of work after an order for it got no answer."""
 _URGENT_SHARE = 0.4
 """Part of a wave's time after which VMs are emptied in spite of a backlog."""
-_STORE_TIMEOUT_MS = 1200
 _PRESSED_CORE_S = 20.0
 """A pool with more work waiting than this gives no busy VM to a wave."""
 
@@ -94,7 +93,7 @@
     request_stop: Callable[[Attempt], None]
     wake: Callable[[], None]
     _vms: dict[str, ListedVm] = field(factory=dict, init=False)
-    _borrowed: dict[str, str] | None = field(default=None, init=False)
+    _borrowed: BorrowedVms = field(init=False)
     _listed_ms: int | None = field(default=None, init=False)
     _sent: dict[str, _Order] = field(factory=dict, init=False)
     _kept: set[tuple[int, str]] = field(factory=set, init=False)
@@ -102,6 +101,10 @@
     _reported: dict[int, str] = field(factory=dict, init=False)
     _idle_since_ms: dict[str, int] = field(factory=dict, init=False)
 
+    @_borrowed.default
+    def _make_borrowed(self) -> BorrowedVms:
+        return BorrowedVms(self.store, self.lease)
+
     async def run(self) -> None:
         """Look for duties until cancelled."""
         while True:
@@ -122,7 +125,11 @@
         demand = self.demand()
         if not waves and not self._wants_moves(configuration, demand):
             return
-        if not await self._refresh() or not await self._load_borrowed():
+        if not await self._refresh():
+            return
+        failure = await self._borrowed.load()
+        if failure is not None:
+            self._note_store_failure(failure)
             return
         for wave in waves:
             await self._serve_wave(wave, demand)
@@ -187,44 +194,6 @@
             server.is_cordoned = False
             self.wake()
 
-    # Borrowed VMs
-
-    async def _load_borrowed(self) -> bool:
-        """Read which VMs earlier holders took from standby; returns whether it is known."""
-        if self._borrowed is not None:
-            return True
-        result = await self.store.read(
-            BORROWED_ROW.table,
-            BORROWED_ROW.partition,
-            first=BORROWED_ROW.key,
-            before=BORROWED_ROW.key + "\0",
-            timeout_ms=_STORE_TIMEOUT_MS,
-        )
-        if result.is_error():
-            self.log.emit(
-                Event.STORE_CALL_FAILED,
-                step=result.error.step,
-                reason=result.error.reason,
-                detail=result.error.detail,
-            )
-            return False
-        rows = result.ok.rows
-        self._borrowed = msgpack.unpackb(rows[0].value) if rows else {}
-        return True
-
-    async def _borrow(self, vm: ListedVm) -> bool:
-        """Store that a VM leaves standby, before it does; returns whether it is stored."""
-        if self._borrowed is None:
-            return False
-        if vm.name in self._borrowed:
-            return True
-        borrowed = {**self._borrowed, vm.name: vm.pool}
-        content = RowWrite(BORROWED_ROW, msgpack.packb(borrowed))
-        if await self.lease.commit([content], []) is not None:
-            return False
-        self._borrowed = borrowed
-        return True
-
     # Waves
 
     def _is_open(self, wave: MaintenanceWave) -> bool:
@@ -337,25 +306,21 @@
         )
 
     async def _report(self, wave: MaintenanceWave, state: str) -> None:
-        """Write the status of a wave; a status that stands is replaced only by completion."""
-        key = wave_status_row(wave.number)
-        content = RowWrite(key, encode_wave_state(state))
-        conditions = (RowCondition(key, ABSENT_VERSION),) if state == WaveState.RUNNING else ()
-        result = await self.store.commit(
-            RowTransaction(conditions=conditions, writes=(content,)),
-            timeout_ms=_STORE_TIMEOUT_MS,
-        )
-        if result.is_error() and state == WaveState.COMPLETED:
-            self.log.emit(
-                Event.STORE_CALL_FAILED,
-                step=result.error.step,
-                reason=result.error.reason,
-                detail=result.error.detail,
-            )
+        failure = await report_wave(self.store, wave.number, state)
+        if failure is not None:
+            self._note_store_failure(failure)
             return
         self._reported[wave.number] = state
         self.log.emit(Event.WAVE_STATE, wave=wave.number, state=state)
 
+    def _note_store_failure(self, failure: Failure) -> None:
+        self.log.emit(
+            Event.STORE_CALL_FAILED,
+            step=failure.step,
+            reason=failure.reason,
+            detail=failure.detail,
+        )
+
     # Moves
 
     def _wants_moves(
@@ -381,13 +346,13 @@
         movable = [
             vm
             for vm in self._vms.values()
-            if self._is_movable(vm) and (vm.pool in standby or vm.name in (self._borrowed or {}))
+            if self._is_movable(vm) and (vm.pool in standby or vm.name in self._borrowed)
         ]
         vms = [self._vm_load(vm) for vm in movable]
         done = {name for wave, name in self._kept}
         vms = [vm for vm in vms if vm.name not in kept or vm.name in done]
         for move in choose_moves(pools, vms, move_s=self.times.migration_ms / _MS_PER_S):
-            if not await self._borrow(self._vms[move.vm]) or not self._is_current():
+            if not await self._borrowed.add(self._vms[move.vm]) or not self._is_current():
                 return
             await self._order_move(self._vms[move.vm], move.target)
 
--- /dev/null
+++ b/fireflydeck/scheduling/runs.py
@@ -0,0 +1,206 @@
+"""The runs on all backend servers: what is reserved, listed, ended, adopted and stopped."""
+
+from collections.abc import Callable
+
+from attrs import define, field
+
+from fireflydeck.core import Clock
+from fireflydeck.core.backend_orders import EndedRun, HoldReport
+from fireflydeck.kernel import Event, EventLog, Metrics
+from fireflydeck.observation.operators import OperatorDocuments
+from fireflydeck.scheduling.dispatch import Dispatch
+from fireflydeck.scheduling.fleet_usage import OrganisationUsage
+from fireflydeck.scheduling.job_book import JobBook
+from fireflydeck.scheduling.journal import ProgressJournal
+from fireflydeck.scheduling.servers import Server
+from fireflydeck.workload.life import (
+    Attempt,
+    AttemptPhase,
+    Job,
+    Task,
+    confirm_attempt,
+    due_occurrences,
+    forget_attempt,
+    note_end,
+)
+
+__all__ = ["RunLedger"]
+
+_STOP_REPEAT_MS = 400
+
+
+@define(eq=False, kw_only=True)
+class RunLedger:
+    """Keeps jobs, backend servers and organisations' usage in step with each event of a run.
+
+    Parameters
+    ----------
+    send
+        Sends an order in the background: step, function, arguments.
+    """
+
+    servers: dict[str, Server]
+    book: JobBook
+    journal: ProgressJournal
+    usage: OrganisationUsage
+    operators: OperatorDocuments
+    clock: Clock
+    log: EventLog
+    metrics: Metrics
+    send: Callable[..., None]
+    wake: Callable[[], None]
+    dispatch: Dispatch = field(init=False)
+
+    def begin(self, attempt: Attempt) -> None:
+        """Reserve what an attempt uses."""
+        self.servers[attempt.server_id].add(attempt)
+        self.usage.add(attempt)
+
+    def drop(self, attempt: Attempt) -> None:
+        """Note that an attempt uses nothing any more."""
+        forget_attempt(attempt, self.clock.now_ms())
+        self._release(attempt)
+
+    def _release(self, attempt: Attempt) -> None:
+        server = self.servers.get(attempt.server_id)
+        if server is not None and (attempt.task.name, attempt.run) in server.attempts:
+            server.remove(attempt)
+            self.usage.remove(attempt)
+            self.dispatch.touch(attempt.task.job)
+        self.wake()
+
+    def forget_all(self, server: Server, why: str) -> None:
+        """Note that nothing of a server's runs is left."""
+        for attempt in list(server.attempts.values()):
+            self.log.emit(
+                Event.RUN_LOST,
+                task=attempt.task.name,
+                run=attempt.run,
+                server=server.id,
+                why=why,
+                phase=attempt.phase.value,
+            )
+            self.drop(attempt)
+
+    def stop_all(self, job: Job) -> None:
+        """Stop all runs of a job."""
+        for task in job.tasks.values():
+            for attempt in list(task.attempts.values()):
+                self.request_stop(attempt)
+
+    def request_stop(self, attempt: Attempt) -> None:
+        """Stop a run; repeated until it has ended."""
+        attempt.stop_requested = True
+        server = self.servers.get(attempt.server_id)
+        if server is not None:
+            self.send("stop", self.dispatch.send_stop, server, attempt)
+
+    def on_end(self, server: Server, ended: EndedRun) -> None:
+        """Take over an end; it is acknowledged once what follows from it is stored."""
+        server.last_end = ended.number
+        ticket = self._note_end(server, ended)
+        if server.unstored or ticket > 0:
+            newest = server.unstored[-1][1] if server.unstored else 0
+            server.unstored.append((ended.number, max(ticket, newest)))
+        else:
+            server.stored_end = ended.number
+
+    def _note_end(self, server: Server, ended: EndedRun) -> int:
+        """Note an end; returns the ticket of the commit that it waits for, 0 for none."""
+        task = self._task(ended.task)
+        if task is None:
+            return 0
+        attempt = task.attempts.get(ended.run)
+        self.log.emit(
+            Event.RUN_ENDED,
+            task=ended.task,
+            run=ended.run,
+            server=server.id,
+            end=ended.end.value,
+            end_number=ended.number,
+            known=attempt is not None,
+        )
+        self.metrics.count("runs_ended_total", end=ended.end.value)
+        changed = note_end(
+            task, ended, max_attempts=self._max_attempts(task.job), now_ms=self.clock.now_ms()
+        )
+        self.dispatch.note_end(server, task, ended)
+        if attempt is not None:
+            self._release(attempt)
+        self.dispatch.touch(task.job)
+        if task.done or task.job.outcome is not None:
+            self._stop_extra(task)
+        return self.journal.note(task.job) if changed else 0
+
+    def _stop_extra(self, task: Task) -> None:
+        if task.job.outcome is not None:
+            self.stop_all(task.job)
+            return
+        for attempt in list(task.attempts.values()):
+            self.request_stop(attempt)
+
+    def reconcile(self, server: Server, report: HoldReport, sent_ms: int) -> None:
+        """Compare what is known of the server's runs with its list."""
+        now_ms = self.clock.now_ms()
+        listed = {(row.task, row.run): row for row in report.running}
+        for key, row in listed.items():
+            attempt = server.attempts.get(key)
+            if attempt is None:
+                self._adopt(server, row.task, row.run, now_ms)
+                continue
+            attempt.at_work = row.percent >= 100
+            if row.checkpoint:
+                attempt.task.checkpoint = row.checkpoint
+            if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.UNCERTAIN):
+                attempt.enter(AttemptPhase.RUNNING, now_ms)
+            if attempt.stop_requested and now_ms - attempt.changed_ms > _STOP_REPEAT_MS:
+                attempt.changed_ms = now_ms
+                self.request_stop(attempt)
+        for key, attempt in list(server.attempts.items()):
+            if key not in listed and attempt.changed_ms < sent_ms:
+                self._on_unlisted(server, attempt)
+
+    def _on_unlisted(self, server: Server, attempt: Attempt) -> None:
+        """Handle an attempt that the server neither runs nor lists as ended."""
+        if attempt.phase == AttemptPhase.UNCERTAIN:
+            attempt.changed_ms = self.clock.now_ms()
+            self.request_stop(attempt)
+        elif attempt.phase in (AttemptPhase.RUNNING, AttemptPhase.STOPPING):
+            self.log.emit(
+                Event.RUN_LOST,
+                task=attempt.task.name,
+                run=attempt.run,
+                server=server.id,
+                why="not listed",
+                phase=attempt.phase.value,
+            )
+            self.drop(attempt)
+
+    def _adopt(self, server: Server, name: str, run: int, now_ms: int) -> None:
+        """Take over a run that this process did not start, or stop it."""
+        task = self._task(name)
+        if task is None:
+            self.log.emit(Event.RUN_UNKNOWN, task=name, run=run, server=server.id)
+            self.send("stop", self.dispatch.stop_unknown, server, name, run)
+            return
+        others = bool(task.attempts)
+        attempt = confirm_attempt(task, run, server.id, now_ms)
+        attempt.server_id = server.id
+        self.begin(attempt)
+        self.dispatch.touch(task.job)
+        self.log.emit(Event.RUN_ADOPTED, task=name, run=run, server=server.id, others=others)
+        if others or task.done or not task.job.is_open:
+            self.request_stop(attempt)
+
+    def _task(self, name: str) -> Task | None:
+        job = self.book.job(name.partition(".")[0])
+        if job is None:
+            return None
+        if name not in job.tasks:
+            due_occurrences(job, self.clock.wall_ms())
+        return job.tasks.get(name)
+
+    def _max_attempts(self, job: Job) -> int:
+        configuration = self.operators.configuration
+        queue = configuration.queue(job.spec.queue) if configuration else None
+        return queue.max_attempts if queue else 1
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -7,7 +7,7 @@
 from anyio.abc import TaskGroup
 
 from fireflydeck.core import Clock, Failure
-from fireflydeck.core.backend_orders import BackendServerOrders, EndedRun, HoldReport
+from fireflydeck.core.backend_orders import BackendServerOrders, HoldReport
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
 from fireflydeck.core.rows import RowStore, RowWrite
 from fireflydeck.core.vm_orders import VmOrders
@@ -21,18 +21,13 @@
 from fireflydeck.scheduling.fleet_usage import OrganisationUsage
 from fireflydeck.scheduling.job_book import JobBook
 from fireflydeck.scheduling.journal import ProgressJournal
+from fireflydeck.scheduling.runs import RunLedger
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import HOLD_MS, ServerSession, SessionOwner
 from fireflydeck.workload.life import (
     Attempt,
-    AttemptPhase,
     Job,
-    Task,
-    confirm_attempt,
-    due_occurrences,
-    forget_attempt,
     job_state,
-    note_end,
 )
 
 __all__ = ["EXTENDED_HOLD_MS", "OrdersFactory", "TenureRun"]
@@ -46,7 +41,6 @@
 _SETTLE_SLACK_MS = 200
 _CHECK_MS = 100
 _PLAN_PAUSE_MS = 4
-_STOP_REPEAT_MS = 400
 _READ_TIMEOUT_MS = 2000
 _LOAD_RETRY_MS = 100
 
@@ -101,6 +95,18 @@
             on_applied=self.wake,
         )
         self._journal = ProgressJournal(lease, clock, log, self._on_commit)
+        self._runs = RunLedger(
+            servers=self._servers,
+            book=self._book,
+            journal=self._journal,
+            usage=self._usage,
+            operators=operators,
+            clock=clock,
+            log=log,
+            metrics=metrics,
+            send=self._send,
+            wake=self.wake,
+        )
         self._dispatch = Dispatch(
             term=tenure.term,
             lease=lease,
@@ -109,13 +115,14 @@
             log=log,
             metrics=metrics,
             registrations=self._registrations,
-            begin=self._begin,
-            drop=self._drop,
+            begin=self._runs.begin,
+            drop=self._runs.drop,
             usage=self._usage,
             on_fenced=self.on_fenced,
             on_other_instance=self.on_other_instance,
             wake=self.wake,
         )
+        self._runs.dispatch = self._dispatch
         self._duties = FleetDuties(
             store=store,
             tenure=tenure,
@@ -127,7 +134,7 @@
             times=duty_times,
             servers=self._servers,
             demand=self._dispatch.demand,
-            request_stop=self._request_stop,
+            request_stop=self._runs.request_stop,
             wake=self.wake,
         )
 
@@ -299,7 +306,7 @@
             self._log.emit(
                 Event.SERVER_REBORN, server=server.id, born_ms=born_ms, running=len(server.attempts)
             )
-            self._forget_all(server, "reborn")
+            self._runs.forget_all(server, "reborn")
             server.last_end = server.stored_end = server.acknowledged_end = 0
             server.unstored.clear()
             server.clock_ms = server.lease_until_ms = 0
@@ -349,7 +356,7 @@
 
     def _on_cancelled(self, job: Job) -> None:
         self._log.emit(Event.JOB_CANCELLED, job=job.id)
-        self._stop_all(job)
+        self._runs.stop_all(job)
         self._journal.note(job)
 
     def _on_commit(self, ticket: int) -> None:
@@ -362,48 +369,6 @@
                 self._book.close_job(job)
                 self._dispatch.remove_job(job)
 
-    # Attempts
-
-    def _begin(self, attempt: Attempt) -> None:
-        self._servers[attempt.server_id].add(attempt)
-        self._usage.add(attempt)
-
-    def _drop(self, attempt: Attempt) -> None:
-        """Note that an attempt uses nothing any more."""
-        forget_attempt(attempt, self._clock.now_ms())
-        self._release(attempt)
-
-    def _release(self, attempt: Attempt) -> None:
-        server = self._servers.get(attempt.server_id)
-        if server is not None and (attempt.task.name, attempt.run) in server.attempts:
-            server.remove(attempt)
-            self._usage.remove(attempt)
-            self._dispatch.touch(attempt.task.job)
-        self.wake()
-
-    def _forget_all(self, server: Server, why: str) -> None:
-        for attempt in list(server.attempts.values()):
-            self._log.emit(
-                Event.RUN_LOST,
-                task=attempt.task.name,
-                run=attempt.run,
-                server=server.id,
-                why=why,
-                phase=attempt.phase.value,
-            )
-            self._drop(attempt)
-
-    def _stop_all(self, job: Job) -> None:
-        for task in job.tasks.values():
-            for attempt in list(task.attempts.values()):
-                self._request_stop(attempt)
-
-    def _request_stop(self, attempt: Attempt) -> None:
-        attempt.stop_requested = True
-        server = self._servers.get(attempt.server_id)
-        if server is not None:
-            self._send("stop", self._dispatch.send_stop, server, attempt)
-
     # Reports
 
     def on_report(self, server: Server, report: HoldReport, sent_ms: int) -> None:
@@ -421,121 +386,12 @@
         server.is_reachable = True
         for ended in report.ended:
             if ended.number > server.last_end:
-                self._on_end(server, ended)
-        self._reconcile(server, report, sent_ms)
+                self._runs.on_end(server, ended)
+        self._runs.reconcile(server, report, sent_ms)
         self._dispatch.observe(server, report)
         self._retire_if_idle(server)
         self.wake()
 
-    def _on_end(self, server: Server, ended: EndedRun) -> None:
-        server.last_end = ended.number
-        ticket = self._note_end(server, ended)
-        if server.unstored or ticket > 0:
-            newest = server.unstored[-1][1] if server.unstored else 0
-            server.unstored.append((ended.number, max(ticket, newest)))
-        else:
-            server.stored_end = ended.number
-
-    def _note_end(self, server: Server, ended: EndedRun) -> int:
-        """Note an end; returns the ticket of the commit that it waits for, 0 for none."""
-        task = self._task(ended.task)
-        if task is None:
-            return 0
-        attempt = task.attempts.get(ended.run)
-        self._log.emit(
-            Event.RUN_ENDED,
-            task=ended.task,
-            run=ended.run,
-            server=server.id,
-            end=ended.end.value,
-            end_number=ended.number,
-            known=attempt is not None,
-        )
-        self._metrics.count("runs_ended_total", end=ended.end.value)
-        changed = note_end(
-            task, ended, max_attempts=self._max_attempts(task.job), now_ms=self._clock.now_ms()
-        )
-        self._dispatch.note_end(server, task, ended)
-        if attempt is not None:
-            self._release(attempt)
-        self._dispatch.touch(task.job)
-        if task.done or task.job.outcome is not None:
-            self._stop_extra(task)
-        return self._journal.note(task.job) if changed else 0
-
-    def _stop_extra(self, task: Task) -> None:
-        if task.job.outcome is not None:
-            self._stop_all(task.job)
-            return
-        for attempt in list(task.attempts.values()):
-            self._request_stop(attempt)
-
-    def _reconcile(self, server: Server, report: HoldReport, sent_ms: int) -> None:
-        """Compare what is known of the server's runs with its list."""
-        now_ms = self._clock.now_ms()
-        listed = {(row.task, row.run): row for row in report.running}
-        for key, row in listed.items():
-            attempt = server.attempts.get(key)
-            if attempt is None:
-                self._adopt(server, row.task, row.run, now_ms)
-                continue
-            attempt.at_work = row.percent >= 100
-            if row.checkpoint:
-                attempt.task.checkpoint = row.checkpoint
-            if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.UNCERTAIN):
-                attempt.enter(AttemptPhase.RUNNING, now_ms)
-            if attempt.stop_requested and now_ms - attempt.changed_ms > _STOP_REPEAT_MS:
-                attempt.changed_ms = now_ms
-                self._request_stop(attempt)
-        for key, attempt in list(server.attempts.items()):
-            if key not in listed and attempt.changed_ms < sent_ms:
-                self._on_unlisted(server, attempt)
-
-    def _on_unlisted(self, server: Server, attempt: Attempt) -> None:
-        """Handle an attempt that the server neither runs nor lists as ended."""
-        if attempt.phase == AttemptPhase.UNCERTAIN:
-            attempt.changed_ms = self._clock.now_ms()
-            self._request_stop(attempt)
-        elif attempt.phase in (AttemptPhase.RUNNING, AttemptPhase.STOPPING):
-            self._log.emit(
-                Event.RUN_LOST,
-                task=attempt.task.name,
-                run=attempt.run,
-                server=server.id,
-                why="not listed",
-                phase=attempt.phase.value,
-            )
-            self._drop(attempt)
-
-    def _adopt(self, server: Server, name: str, run: int, now_ms: int) -> None:
-        """Take over a run that this process did not start, or stop it."""
-        task = self._task(name)
-        if task is None:
-            self._log.emit(Event.RUN_UNKNOWN, task=name, run=run, server=server.id)
-            self._send("stop", self._dispatch.stop_unknown, server, name, run)
-            return
-        others = bool(task.attempts)
-        attempt = confirm_attempt(task, run, server.id, now_ms)
-        attempt.server_id = server.id
-        self._begin(attempt)
-        self._dispatch.touch(task.job)
-        self._log.emit(Event.RUN_ADOPTED, task=name, run=run, server=server.id, others=others)
-        if others or task.done or not task.job.is_open:
-            self._request_stop(attempt)
-
-    def _task(self, name: str) -> Task | None:
-        job = self._book.job(name.partition(".")[0])
-        if job is None:
-            return None
-        if name not in job.tasks:
-            due_occurrences(job, self._clock.wall_ms())
-        return job.tasks.get(name)
-
-    def _max_attempts(self, job: Job) -> int:
-        configuration = self._operators.configuration
-        queue = configuration.queue(job.spec.queue) if configuration else None
-        return queue.max_attempts if queue else 1
-
     def on_unreachable(self, server: Server, failure: Failure) -> None:
         """Note that a server did not answer."""
         if server.is_reachable:
@@ -553,7 +409,7 @@
         self._log.emit(Event.SERVER_REPLACED, server=server.id, running=len(server.attempts))
         server.is_registered = False
         server.is_held = True
-        self._forget_all(server, "other instance")
+        self._runs.forget_all(server, "other instance")
         self._retire_if_idle(server)
 
     def on_fenced(self, server: Server) -> None:
@@ -566,7 +422,7 @@
             now_ms = self._clock.now_ms()
             for server in list(self._servers.values()):
                 if server.attempts and not server.is_reachable and server.lease_has_lapsed(now_ms):
-                    self._forget_all(server, "lease lapsed")
+                    self._runs.forget_all(server, "lease lapsed")
                 self._retire_if_idle(server)
             self.wake()
 
