--- /dev/null
+++ b/tests/test_entry_role.py
@@ -0,0 +1,113 @@
+"""Entry processes on stand-ins of the platform: the whole path, a kill and a planned stop."""
+
+import anyio
+import httpx
+import pytest
+
+from fireflydeck.ownership import LEASE_ROW, decode_lease
+from fireflydeck.standins.memory_rows import MemoryRows
+from fireflydeck.testing.fleet_builders import JOB_ID
+from fireflydeck.testing.platform_fleet import running_platform_fleet
+from fireflydeck.testing.processes import wait_until
+
+pytestmark = pytest.mark.processes
+
+_HEADERS = {"Host": "paint.example", "Api-Key": "key-1"}
+_JOB = {"spec": "text", "steps": [{"count": 3, "cpu": 500, "estimated_ms": 600}]}
+
+
+def _holder(rows: MemoryRows) -> str:
+    row = rows.get(LEASE_ROW)
+    return decode_lease(row.value).holder if row else ""
+
+
+async def _call(method, entry, job_id=JOB_ID, json=None):
+    async with httpx.AsyncClient() as client:
+        url = f"http://{entry.address}/swatch/{job_id}"
+        return await client.request(method, url, json=json, headers=_HEADERS, timeout=4)
+
+
+async def _submit(entry, job_id=JOB_ID):
+    async def accepted():
+        try:
+            answer = await _call("POST", entry, job_id, _JOB)
+        except httpx.TransportError:
+            return False
+        return answer.status_code == 200
+
+    await wait_until(accepted, what="acceptance")
+
+
+async def _wait_completed(entry, job_id=JOB_ID):
+    async def completed():
+        return (await _call("GET", entry, job_id)).json().get("state") == "completed"
+
+    await wait_until(completed, what="completion", timeout_ms=20_000)
+
+
+def _starts(fleet):
+    return sorted(task for server in fleet.servers.values() for task, _ in server.starts)
+
+
+def _tasks(*job_ids):
+    return sorted(f"{job_id}.0.0.{index}" for job_id in job_ids for index in range(3))
+
+
+def _run(tmp_path, scenario):
+    async def main():
+        async with running_platform_fleet(tmp_path) as fleet:
+            with anyio.fail_after(50):
+                await scenario(fleet)
+
+    anyio.run(main)
+
+
+def test_job_is_served_from_end_to_end(tmp_path):
+    async def scenario(fleet):
+        await _submit(fleet.entries[0])
+        await _submit(fleet.entries[1])
+        await _wait_completed(fleet.entries[1])
+        assert _starts(fleet) == _tasks(JOB_ID)
+
+    _run(tmp_path, scenario)
+
+
+def test_killed_holder_is_followed_and_nothing_runs_twice(tmp_path):
+    async def scenario(fleet):
+        for server in fleet.servers.values():
+            server.duration_ms = 2500
+        await _submit(fleet.entries[0])
+
+        async def all_started():
+            return len(_starts(fleet)) == 3
+
+        await wait_until(all_started, what="starts")
+        name = _holder(fleet.store.rows)
+        killed = next(entry for entry in fleet.entries if entry.process.name == name)
+        other = next(entry for entry in fleet.entries if entry is not killed)
+        killed.process.kill()
+        await _wait_completed(other)
+        assert _starts(fleet) == _tasks(JOB_ID)
+
+    _run(tmp_path, scenario)
+
+
+def test_stopped_holder_releases_its_lease(tmp_path):
+    async def scenario(fleet):
+        await _submit(fleet.entries[0])
+        await _wait_completed(fleet.entries[0])
+        name = _holder(fleet.store.rows)
+        stopped = next(entry for entry in fleet.entries if entry.process.name == name)
+        other = next(entry for entry in fleet.entries if entry is not stopped)
+        stopped.process.terminate()
+
+        async def followed():
+            return _holder(fleet.store.rows) == other.process.name
+
+        await wait_until(followed, what="next holder")
+        second = "00000000000000e5"
+        await _submit(other, second)
+        await _wait_completed(other, second)
+        assert _starts(fleet) == _tasks(JOB_ID, second)
+
+    _run(tmp_path, scenario)
