--- /dev/null
+++ b/fireflydeck/policy/tests/test_job_order.py
@@ -0,0 +1,52 @@
+"""Order of the jobs of a pool."""
+
+import pytest
+
+from fireflydeck.core.fleet_configuration import JobQueue
+from fireflydeck.policy.job_order import longest_chain_ms, objective_ms, rank
+from fireflydeck.testing.fleet_builders import build_spec, build_step
+
+_QUEUE = JobQueue(
+    name="q",
+    host="h",
+    path_prefix="/",
+    pool="p",
+    slack_factor=1.6,
+    target_latency_ms=600,
+)
+
+
+def _rank(deadline_ms, **fields):
+    known = {"priority": 0, "is_lasting": False, "now_ms": 1000}
+    return rank(deadline_ms=deadline_ms, **{**known, **fields})
+
+
+@pytest.mark.parametrize(
+    ("steps", "chain_ms"),
+    [
+        ([{"estimated_ms": 700}], 700),
+        ([{"estimated_ms": 700}, {"estimated_ms": 300}], 700),
+        ([{"estimated_ms": 700}, {"estimated_ms": 300, "depends_on": (0,)}], 1000),
+    ],
+)
+def test_longest_chain(steps, chain_ms):
+    spec = build_spec(*(build_step(**step) for step in steps))
+    assert longest_chain_ms(spec) == chain_ms
+    assert objective_ms(spec, _QUEUE) == int(chain_ms * 1.6) + 600
+
+
+def test_nearest_deadline_goes_first():
+    assert _rank(1500) < _rank(2000)
+
+
+def test_what_can_be_in_time_goes_before_what_is_late():
+    """In a turn of five times the mean the late ones wait for gaps instead of making all late."""
+    assert _rank(5000) < _rank(900)
+
+
+def test_lasting_work_goes_first():
+    assert _rank(9000, is_lasting=True) < _rank(1001)
+
+
+def test_urgent_queues_go_first_among_those_in_time():
+    assert _rank(9000, priority=0) < _rank(1001, priority=1)
