Ended jobs are removed from the store; state dump of the entry role at /state

The job's own rows go first, the outcome after that is certain, so that no holder sees the job without its outcome.

--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -11,7 +11,7 @@
 from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.server import CallerServer, StatusServer
 from fireflydeck.entry.settings_watch import SettingsWatch
-from fireflydeck.kernel import Kernel
+from fireflydeck.kernel import Kernel, dump_state
 from fireflydeck.kernel.log_sink import configure_bounded_logging
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper
@@ -87,6 +87,7 @@
             make_orders=_make_orders,
             vm_orders=vm_orders,
             duty_times=times,
+            status_ms=settings.bounds.status_ms,
         )
     )
     kernel.add(link)
@@ -97,6 +98,7 @@
             operators=operators,
             metrics=metrics,
             is_stopping=lambda: kernel.is_stopping,
+            dump_state=lambda: dump_state(kernel),
         )
     )
     kernel.add(CallerServer(settings.caller_address, interface, clock))
--- a/fireflydeck/entry/server.py
+++ b/fireflydeck/entry/server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import orjson
 from aiohttp import web
 from anyio.abc import TaskGroup
 
@@ -18,6 +19,7 @@
 """Time after the stop began in which the balancer notices and callers finish."""
 _SHUTDOWN_S = 1.0
 _KEEP_ALIVE_S = 75.0
+_STATE_PATH = "/state"
 
 
 class CallerServer(Service):
@@ -58,7 +60,7 @@
 
 
 class StatusServer(Service):
-    """Tells the balancer whether the process is ready, and serves metrics."""
+    """Tells the balancer whether the process is ready; serves metrics and the state dump."""
 
     def __init__(
         self,
@@ -68,8 +70,10 @@
         operators: OperatorDocuments,
         metrics: Metrics,
         is_stopping: Callable[[], bool],
+        dump_state: Callable[[], dict[str, object]],
     ) -> None:
-        self._addresses = {readiness_address: self._readiness, metrics_address: self._metrics_page}
+        self._addresses = {readiness_address: self._readiness, metrics_address: self._admin_page}
+        self._dump_state = dump_state
         self._operators = operators
         self._metrics = metrics
         self._is_stopping = is_stopping
@@ -107,6 +111,9 @@
     async def _readiness(self, _: web.BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if self.is_ready() else 503)
 
-    async def _metrics_page(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _admin_page(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == _STATE_PATH:
+            content = orjson.dumps(self._dump_state(), default=str)
+            return web.Response(body=content, content_type="application/json")
         content, headers = self._metrics.render(request.headers.get("Accept", ""))
         return web.Response(body=content, headers=headers)
--- a/fireflydeck/kernel/__init__.py
+++ b/fireflydeck/kernel/__init__.py
@@ -4,6 +4,7 @@
 from fireflydeck.kernel.kernel import Kernel
 from fireflydeck.kernel.metrics import Metrics
 from fireflydeck.kernel.service import Registry, Service
+from fireflydeck.kernel.state_dump import dump_state
 from fireflydeck.kernel.supervision import guard, keep_running
 
 __all__ = [
@@ -14,6 +15,7 @@
     "Registry",
     "Service",
     "configure_logging",
+    "dump_state",
     "guard",
     "keep_running",
 ]
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -98,6 +98,10 @@
         action="For `failed`: see 6303 of its tasks.",
         fields=("job", "outcome"),
     ),
+    6204: EventNote(
+        written="Ended jobs, of which callers may not ask any more, were removed from the store.",
+        fields=("jobs",),
+    ),
     6301: EventNote(
         written="The start of a run was ordered and answered, or got no answer.",
         action="For `no-room` and `busy`: the pool is full; see the backend server's 6105.",
--- a/fireflydeck/scheduling/job_book.py
+++ b/fireflydeck/scheduling/job_book.py
@@ -102,7 +102,10 @@
     def apply(self, row: StoredRow) -> None:
         """Take over a submission or a cancellation."""
         job_id = job_id_of(row.id)
-        if row.deleted or job_id in self._outcomes:
+        if row.deleted:
+            self._outcomes.pop(job_id, None)
+            return
+        if job_id in self._outcomes:
             return
         if is_cancellation(row.id):
             self._cancel(job_id)
--- a/fireflydeck/scheduling/scheduler.py
+++ b/fireflydeck/scheduling/scheduler.py
@@ -28,6 +28,7 @@
         make_orders: OrdersFactory,
         vm_orders: VmOrders,
         duty_times: DutyTimes,
+        status_ms: int,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -36,6 +37,7 @@
         self._make_orders = make_orders
         self._vm_orders = vm_orders
         self._duty_times = duty_times
+        self._status_ms = status_ms
         self._lease: LeaseKeeper | None = None
         self._operators: OperatorDocuments | None = None
         self._changed = anyio.Event()
@@ -112,6 +114,7 @@
             make_orders=self._make_orders,
             vm_orders=self._vm_orders,
             duty_times=self._duty_times,
+            status_ms=self._status_ms,
         )
         self._run = run
         try:
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -21,6 +21,7 @@
 from fireflydeck.scheduling.fleet_usage import OrganisationUsage
 from fireflydeck.scheduling.job_book import JobBook
 from fireflydeck.scheduling.journal import ProgressJournal
+from fireflydeck.scheduling.retention import Retention
 from fireflydeck.scheduling.runs import RunLedger
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import HOLD_MS, ServerSession, SessionOwner
@@ -54,6 +55,8 @@
         Creates the client of a backend server.
     vm_orders
         The platform's VM interface.
+    status_ms
+        Time for which callers may ask for the outcome of a job.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         make_orders: OrdersFactory,
         vm_orders: VmOrders,
         duty_times: DutyTimes,
+        status_ms: int,
     ) -> None:
         self._tenure = tenure
         self._store = store
@@ -123,6 +127,9 @@
             wake=self.wake,
         )
         self._runs.dispatch = self._dispatch
+        self._retention = Retention(
+            store=store, lease=lease, clock=clock, log=log, status_ms=status_ms
+        )
         self._duties = FleetDuties(
             store=store,
             tenure=tenure,
@@ -192,6 +199,7 @@
             self._keep_running("leases", self._check_leases)
             self._keep_running("plan", self._plan)
             self._keep_running("duties", self._duties.run)
+            self._keep_running("retention", self._retention.run)
 
     def _keep_running(self, step: str, function: Callable[..., Awaitable[None]]) -> None:
         if self._tasks is not None:
--- a/fireflydeck/scheduling/tests/fleet.py
+++ b/fireflydeck/scheduling/tests/fleet.py
@@ -24,6 +24,7 @@
 
 START_MS = 1000
 """Time until a member holds the lease and all backend servers."""
+STATUS_MS = 120_000
 _TIMES = DutyTimes(duty_lease_ms=3000, migration_ms=1500, maintenance_ms=2000)
 
 
@@ -45,6 +46,7 @@
             make_orders=lambda registration: self._orders(fleet, registration.server_id),
             vm_orders=fleet.vm_orders,
             duty_times=_TIMES,
+            status_ms=STATUS_MS,
         )
         self.registry = Registry()
         for service in (self.lease, self.operators, self.scheduler):
@@ -131,4 +133,4 @@
         tasks.cancel_scope.cancel()
 
 
-__all__ = ["START_MS", "Fleet", "Member", "never_twice", "running_fleet"]
+__all__ = ["START_MS", "STATUS_MS", "Fleet", "Member", "never_twice", "running_fleet"]
--- /dev/null
+++ b/fireflydeck/scheduling/tests/test_retention.py
@@ -0,0 +1,42 @@
+"""Rows of ended jobs are removed in an order that never runs a job again."""
+
+import pytest
+
+from fireflydeck.core import Ran
+from fireflydeck.scheduling.tests.fleet import STATUS_MS, running_fleet
+from fireflydeck.testing.fleet_builders import JOB_ID, accept_job, build_spec, cancel_job
+from fireflydeck.workload import cancellation_key, job_key, outcome_key
+
+pytestmark = pytest.mark.anyio
+
+_STEP_MS = 1000
+
+
+async def test_ended_job_stays_as_long_as_callers_may_ask():
+    async with running_fleet(servers=1) as fleet:
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(STATUS_MS + 5000, step_ms=_STEP_MS)
+        assert fleet.outcome(JOB_ID) == "completed"
+        assert fleet.rows.get(job_key(JOB_ID)) is not None
+
+
+async def test_ended_job_goes_afterwards_and_does_not_run_again():
+    async with running_fleet(servers=1, members=2) as fleet:
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(2000)
+        cancel_job(fleet.rows, JOB_ID)
+        await fleet.advance_ms(2 * STATUS_MS + 25_000, step_ms=_STEP_MS)
+        for key in (job_key(JOB_ID), cancellation_key(JOB_ID), outcome_key(JOB_ID)):
+            assert fleet.rows.get(key) is None
+        await fleet.leader.lease.stop()
+        await fleet.advance_ms(3000)
+        assert len(fleet.starts()) == 1
+
+
+async def test_outcome_stays_until_the_jobs_row_has_certainly_gone():
+    async with running_fleet(servers=1) as fleet:
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(2 * STATUS_MS, step_ms=_STEP_MS)
+        fleet.members[0].store.outage = Ran.UNKNOWN
+        await fleet.advance_ms(30_000, step_ms=_STEP_MS)
+        assert fleet.outcome(JOB_ID) == "completed"
--- a/fireflydeck/web/__init__.py
+++ b/fireflydeck/web/__init__.py
@@ -1,6 +1,6 @@
 """HTTP servers of a process: graceful listener, metrics and the state dump."""
 
-from fireflydeck.web.admin import admin_app, dump_state
+from fireflydeck.web.admin import admin_app
 from fireflydeck.web.http_server import HttpServer, HttpServerOptions
 
-__all__ = ["HttpServer", "HttpServerOptions", "admin_app", "dump_state"]
+__all__ = ["HttpServer", "HttpServerOptions", "admin_app"]
--- a/fireflydeck/web/admin.py
+++ b/fireflydeck/web/admin.py
@@ -6,18 +6,9 @@
 from starlette.routing import Route
 
 from fireflydeck.kernel.kernel import Kernel
+from fireflydeck.kernel.state_dump import dump_state
 
-__all__ = ["admin_app", "dump_state"]
-
-
-def dump_state(kernel: Kernel) -> dict[str, object]:
-    """Return the state of all services of the process by name."""
-    return {
-        "name": kernel.name,
-        "role": kernel.role,
-        "now_ms": kernel.clock.now_ms(),
-        "services": {service.name: service.state() for service in kernel.registry.services},
-    }
+__all__ = ["admin_app"]
 
 
 def admin_app(kernel: Kernel) -> Starlette:
--- a/fireflydeck/workload/records.py
+++ b/fireflydeck/workload/records.py
@@ -22,6 +22,7 @@
     "JobProgress",
     "cancellation_key",
     "decode_outcome",
+    "decode_outcome_ms",
     "decode_progress",
     "encode_outcome",
     "encode_progress",
@@ -109,5 +110,10 @@
     return JobOutcome(msgpack.unpackb(content)[0])
 
 
+def decode_outcome_ms(content: bytes) -> int:
+    """Decode when the outcome was reached, in Unix milliseconds."""
+    return msgpack.unpackb(content)[1]
+
+
 def _job_partition(job_id: str) -> str:
     return JOB_PARTITIONS[zlib.crc32(job_id.encode()) % len(JOB_PARTITIONS)]
