--- a/fireflydeck/scheduling/dispatch.py
+++ b/fireflydeck/scheduling/dispatch.py
@@ -8,7 +8,6 @@
 from fireflydeck.core import Clock, Failure, Ran
 from fireflydeck.core.backend_orders import (
     EndedRun,
-    HoldReport,
     RunEnd,
     StartOrder,
     StartOutcome,
@@ -118,9 +117,6 @@
             task.not_before_ms = self.clock.now_ms() + pause_ms
         server.crowded_until_ms = 0
 
-    def observe(self, server: Server, report: HoldReport) -> None:
-        """Look at the load that a server reports."""
-
     # Planning
 
     def demand(self) -> dict[str, PoolDemand]:
--- a/fireflydeck/scheduling/journal.py
+++ b/fireflydeck/scheduling/journal.py
@@ -47,11 +47,6 @@
         self._open_ticket = 1
         self._wake = anyio.Event()
 
-    @property
-    def committed_ticket(self) -> int:
-        """Newest ticket whose changes are all stored, if nothing is gathered."""
-        return self._open_ticket - 1
-
     def note(self, job: Job) -> int:
         """Store the job's progress soon; returns the ticket of the commit."""
         self._dirty[job.id] = job
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -34,6 +34,12 @@
         Number of the newest end that is stored together with all before it.
     unstored
         Ends that wait for a commit: number and ticket.
+    is_listed
+        Whether the stored roster names it, so that a later holder will look for its runs.
+    acknowledged_end
+        Number of the newest end that it was told is stored.
+    crowded_until_ms
+        No new run before this time, after it rejected one.
     is_held
         Whether it answered this tenure's fencing token in this life.
     is_reachable
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -396,7 +396,6 @@
             if ended.number > server.last_end:
                 self._runs.on_end(server, ended)
         self._runs.reconcile(server, report, sent_ms)
-        self._dispatch.observe(server, report)
         self._retire_if_idle(server)
         self.wake()
 
--- a/fireflydeck/workload/life.py
+++ b/fireflydeck/workload/life.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from enum import StrEnum
 
-from attrs import Factory, define, field
+from attrs import Factory, define
 
 from fireflydeck.core.backend_orders import EndedRun, RunEnd
 from fireflydeck.workload.specification import JobSpec, StepSpec, TaskKey
@@ -69,7 +69,6 @@
     changed_ms: int
     at_work: bool = False
     stop_requested: bool = False
-    percent_allowed: int = 100
 
     def enter(self, phase: AttemptPhase, now_ms: int) -> None:
         """Change the phase."""
@@ -136,7 +135,6 @@
     outcome: JobOutcome | None = None
     outcome_stored: bool = False
     begun: bool = False
-    completed_by_step: dict[int, int] = field(factory=dict)
 
     @property
     def id(self) -> str:
@@ -257,7 +255,6 @@
         return
     task.done = True
     job.open_tasks[task.key.occurrence, task.key.step] -= 1
-    job.completed_by_step[task.key.step] = job.completed_by_step.get(task.key.step, 0) + 1
     if is_finished(job):
         job.outcome = JobOutcome.COMPLETED
 
