Entry role's test fleet: ports outside the ephemeral range, and readiness awaited

The fleet took ports by binding port 0, which other tests' outgoing connections may take before the process binds them, and did not wait until each process listens; the test waits for the first process only. The process's log of that run is gone, so which of the two it was is not known. Ruled out: nothing in the product, by evidence; a process that ends now fails the wait with its log.

--- a/fireflydeck/testing/platform_fleet.py
+++ b/fireflydeck/testing/platform_fleet.py
@@ -1,11 +1,11 @@
 """Entry processes in front of stand-ins of the users' platform, on loopback."""
 
 import json
-import socket
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
+import httpx
 from aiohttp import web
 from attrs import define, field
 
@@ -18,11 +18,13 @@
     put_operator_document,
     put_registration,
 )
-from fireflydeck.testing.processes import ManagedProcess
+from fireflydeck.testing.ports import free_address
+from fireflydeck.testing.processes import ManagedProcess, wait_until
 
 __all__ = ["PlatformFleet", "running_platform_fleet"]
 
 _HOST = "127.0.0.1"
+_OK = 200
 _BOUNDS = {
     "max_hold_ms": 6000,
     "stop_timeout_ms": 900,
@@ -36,10 +38,29 @@
 
 @define
 class EntryProcess:
-    """One entry process and the address at which it serves callers."""
+    """One entry process and the addresses at which it serves callers and tells its readiness."""
 
     process: ManagedProcess
     address: str
+    readiness: str
+
+    async def is_ready(self) -> bool:
+        """Whether it serves callers.
+
+        Raises
+        ------
+        RuntimeError
+            If the process has ended; the message has its log.
+        """
+        if self.process.returncode is not None:
+            log = self.process.log_path.read_text(encoding="utf-8", errors="replace")
+            raise RuntimeError(f"{self.process.name} ended: {self.process.returncode}\n{log}")
+        try:
+            async with httpx.AsyncClient() as client:
+                answer = await client.get(f"http://{self.readiness}/-/readiness")
+        except httpx.TransportError:
+            return False
+        return answer.status_code == _OK
 
 
 @define
@@ -65,7 +86,7 @@
 async def running_platform_fleet(
     directory: Path, *, entries: int = 2, servers: int = 2
 ) -> AsyncIterator[PlatformFleet]:
-    """Start everything; the processes are ended with the block."""
+    """Start everything and wait until it serves; the processes are ended with the block."""
     fleet = PlatformFleet(directory)
     async with AsyncExitStack() as stack:
         store_address = await _serve(stack, fleet.store.handle)
@@ -82,6 +103,8 @@
             fleet.entries.append(entry)
             entry.process.start()
             stack.callback(entry.process.kill)
+        for entry in fleet.entries:
+            await wait_until(entry.is_ready, what=f"readiness of {entry.process.name}")
         yield fleet
 
 
@@ -95,16 +118,17 @@
 
 
 def _entry_process(directory: Path, name: str, store_address: str, vm_address: str) -> EntryProcess:
-    caller, readiness, internal, metrics = (_free_port() for _ in range(4))
+    caller, readiness, internal, metrics = (free_address() for _ in range(4))
+    internal_port = _port(internal)
     settings = {
         "node_name": name,
         "ip": _HOST,
         "zone": "zvolen",
         "listen_addresses": {
-            "frontend": f"{_HOST}:{caller}",
-            "readiness": f"{_HOST}:{readiness}",
+            "frontend": caller,
+            "readiness": readiness,
         },
-        "internal_port_range": [internal, internal],
+        "internal_port_range": [internal_port, internal_port],
         "heartbeat_ms": 1500,
         "limits": {"memory_mb": 300},
         "bounds": _BOUNDS,
@@ -115,15 +139,13 @@
     path.write_text(json.dumps(settings))
     process = ManagedProcess(
         name,
-        ["entry", f"--metrics_port={metrics}"],
+        ["entry", f"--metrics_port={_port(metrics)}"],
         directory,
         environ={"FIREFLYDECK_BOOT": str(path)},
-        admin=f"{_HOST}:{metrics}",
+        admin=metrics,
     )
-    return EntryProcess(process, f"{_HOST}:{caller}")
+    return EntryProcess(process, caller, readiness)
 
 
-def _free_port() -> int:
-    with socket.socket() as listener:
-        listener.bind((_HOST, 0))
-        return listener.getsockname()[1]
+def _port(address: str) -> int:
+    return int(address.rpartition(":")[2])
