Long-running tasks leave VMs that are due for upkeep one at a time; duties in modules of their own

Cause: a VM of a wave was emptied only if all its long-running tasks could be stopped together within their steps' budgets. Now such tasks are stopped one at a time, while a server that is not due has room, and are placed on servers that stay. Quick work goes on there meanwhile. A move's log line has the load of the target pool that decided it.

--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -24,8 +24,8 @@
 )
 from fireflydeck.platform.store import PlatformStore
 from fireflydeck.platform.vm_client import VmClient
-from fireflydeck.scheduling.duties import DutyTimes
 from fireflydeck.scheduling.scheduler import Scheduler
+from fireflydeck.scheduling.vm_fleet import DutyTimes
 
 __all__ = ["run_entry"]
 
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -137,6 +137,10 @@
         written="A backend server runs a task of a job that is over or not known.",
         fields=("task", "run", "server"),
     ),
+    6307: EventNote(
+        written="A long-running task is stopped, to go on at a server that is not due for upkeep.",
+        fields=("task", "run", "server", "list_age_ms"),
+    ),
     6501: EventNote(
         written="The platform's VM interface gave no usable answer; it is asked again.",
         action="See whether the interface works; waves and moves stand still until it does.",
@@ -149,7 +153,19 @@
     ),
     6503: EventNote(
         written="A move or an upkeep was ordered and answered, or got no answer.",
-        fields=("duty", "vm", "pool", "target", "outcome", "list_age_ms"),
+        action="For moves the cores are those of the target pool as the decision saw it.",
+        fields=(
+            "duty",
+            "vm",
+            "pool",
+            "target",
+            "outcome",
+            "list_age_ms",
+            "waiting_core_s",
+            "needed_cores",
+            "available_cores",
+            "incoming_cores",
+        ),
     ),
     6504: EventNote(written="The status of a wave was written.", fields=("wave", "state")),
     6401: EventNote(
--- a/fireflydeck/scheduling/dispatch.py
+++ b/fireflydeck/scheduling/dispatch.py
@@ -277,6 +277,7 @@
             same_step=same_step,
             was_avoided=server.id in task.avoided,
             disturbs=disturbs,
+            is_due=server.is_due,
         )
 
     # Orders
--- /dev/null
+++ b/fireflydeck/scheduling/pool_duties.py
@@ -0,0 +1,173 @@
+"""Moves of VMs between pools, by the work in sight."""
+
+from attrs import define, field
+
+from fireflydeck.core import Clock, Failure, Ran
+from fireflydeck.core.fleet_configuration import FleetConfiguration
+from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState
+from fireflydeck.kernel import Event, EventLog
+from fireflydeck.policy.pool_sizes import PoolLoad, VmLoad, VmMove, choose_moves
+from fireflydeck.scheduling.borrowed_vms import BorrowedVms
+from fireflydeck.scheduling.demand import PoolDemand
+from fireflydeck.scheduling.servers import Server
+from fireflydeck.scheduling.vm_fleet import CALL_TIMEOUT_MS, VmFleet
+
+__all__ = ["PoolDuties"]
+
+_MS_PER_S = 1000
+_CORE = 1000
+"""Thousandths in a core."""
+
+
+@define(eq=False, kw_only=True)
+class PoolDuties:
+    """Moves VMs to the pools that lack them, and idle ones to standby."""
+
+    fleet: VmFleet
+    borrowed: BorrowedVms
+    clock: Clock
+    log: EventLog
+    _idle_since_ms: dict[str, int] = field(factory=dict, init=False)
+
+    def note_idle(self) -> None:
+        """Note since when nothing runs on each backend server."""
+        now_ms = self.clock.now_ms()
+        idle = {
+            server.id
+            for server in self.fleet.servers.values()
+            if server.is_registered and server.is_held and not server.attempts
+        }
+        self._idle_since_ms = {
+            server_id: self._idle_since_ms.get(server_id, now_ms) for server_id in idle
+        }
+
+    def is_wanted(self, configuration: FleetConfiguration, demand: dict[str, PoolDemand]) -> bool:
+        """Whether VMs may have to move, so that the list of VMs has to be read."""
+        if self.fleet.sent or any(item.waiting_core_s > 0 for item in demand.values()):
+            return True
+        standby = {pool.name for pool in configuration.pools if pool.standby}
+        servers = self.fleet.servers
+        return any(
+            servers[server_id].registration.pool not in standby
+            for server_id in self._idle_since_ms
+            if server_id in servers
+        )
+
+    async def serve(
+        self, configuration: FleetConfiguration, demand: dict[str, PoolDemand], due: set[str]
+    ) -> None:
+        """Order the moves that the loads of the pools ask for.
+
+        Parameters
+        ----------
+        due
+            VMs that wait for their upkeep; these stay where they are.
+        """
+        failure = await self.borrowed.load()
+        if failure is not None:
+            self._note_store_failure(failure)
+            return
+        pools = self._pool_loads(configuration, demand)
+        standby = {pool.name for pool in configuration.pools if pool.standby}
+        vms = [
+            self._vm_load(vm)
+            for vm in self.fleet.vms.values()
+            if self._is_movable(vm)
+            and vm.name not in due
+            and (vm.pool in standby or vm.name in self.borrowed)
+        ]
+        loads = {pool.name: pool for pool in pools}
+        move_s = self.fleet.times.migration_ms / _MS_PER_S
+        for move in choose_moves(pools, vms, move_s=move_s):
+            if not await self.borrowed.add(self.fleet.vms[move.vm]) or not self.fleet.is_current():
+                return
+            await self._order(move, loads)
+
+    def _pool_loads(
+        self, configuration: FleetConfiguration, demand: dict[str, PoolDemand]
+    ) -> list[PoolLoad]:
+        loads: list[PoolLoad] = []
+        for pool in configuration.pools:
+            servers = [
+                server
+                for server in self.fleet.servers.values()
+                if server.registration.pool == pool.name and server.can_work()
+            ]
+            incoming = [
+                self.fleet.vms[order.vm]
+                for order in self.fleet.sent.values()
+                if order.target == pool.name and order.vm in self.fleet.vms
+            ]
+            wanted = demand.get(pool.name, PoolDemand())
+            loads.append(
+                PoolLoad(
+                    name=pool.name,
+                    waiting_core_s=wanted.waiting_core_s,
+                    needed_cores=wanted.needed_cores,
+                    available_cores=sum(map(_available_cores, servers)),
+                    incoming_cores=sum(vm.capacity.cpu for vm in incoming) / _CORE,
+                    standby=pool.standby,
+                )
+            )
+        return loads
+
+    def _is_movable(self, vm: ListedVm) -> bool:
+        if vm.state != VmListState.UP or vm.name in self.fleet.sent:
+            return False
+        server = self.fleet.server_of(vm)
+        if server is None:
+            return not vm.server_id
+        return server.is_quiet() and not server.is_cordoned
+
+    def _vm_load(self, vm: ListedVm) -> VmLoad:
+        since_ms = self._idle_since_ms.get(vm.server_id)
+        idle_ms = 0 if since_ms is None else self.clock.now_ms() - since_ms
+        return VmLoad(name=vm.name, pool=vm.pool, cores=vm.capacity.cpu / _CORE, idle_ms=idle_ms)
+
+    async def _order(self, move: VmMove, loads: dict[str, PoolLoad]) -> None:
+        vm = self.fleet.vms[move.vm]
+        server = self.fleet.server_of(vm)
+        if server is not None:
+            if not server.is_quiet():
+                return
+            server.is_cordoned = True
+        result = await self.fleet.orders.move(
+            vm=vm.name,
+            pool=move.target,
+            fencing_token=self.fleet.tenure.term,
+            timeout_ms=CALL_TIMEOUT_MS,
+        )
+        target = loads[move.target]
+        self.fleet.log_order(
+            "move",
+            vm,
+            move.target,
+            result,
+            waiting_core_s=round(target.waiting_core_s),
+            needed_cores=round(target.needed_cores),
+            available_cores=round(target.available_cores),
+            incoming_cores=round(target.incoming_cores),
+        )
+        refused = result.is_ok() and result.ok != DutyOutcome.TAKEN
+        if refused or (result.is_error() and result.error.ran == Ran.NO):
+            self.fleet.uncordon(vm.server_id)
+            return
+        self.fleet.note_order(vm, move.target, 0, is_certain=result.is_ok())
+
+    def _note_store_failure(self, failure: Failure) -> None:
+        self.log.emit(
+            Event.STORE_CALL_FAILED,
+            step=failure.step,
+            reason=failure.reason,
+            detail=failure.detail,
+        )
+
+
+def _available_cores(server: Server) -> float:
+    """Return the cores that long-running tasks leave."""
+    lasting = sum(
+        attempt.task.step.demand.cpu
+        for attempt in server.attempts.values()
+        if attempt.task.step.long_running and not attempt.task.step.fill
+    )
+    return (server.registration.capacity.cpu - lasting) / _CORE
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -46,6 +46,8 @@
         Whether its last answer came in time.
     is_cordoned
         Whether it gets no new work because its VM is about to move or to go down.
+    is_due
+        Whether its VM waits for its upkeep, so that long-running tasks go elsewhere.
     """
 
     registration: Registration
@@ -64,6 +66,7 @@
     is_reachable: bool = False
     crowded_until_ms: int = 0
     is_cordoned: bool = False
+    is_due: bool = False
     used: Resources = Factory(Resources)
     attempts: dict[tuple[str, int], Attempt] = Factory(dict)
     wake: anyio.Event = Factory(anyio.Event)
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -16,20 +16,20 @@
 from fireflydeck.observation.registrations import Registrations
 from fireflydeck.ownership.lease import LeaseKeeper, Tenure
 from fireflydeck.ownership.records import ROSTER_ROW
+from fireflydeck.scheduling.borrowed_vms import BorrowedVms
 from fireflydeck.scheduling.dispatch import Dispatch
-from fireflydeck.scheduling.duties import DutyTimes, FleetDuties
+from fireflydeck.scheduling.duties import FleetDuties
 from fireflydeck.scheduling.fleet_usage import OrganisationUsage
 from fireflydeck.scheduling.job_book import JobBook
 from fireflydeck.scheduling.journal import ProgressJournal
+from fireflydeck.scheduling.pool_duties import PoolDuties
 from fireflydeck.scheduling.retention import Retention
 from fireflydeck.scheduling.runs import RunLedger
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import HOLD_MS, ServerSession, SessionOwner
-from fireflydeck.workload.life import (
-    Attempt,
-    Job,
-    job_state,
-)
+from fireflydeck.scheduling.vm_fleet import DutyTimes, VmFleet
+from fireflydeck.scheduling.wave_duties import WaveDuties
+from fireflydeck.workload.life import Attempt, Job, job_state
 
 __all__ = ["EXTENDED_HOLD_MS", "OrdersFactory", "TenureRun"]
 
@@ -130,19 +130,34 @@
         self._retention = Retention(
             store=store, lease=lease, clock=clock, log=log, status_ms=status_ms
         )
-        self._duties = FleetDuties(
-            store=store,
-            tenure=tenure,
-            lease=lease,
-            operators=operators,
+        self._duties = self._make_duties(vm_orders, duty_times)
+
+    def _make_duties(self, vm_orders: VmOrders, duty_times: DutyTimes) -> FleetDuties:
+        clock, log = self._clock, self._log
+        fleet = VmFleet(
+            tenure=self._tenure,
+            lease=self._lease,
             clock=clock,
             log=log,
             orders=vm_orders,
             times=duty_times,
             servers=self._servers,
-            demand=self._dispatch.demand,
+        )
+        waves = WaveDuties(
+            fleet=fleet,
+            store=self._store,
+            clock=clock,
+            log=log,
             request_stop=self._runs.request_stop,
-            wake=self.wake,
+        )
+        borrowed = BorrowedVms(self._store, self._lease)
+        return FleetDuties(
+            fleet=fleet,
+            waves=waves,
+            pools=PoolDuties(fleet=fleet, borrowed=borrowed, clock=clock, log=log),
+            operators=self._operators,
+            clock=clock,
+            demand=self._dispatch.demand,
         )
 
     @property
--- a/fireflydeck/scheduling/tests/fleet.py
+++ b/fireflydeck/scheduling/tests/fleet.py
@@ -7,8 +7,8 @@
 from fireflydeck.kernel import EventLog, Metrics, Registry
 from fireflydeck.observation import OperatorDocuments
 from fireflydeck.ownership import LeaseKeeper
-from fireflydeck.scheduling.duties import DutyTimes
 from fireflydeck.scheduling.scheduler import Scheduler
+from fireflydeck.scheduling.vm_fleet import DutyTimes
 from fireflydeck.standins.memory_rows import MemoryRows
 from fireflydeck.standins.task_server import TaskServer
 from fireflydeck.testing.clock import FakeClock
--- a/fireflydeck/scheduling/tests/test_duties.py
+++ b/fireflydeck/scheduling/tests/test_duties.py
@@ -126,6 +126,27 @@
         assert _ordered(fleet) == [("upkeep", "vm-s1")]
 
 
+async def test_long_running_tasks_leave_a_vm_one_at_a_time():
+    """All tasks of a step stand on one VM, and only one of them may be away."""
+    async with running_fleet(servers=2) as fleet:
+        for server in fleet.servers.values():
+            server.duration_ms = None
+        accept_job(
+            fleet.rows, build_spec(build_step(count=4, long_running=True, max_unavailable=1))
+        )
+        await fleet.advance_ms(1000)
+        full = next(name for name, server in fleet.servers.items() if len(server.running()) == 4)
+        _list(fleet, "s1", "s2")
+        _request_wave(fleet, full)
+        away = []
+        for _ in range(400):
+            await fleet.advance_ms(20)
+            away.append(4 - len(fleet.running()))
+        assert max(away) == 1
+        assert _ordered(fleet) == [("upkeep", f"vm-{full}")]
+        assert len(fleet.running()) == 4
+
+
 async def test_vm_with_quick_work_is_emptied_first():
     async with running_fleet(servers=1) as fleet:
         fleet.servers["s1"].duration_ms = 2500
--- /dev/null
+++ b/fireflydeck/scheduling/wave_duties.py
@@ -0,0 +1,193 @@
+"""Waves of upkeep: VMs are emptied within the budgets of what runs there, then taken down."""
+
+from collections.abc import Callable
+
+from attrs import define, field
+
+from fireflydeck.core import Clock, Failure, Ran
+from fireflydeck.core.fleet_configuration import MaintenanceWave
+from fireflydeck.core.rows import RowStore
+from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState
+from fireflydeck.kernel import Event, EventLog
+from fireflydeck.platform.documents import WaveState
+from fireflydeck.policy.upkeep import DueVm, choose_vms_to_empty
+from fireflydeck.scheduling.availability import may_disrupt
+from fireflydeck.scheduling.demand import PoolDemand
+from fireflydeck.scheduling.relocation import relocate_lasting
+from fireflydeck.scheduling.servers import Server
+from fireflydeck.scheduling.vm_fleet import CALL_TIMEOUT_MS, VmFleet
+from fireflydeck.scheduling.wave_status import report_wave
+from fireflydeck.workload.life import Attempt
+
+__all__ = ["WaveDuties"]
+
+_URGENT_SHARE = 0.4
+"""Part of a wave's time after which VMs are emptied in spite of a backlog."""
+_PRESSED_CORE_S = 20.0
+"""A pool with more work waiting than this gives no busy VM to a wave."""
+
+
+@define(eq=False, kw_only=True)
+class WaveDuties:
+    """Serves the waves that operators requested.
+
+    Parameters
+    ----------
+    request_stop
+        Stops a run.
+    """
+
+    fleet: VmFleet
+    store: RowStore
+    clock: Clock
+    log: EventLog
+    request_stop: Callable[[Attempt], None]
+    _kept: set[tuple[int, str]] = field(factory=set, init=False)
+    _first_seen_ms: dict[int, int] = field(factory=dict, init=False)
+    _reported: dict[int, str] = field(factory=dict, init=False)
+
+    def open_waves(self, waves: tuple[MaintenanceWave, ...]) -> list[MaintenanceWave]:
+        """Return the waves that are not reported as completed."""
+        for wave in waves:
+            self._first_seen_ms.setdefault(wave.number, self.clock.now_ms())
+        return [wave for wave in waves if self._reported.get(wave.number) != WaveState.COMPLETED]
+
+    def due_vms(self, waves: list[MaintenanceWave]) -> set[str]:
+        """Return the VMs whose upkeep has not begun."""
+        return {
+            name for wave in waves for name in wave.vms if (wave.number, name) not in self._kept
+        }
+
+    def mark_due(self, waves: list[MaintenanceWave]) -> None:
+        """Tell the backend servers on VMs that are due apart from the others."""
+        due = self.due_vms(waves)
+        due_servers = {self.fleet.vms[name].server_id for name in due if name in self.fleet.vms}
+        for server in self.fleet.servers.values():
+            server.is_due = server.id in due_servers
+
+    async def serve(self, wave: MaintenanceWave, demand: dict[str, PoolDemand]) -> None:
+        """Empty VMs of a wave, take empty ones down, and report how far it is."""
+        if wave.number not in self._reported:
+            await self._report(wave, WaveState.RUNNING)
+        due = [
+            self.fleet.vms[name]
+            for name in wave.vms
+            if name in self.fleet.vms and (wave.number, name) not in self._kept
+        ]
+        if not due:
+            if all(order.wave != wave.number for order in self.fleet.sent.values()):
+                await self._report(wave, WaveState.COMPLETED)
+            return
+        self._relocate(due)
+        down = self._down(wave)
+        for name in choose_vms_to_empty(
+            [self._due_vm(vm, demand) for vm in due if vm.state == VmListState.UP],
+            down=down,
+            max_at_once=wave.max_at_once,
+            is_urgent=self._is_urgent(wave),
+        ):
+            self._empty(self.fleet.vms[name])
+        for vm in due:
+            if down >= wave.max_at_once:
+                return
+            down += await self._begin_upkeep(wave, vm)
+
+    def _relocate(self, due: list[ListedVm]) -> None:
+        """Stop long-running tasks on VMs that are due, so that they go on elsewhere."""
+        servers = [server for vm in due if (server := self.fleet.server_of(vm)) is not None]
+        for attempt in relocate_lasting(servers, list(self.fleet.servers.values())):
+            self.log.emit(
+                Event.RUN_RELOCATED,
+                task=attempt.task.name,
+                run=attempt.run,
+                server=attempt.server_id,
+                list_age_ms=self.fleet.list_age_ms,
+            )
+            self.request_stop(attempt)
+
+    def _is_urgent(self, wave: MaintenanceWave) -> bool:
+        age_ms = self.clock.now_ms() - self._first_seen_ms[wave.number]
+        return age_ms > wave.duration_ms * _URGENT_SHARE
+
+    def _down(self, wave: MaintenanceWave) -> int:
+        """Count the wave's VMs that are, or may be, down for their upkeep."""
+        states = {VmListState.UPKEEP, VmListState.DOWN}
+        vms = self.fleet.vms
+        names = {name for name in wave.vms if name in vms and vms[name].state in states}
+        names |= {order.vm for order in self.fleet.sent.values() if order.wave == wave.number}
+        return len(names)
+
+    def _due_vm(self, vm: ListedVm, demand: dict[str, PoolDemand]) -> DueVm:
+        server = self.fleet.server_of(vm)
+        attempts = list(server.attempts.values()) if server else []
+        lasting = [attempt for attempt in attempts if attempt.task.step.long_running]
+        return DueVm(
+            name=vm.name,
+            pool=vm.pool,
+            running=len(attempts),
+            may_stop=vm.name not in self.fleet.sent and may_disrupt(lasting),
+            is_emptying=server is not None and server.is_cordoned,
+            is_pressed=demand.get(vm.pool, PoolDemand()).waiting_core_s > _PRESSED_CORE_S,
+        )
+
+    def _empty(self, vm: ListedVm) -> None:
+        """Give a VM no more work and stop its long-running tasks."""
+        server = self.fleet.server_of(vm)
+        if server is None:
+            return
+        server.is_cordoned = True
+        lasting = [
+            attempt for attempt in server.attempts.values() if attempt.task.step.long_running
+        ]
+        self.log.emit(
+            Event.VM_EMPTIED,
+            vm=vm.name,
+            server=server.id,
+            running=len(server.attempts),
+            stopped=len(lasting),
+        )
+        for attempt in lasting:
+            self.request_stop(attempt)
+
+    async def _begin_upkeep(self, wave: MaintenanceWave, vm: ListedVm) -> int:
+        """Order the upkeep of a VM that is empty; returns the number of VMs that went down."""
+        if vm.state != VmListState.UP or vm.name in self.fleet.sent:
+            return 0
+        if not self.fleet.is_current() or not _is_empty(vm, self.fleet.server_of(vm)):
+            return 0
+        result = await self.fleet.orders.upkeep(
+            vm=vm.name,
+            wave=wave.number,
+            fencing_token=self.fleet.tenure.term,
+            timeout_ms=CALL_TIMEOUT_MS,
+        )
+        self.fleet.log_order("upkeep", vm, str(wave.number), result)
+        if result.is_ok() and result.ok == DutyOutcome.TAKEN:
+            self._kept.add((wave.number, vm.name))
+        elif result.is_ok() or result.error.ran == Ran.NO:
+            return 0
+        self.fleet.note_order(vm, vm.pool, wave.number, is_certain=result.is_ok())
+        return 1
+
+    async def _report(self, wave: MaintenanceWave, state: str) -> None:
+        failure = await report_wave(self.store, wave.number, state)
+        if failure is not None:
+            self._note_store_failure(failure)
+            return
+        self._reported[wave.number] = state
+        self.log.emit(Event.WAVE_STATE, wave=wave.number, state=state)
+
+    def _note_store_failure(self, failure: Failure) -> None:
+        self.log.emit(
+            Event.STORE_CALL_FAILED,
+            step=failure.step,
+            reason=failure.reason,
+            detail=failure.detail,
+        )
+
+
+def _is_empty(vm: ListedVm, server: Server | None) -> bool:
+    """Whether nothing runs on a VM, and nothing will be started there."""
+    if server is None:
+        return not vm.server_id
+    return server.is_cordoned and server.is_quiet()
