--- a/fireflydeck/policy/tests/test_job_order.py
+++ b/fireflydeck/policy/tests/test_job_order.py
@@ -17,7 +17,13 @@
 
 
 def _rank(deadline_ms, **fields):
-    known = {"priority": 0, "is_lasting": False, "now_ms": 1000}
+    known = {
+        "priority": 0,
+        "is_lasting": False,
+        "now_ms": 1000,
+        "remaining_ms": 0,
+        "has_begun": False,
+    }
     return rank(deadline_ms=deadline_ms, **{**known, **fields})
 
 
@@ -31,8 +37,12 @@
 )
 def test_longest_chain(steps, chain_ms):
     spec = build_spec(*(build_step(**step) for step in steps))
-    assert longest_chain_ms(spec) == chain_ms
-    assert objective_ms(spec, _QUEUE) == int(chain_ms * 1.6) + 600
+    durations = [step["estimated_ms"] for step in steps]
+    assert longest_chain_ms(spec.steps, durations) == chain_ms
+
+
+def test_objective_grows_with_the_chain():
+    assert objective_ms(1000, _QUEUE) == pytest.approx(2200)
 
 
 def test_nearest_deadline_goes_first():
@@ -44,6 +54,21 @@
     assert _rank(5000) < _rank(900)
 
 
+def test_what_cannot_be_done_in_time_waits_before_it_is_late():
+    """In a turn of five times the mean the nearest deadlines were served until all were missed."""
+    hopeless = _rank(1500, remaining_ms=800)
+    assert _rank(5000, remaining_ms=800) < hopeless
+
+
+def test_begun_jobs_go_before_new_ones():
+    assert _rank(5000, remaining_ms=800, has_begun=True) < _rank(2500, remaining_ms=800)
+
+
+def test_new_job_needs_a_margin():
+    assert _rank(1900, remaining_ms=800, has_begun=True) < _rank(5000, remaining_ms=800)
+    assert _rank(5000, remaining_ms=800) < _rank(1900, remaining_ms=800)
+
+
 def test_lasting_work_goes_first():
     assert _rank(9000, is_lasting=True) < _rank(1001)
 
--- a/fireflydeck/scheduling/demand.py
+++ b/fireflydeck/scheduling/demand.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from fireflydeck.scheduling.work_estimates import WorkEstimates
 from fireflydeck.workload.life import Job
 
 __all__ = ["Inflow", "PoolDemand", "needed_cores", "waiting_core_s"]
@@ -33,23 +34,23 @@
     needed_cores: float = 0.0
 
 
-def waiting_core_s(job: Job) -> float:
+def waiting_core_s(job: Job, estimates: WorkEstimates) -> float:
     """Return the work of a job's tasks that are neither done nor at a backend server."""
     work = sum(
-        task.step.demand.cpu * task.step.estimated_ms
+        task.step.demand.cpu * estimates.task_ms(task)
         for task in job.tasks.values()
         if not (task.done or task.attempts or task.step.long_running)
     )
     return work / _CORE_SECOND
 
 
-def needed_cores(job: Job, *, left_ms: int) -> float:
+def needed_cores(job: Job, estimates: WorkEstimates, *, left_ms: float) -> float:
     """Return the cores with which a job would be done in the time that is left for it."""
     work = 0.0
     for task in job.tasks.values():
         if not (task.done or task.step.long_running):
             share = _RUNNING_SHARE if task.attempts else 1.0
-            work += share * task.step.demand.cpu * task.step.estimated_ms
+            work += share * task.step.demand.cpu * estimates.task_ms(task)
     left_s = left_ms / _MS_PER_S if left_ms > 0 else _LATE_TIME_S
     return work / _CORE_SECOND / max(_LEAST_TIME_S, left_s)
 
@@ -64,10 +65,9 @@
     def __init__(self) -> None:
         self._jobs: dict[str, list[tuple[int, float]]] = {}
 
-    def add(self, pool: str, job: Job, *, objective_ms: int, now_ms: int) -> None:
-        """Count a job that was accepted."""
-        cores = needed_cores(job, left_ms=objective_ms)
-        until_ms = now_ms + max(int(_LEAST_TIME_S * _MS_PER_S), objective_ms)
+    def add(self, pool: str, cores: float, *, objective_ms: float, now_ms: int) -> None:
+        """Count a job that was accepted and needs `cores` to be done in time."""
+        until_ms = now_ms + max(int(_LEAST_TIME_S * _MS_PER_S), int(objective_ms))
         self._jobs.setdefault(pool, []).append((until_ms, cores))
 
     def cores(self, pool: str, now_ms: int) -> float:
--- a/fireflydeck/scheduling/dispatch.py
+++ b/fireflydeck/scheduling/dispatch.py
@@ -17,12 +17,13 @@
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.observation.registrations import Registrations
 from fireflydeck.ownership.lease import LeaseKeeper
-from fireflydeck.policy.job_order import JobRank, objective_ms, rank
+from fireflydeck.policy.job_order import JobRank, rank
 from fireflydeck.policy.server_choice import Candidate, choose_server
 from fireflydeck.scheduling.demand import Inflow, PoolDemand, needed_cores, waiting_core_s
 from fireflydeck.scheduling.fleet_usage import OrganisationUsage
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import HOLD_MS
+from fireflydeck.scheduling.work_estimates import WorkEstimates
 from fireflydeck.workload.life import (
     Attempt,
     AttemptPhase,
@@ -49,12 +50,21 @@
 
 @define(eq=False)
 class _QueuedJob:
-    """A job in the order of its pool; `ready` is `None` if it has to be found again."""
+    """A job in the order of its pool.
+
+    Parameters
+    ----------
+    ready
+        Tasks that may start; `None` if they, and what the job still takes, have to be found again.
+    deadline_ms, remaining_ms
+        As `WorkEstimates` told them when the ready tasks were found.
+    """
 
     job: Job
+    is_lasting: bool
     ready: list[Task] | None = None
-    next_due_ms: int = 0
-    is_lasting: bool = field(default=False)
+    deadline_ms: float = 0.0
+    remaining_ms: float = 0.0
 
 
 @define(eq=False, kw_only=True)
@@ -82,26 +92,26 @@
     wake: Callable[[], None]
     _queued: dict[str, _QueuedJob] = field(factory=dict, init=False)
     _inflow: Inflow = field(factory=Inflow, init=False)
+    _estimates: WorkEstimates = field(factory=WorkEstimates, init=False)
 
     # Jobs
 
     def add_job(self, job: Job) -> None:
         """Schedule a job."""
         lasting = any(step.long_running for step in job.spec.steps)
-        self._queued[job.id] = _QueuedJob(job, is_lasting=lasting)
+        self._queued[job.id] = _QueuedJob(job, lasting)
         configuration = self.operators.configuration
         queue = configuration.queue(job.spec.queue) if configuration else None
-        if queue is not None:
-            self._inflow.add(
-                queue.pool,
-                job,
-                objective_ms=objective_ms(job.spec, queue),
-                now_ms=self.clock.now_ms(),
-            )
+        if queue is not None and not lasting:
+            now_ms = self.clock.now_ms()
+            left_ms = self._estimates.deadline_ms(job, queue) - job.accepted_at_ms
+            cores = needed_cores(job, self._estimates, left_ms=left_ms)
+            self._inflow.add(queue.pool, cores, objective_ms=left_ms, now_ms=now_ms)
 
     def remove_job(self, job: Job) -> None:
         """Schedule a job no more."""
         self._queued.pop(job.id, None)
+        self._estimates.forget(job)
 
     def touch(self, job: Job) -> None:
         """Look again for the ready tasks of a job."""
@@ -109,8 +119,12 @@
         if queued is not None:
             queued.ready = None
 
-    def note_end(self, server: Server, task: Task, ended: EndedRun) -> None:
-        """Pause a task whose run failed."""
+    def note_end(
+        self, server: Server, task: Task, attempt: Attempt | None, ended: EndedRun
+    ) -> None:
+        """Learn from the end of a run; a task whose run failed pauses."""
+        if ended.end == RunEnd.DONE and attempt is not None:
+            self._estimates.note_done(attempt, self.clock.now_ms())
         if ended.end == RunEnd.FAILED:
             doublings = min(task.failures, 4)
             pause_ms = min(_MAX_RETRY_PAUSE_MS, _RETRY_PAUSE_MS << doublings)
@@ -132,9 +146,11 @@
             queue = configuration.queue(job.spec.queue)
             if queue is None or not job.is_open or queued.is_lasting:
                 continue
-            left_ms = job.accepted_at_ms + objective_ms(job.spec, queue) - now_ms
-            waiting[queue.pool] = waiting.get(queue.pool, 0.0) + waiting_core_s(job)
-            needed[queue.pool] = needed.get(queue.pool, 0.0) + needed_cores(job, left_ms=left_ms)
+            left_ms = self._estimates.deadline_ms(job, queue) - now_ms
+            work = waiting_core_s(job, self._estimates)
+            waiting[queue.pool] = waiting.get(queue.pool, 0.0) + work
+            cores = needed_cores(job, self._estimates, left_ms=left_ms)
+            needed[queue.pool] = needed.get(queue.pool, 0.0) + cores
         demand: dict[str, PoolDemand] = {}
         for pool in configuration.pools:
             cores = max(needed.get(pool.name, 0.0), self._inflow.cores(pool.name, now_ms))
@@ -165,7 +181,7 @@
         """Return the ready tasks by what has to start together: alone, or as a whole gang."""
         units: list[list[Task]] = []
         gangs: dict[tuple[int, int], list[Task]] = {}
-        for task in self._ready(queued):
+        for task in queued.ready or ():
             if task.not_before_ms > now_ms or task.attempts:
                 continue
             if task.step.gang:
@@ -211,21 +227,21 @@
             queue = configuration.queue(queued.job.spec.queue)
             if queue is None or not queued.job.is_open:
                 continue
-            if not self._ready(queued):
+            if not self._ready(queued, queue):
                 continue
-            job = queued.job
-            deadline_ms = job.accepted_at_ms + objective_ms(job.spec, queue)
             job_rank = rank(
-                deadline_ms=deadline_ms,
+                deadline_ms=queued.deadline_ms,
+                remaining_ms=queued.remaining_ms,
                 priority=queue.priority,
                 is_lasting=queued.is_lasting,
+                has_begun=queued.job.begun,
                 now_ms=now_ms,
             )
-            ranked.append((job_rank, job.id, queue, queued))
+            ranked.append((job_rank, queued.job.id, queue, queued))
         ranked.sort(key=lambda item: item[:2])
         return [(queue, queued) for _, _, queue, queued in ranked]
 
-    def _ready(self, queued: _QueuedJob) -> list[Task]:
+    def _ready(self, queued: _QueuedJob, queue: JobQueue) -> list[Task]:
         job = queued.job
         if job.spec.occurrences > job.created_occurrences:
             created = job.created_occurrences
@@ -234,6 +250,8 @@
                 queued.ready = None
         if queued.ready is None:
             queued.ready = list(ready_tasks(job))
+            queued.deadline_ms = self._estimates.deadline_ms(job, queue)
+            queued.remaining_ms = self._estimates.remaining_ms(job)
         else:
             queued.ready = [task for task in queued.ready if not (task.done or task.attempts)]
         return queued.ready
--- a/fireflydeck/scheduling/runs.py
+++ b/fireflydeck/scheduling/runs.py
@@ -124,7 +124,7 @@
         changed = note_end(
             task, ended, max_attempts=self._max_attempts(task.job), now_ms=self.clock.now_ms()
         )
-        self.dispatch.note_end(server, task, ended)
+        self.dispatch.note_end(server, task, attempt, ended)
         if attempt is not None:
             self._release(attempt)
         self.dispatch.touch(task.job)
--- a/fireflydeck/scheduling/tests/test_demand.py
+++ b/fireflydeck/scheduling/tests/test_demand.py
@@ -4,9 +4,12 @@
 
 from fireflydeck.core.placement import Resources
 from fireflydeck.scheduling.demand import Inflow, needed_cores, waiting_core_s
+from fireflydeck.scheduling.work_estimates import WorkEstimates
 from fireflydeck.testing.fleet_builders import build_job, build_step
 from fireflydeck.workload import begin_attempt
 
+_ESTIMATES = WorkEstimates()
+
 
 def _job():
     return build_job(build_step(count=10, demand=Resources(2000, 0), estimated_ms=600))
@@ -14,32 +17,34 @@
 
 def test_waiting_work_leaves_out_what_runs():
     job = _job()
-    assert waiting_core_s(job) == pytest.approx(12.0)
+    assert waiting_core_s(job, _ESTIMATES) == pytest.approx(12.0)
     begin_attempt(next(iter(job.tasks.values())), "s", least_run=1, now_ms=0)
-    assert waiting_core_s(job) == pytest.approx(10.8)
+    assert waiting_core_s(job, _ESTIMATES) == pytest.approx(10.8)
 
 
 @pytest.mark.parametrize(("left_ms", "cores"), [(6000, 2.0), (100, 8.0), (0, 3.0), (-500, 3.0)])
 def test_need_spreads_over_the_time_left(left_ms, cores):
-    assert needed_cores(_job(), left_ms=left_ms) == pytest.approx(cores)
+    assert needed_cores(_job(), _ESTIMATES, left_ms=left_ms) == pytest.approx(cores)
 
 
 def test_lasting_tasks_need_nothing():
     job = build_job(build_step(count=5, long_running=True))
-    assert needed_cores(job, left_ms=1000) == 0
-    assert waiting_core_s(job) == 0
+    assert needed_cores(job, _ESTIMATES, left_ms=1000) == 0
+    assert waiting_core_s(job, _ESTIMATES) == 0
 
 
 def test_turn_of_quick_jobs_shows_before_a_backlog_does():
     """Thirty jobs a second of twelve core-seconds each need 360 cores, done or not."""
     inflow = Inflow()
     for number in range(60):
-        inflow.add("paint", _job(), objective_ms=2000, now_ms=number * 33)
+        cores = needed_cores(_job(), _ESTIMATES, left_ms=2000)
+        inflow.add("paint", cores, objective_ms=2000, now_ms=number * 33)
     assert inflow.cores("paint", 1980) == pytest.approx(360, rel=0.02)
     assert inflow.cores("paint", 4000) == 0
 
 
 def test_large_job_counts_over_its_own_time():
     inflow = Inflow()
-    inflow.add("carve", _job(), objective_ms=12_000, now_ms=0)
+    cores = needed_cores(_job(), _ESTIMATES, left_ms=12_000)
+    inflow.add("carve", cores, objective_ms=12_000, now_ms=0)
     assert inflow.cores("carve", 11_000) == pytest.approx(1.0)
--- /dev/null
+++ b/fireflydeck/scheduling/tests/test_work_estimates.py
@@ -0,0 +1,60 @@
+"""Deadlines and what jobs still take."""
+
+import pytest
+
+from fireflydeck.core.fleet_configuration import JobQueue
+from fireflydeck.scheduling.work_estimates import WorkEstimates
+from fireflydeck.testing.fleet_builders import build_job, build_step
+from fireflydeck.workload import begin_attempt, due_occurrences, occurrence_due_ms
+
+_QUEUE = JobQueue(
+    name="swatches",
+    host="h",
+    path_prefix="/",
+    pool="p",
+    slack_factor=1.6,
+    target_latency_ms=600,
+)
+
+
+def _two_steps():
+    return build_job(
+        build_step(count=2, estimated_ms=1000),
+        build_step(count=2, estimated_ms=500, depends_on=(0,)),
+    )
+
+
+def test_deadline_and_remaining_time_by_the_estimates():
+    job, estimates = _two_steps(), WorkEstimates()
+    assert estimates.deadline_ms(job, _QUEUE) == pytest.approx(1500 * 1.6 + 600)
+    assert estimates.remaining_ms(job) == pytest.approx(1500)
+
+
+def test_first_task_that_ended_tells_its_step():
+    job, estimates = _two_steps(), WorkEstimates()
+    task = job.tasks[f"{job.id}.0.0.0"]
+    attempt = begin_attempt(task, "s1", least_run=1, now_ms=0)
+    estimates.note_done(attempt, 400)
+    assert estimates.remaining_ms(job) == pytest.approx(400 + 500)
+    assert estimates.deadline_ms(job, _QUEUE) == pytest.approx(900 * 1.6 + 600)
+
+
+def test_step_that_runs_whole_has_half_its_time_left():
+    job, estimates = _two_steps(), WorkEstimates()
+    for index in range(2):
+        begin_attempt(job.tasks[f"{job.id}.0.0.{index}"], "s1", least_run=1, now_ms=0)
+    assert estimates.remaining_ms(job) == pytest.approx(500 + 500)
+
+
+def test_occurrences_have_deadlines_of_their_own():
+    job = build_job(
+        build_step(estimated_ms=1000),
+        first_due_ms=5000,
+        interval_ms=2000,
+        occurrences=3,
+        accepted_ms=1000,
+    )
+    due_occurrences(job, 8000)
+    assert occurrence_due_ms(job, 1) == 6000
+    estimates = WorkEstimates()
+    assert estimates.deadline_ms(job, _QUEUE) == pytest.approx(4000 + 1600 + 600)
--- a/fireflydeck/workload/__init__.py
+++ b/fireflydeck/workload/__init__.py
@@ -13,6 +13,7 @@
     is_finished,
     job_state,
     note_end,
+    occurrence_due_ms,
     ready_tasks,
     restore_progress,
 )
@@ -76,6 +77,7 @@
     "job_key",
     "job_state",
     "note_end",
+    "occurrence_due_ms",
     "outcome_key",
     "progress_key",
     "ready_tasks",
--- a/fireflydeck/workload/life.py
+++ b/fireflydeck/workload/life.py
@@ -25,6 +25,7 @@
     "is_finished",
     "job_state",
     "note_end",
+    "occurrence_due_ms",
     "ready_tasks",
     "restore_progress",
 ]
@@ -158,6 +159,15 @@
         _create_occurrence(job, number)
 
 
+def occurrence_due_ms(job: Job, number: int) -> int:
+    """Return when an occurrence is due, on the clock of `accepted_at_ms`."""
+    spec = job.spec
+    if spec.occurrences <= 0:
+        return job.accepted_at_ms
+    due_in_ms = spec.first_due_ms + number * spec.interval_ms - spec.accepted_ms
+    return job.accepted_at_ms + max(0, due_in_ms)
+
+
 def _create_occurrence(job: Job, number: int) -> None:
     for step_number, step in enumerate(job.spec.steps):
         for index in range(step.count):
