A wave goes on with the next holder instead of beginning anew

Cause: which VMs have had their upkeep was known to one holder only. Now the VMs are stored by wave, and an order settles when the VM is listed in its old life long after. Ruled out: reading the status row alone, which tells nothing of a wave half done. Tests: two, each seen failing with its half taken out.

--- a/fireflydeck/kernel/__init__.py
+++ b/fireflydeck/kernel/__init__.py
@@ -5,6 +5,7 @@
 from fireflydeck.kernel.metrics import Metrics
 from fireflydeck.kernel.service import Registry, Service
 from fireflydeck.kernel.state_dump import dump_state
+from fireflydeck.kernel.store_health import StoreHealth, log_store_failure
 from fireflydeck.kernel.supervision import guard, keep_running
 
 __all__ = [
@@ -14,8 +15,10 @@
     "Metrics",
     "Registry",
     "Service",
+    "StoreHealth",
     "configure_logging",
     "dump_state",
     "guard",
     "keep_running",
+    "log_store_failure",
 ]
--- a/fireflydeck/observation/table_follower.py
+++ b/fireflydeck/observation/table_follower.py
@@ -5,9 +5,9 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from fireflydeck.core import Clock, Failure, Reason
+from fireflydeck.core import Clock
 from fireflydeck.core.rows import RowKey, RowStore, StoredRow
-from fireflydeck.kernel import Event, EventLog, Registry, Service, keep_running
+from fireflydeck.kernel import EventLog, Registry, Service, StoreHealth, keep_running
 
 __all__ = ["TableFollower"]
 
@@ -47,7 +47,7 @@
         self._pause_ms = pause_ms
         self._versions: dict[RowKey, int] = {}
         self._confirmed_ms: int | None = None
-        self._is_lost = False
+        self._health = StoreHealth(log, table)
         self._loaded = anyio.Event()
 
     async def wait_loaded(self) -> None:
@@ -87,7 +87,7 @@
         for partition in self._partitions:
             result = await self._store.read(self._table, partition, timeout_ms=_READ_TIMEOUT_MS)
             if result.is_error():
-                self._note_failure(result.error)
+                self._health.note_failure(result.error)
                 return None
             found.update({row.id: row for row in result.ok.rows})
             oldest = result.ok.version if oldest is None else min(oldest, result.ok.version)
@@ -105,7 +105,7 @@
             sent_ms = self._clock.now_ms()
             result = await self._store.changes(self._table, after=version, wait_ms=_WAIT_MS)
             if result.is_error():
-                self._note_failure(result.error)
+                self._health.note_failure(result.error)
                 return
             for row in result.ok.rows:
                 self._take(row)
@@ -125,19 +125,5 @@
 
     def _confirm(self, sent_ms: int) -> None:
         self._confirmed_ms = sent_ms
-        if self._is_lost:
-            self._is_lost = False
-            self._log.emit(Event.STORE_REGAINED, table=self._table)
+        self._health.note_answer()
         self.applied()
-
-    def _note_failure(self, failure: Failure) -> None:
-        if self._is_lost or failure.reason == Reason.NOT_FOUND:
-            return
-        self._is_lost = True
-        self._log.emit(
-            Event.STORE_CALL_FAILED,
-            step=failure.step,
-            table=self._table,
-            reason=failure.reason,
-            detail=failure.detail,
-        )
--- a/fireflydeck/ownership/__init__.py
+++ b/fireflydeck/ownership/__init__.py
@@ -7,6 +7,7 @@
     LEASE_ROW,
     OWNERSHIP_TABLE,
     ROSTER_ROW,
+    UPKEEP_ROW,
     LeaseRecord,
     decode_lease,
 )
@@ -20,5 +21,6 @@
     "OWNERSHIP_TABLE",
     "ROSTER_ROW",
     "Tenure",
+    "UPKEEP_ROW",
     "decode_lease",
 ]
--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -17,7 +17,7 @@
     RowWrite,
     StoredRow,
 )
-from fireflydeck.kernel import Event, EventLog, Registry, Service, keep_running
+from fireflydeck.kernel import Event, EventLog, Registry, Service, StoreHealth, keep_running
 from fireflydeck.ownership.records import (
     COMMIT_ROW,
     LEASE_ROW,
@@ -79,7 +79,7 @@
         self._tenure: Tenure | None = None
         self._ttl_ms = _TTL_MS
         self._stopping = False
-        self._is_store_lost = False
+        self._health = StoreHealth(log, OWNERSHIP_TABLE)
         self._commit_lock = anyio.Lock()
         self._on_change: list[Callable[[Tenure | None], None]] = []
         self._pending: Callable[[], dict[str, int]] = dict
@@ -157,7 +157,7 @@
                 if result.error.reason == Reason.CONFLICT:
                     await self._refresh_commit_version()
                 else:
-                    self._note_failure(result.error)
+                    self._health.note_failure(result.error)
                     await self._clock.sleep_ms(_RETRY_MS)
         return Failure(Reason.NOT_OWNER, "lease.commit", detail="the lease was lost")
 
@@ -201,7 +201,7 @@
         if result.reason == Reason.CONFLICT:
             await self._settle_renewal()
             return
-        self._note_failure(result)
+        self._health.note_failure(result)
         await self._clock.sleep_ms(_RETRY_MS)
 
     async def _settle_renewal(self) -> None:
@@ -226,7 +226,7 @@
         return max(_MIN_TIMEOUT_MS, min(_CALL_TIMEOUT_MS, self._ttl_ms - _RENEWAL_MS))
 
     def _confirm(self, record: LeaseRecord, sent_ms: int) -> None:
-        self._note_answer()
+        self._health.note_answer()
         self._record = record
         self._valid_until_ms = max(self._valid_until_ms, sent_ms + record.ttl_ms)
 
@@ -245,7 +245,7 @@
                 OWNERSHIP_TABLE, after=self._seen_version, wait_ms=self._watch_wait_ms()
             )
             if changes.is_error():
-                self._note_failure(changes.error)
+                self._health.note_failure(changes.error)
                 return
             self._seen_version = max(self._seen_version, changes.ok.version)
             self._note_rows({row.id: row for row in changes.ok.rows})
@@ -334,32 +334,15 @@
         self._lease_version = result.ok
         return None
 
-    def _note_failure(self, failure: Failure) -> None:
-        """Log the first failure after an answer."""
-        if self._is_store_lost or failure.reason == Reason.NOT_FOUND:
-            return
-        self._is_store_lost = True
-        self._log.emit(
-            Event.STORE_CALL_FAILED,
-            step=failure.step,
-            reason=failure.reason,
-            detail=failure.detail,
-        )
-
-    def _note_answer(self) -> None:
-        if self._is_store_lost:
-            self._is_store_lost = False
-            self._log.emit(Event.STORE_REGAINED, table=OWNERSHIP_TABLE)
-
     async def _read_rows(self) -> dict[RowKey, StoredRow] | None:
         result = await self._store.read(
             OWNERSHIP_TABLE, LEASE_ROW.partition, timeout_ms=_CALL_TIMEOUT_MS
         )
         if result.is_error():
-            self._note_failure(result.error)
+            self._health.note_failure(result.error)
             return None
         changes: RowChanges = result.ok
-        self._note_answer()
+        self._health.note_answer()
         self._seen_version = changes.version
         return {row.id: row for row in changes.rows}
 
--- a/fireflydeck/ownership/records.py
+++ b/fireflydeck/ownership/records.py
@@ -12,6 +12,7 @@
     "LEASE_ROW",
     "OWNERSHIP_TABLE",
     "ROSTER_ROW",
+    "UPKEEP_ROW",
     "LeaseRecord",
     "decode_lease",
 ]
@@ -24,6 +25,8 @@
 
 ROSTER_ROW = RowKey("roster", FLEET_PARTITION, "servers")
 """Backend servers that may run what the holder started."""
+UPKEEP_ROW = RowKey("roster", FLEET_PARTITION, "upkeep")
+"""VMs whose upkeep has begun, by wave."""
 BORROWED_ROW = RowKey("roster", FLEET_PARTITION, "borrowed-vms")
 """VMs that were taken from standby, with the pool that they came from."""
 
--- a/fireflydeck/scheduling/duties.py
+++ b/fireflydeck/scheduling/duties.py
@@ -51,7 +51,6 @@
             return
         if not await self.fleet.refresh():
             return
-        self.waves.mark_due(waves)
-        for wave in waves:
-            await self.waves.serve(wave, demand)
+        if not await self.waves.serve(waves, demand):
+            return
         await self.pools.serve(configuration, demand, self.waves.due_vms(waves))
--- a/fireflydeck/scheduling/pool_duties.py
+++ b/fireflydeck/scheduling/pool_duties.py
@@ -2,10 +2,10 @@
 
 from attrs import define, field
 
-from fireflydeck.core import Clock, Failure, Ran
+from fireflydeck.core import Clock, Ran
 from fireflydeck.core.fleet_configuration import FleetConfiguration
 from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState
-from fireflydeck.kernel import Event, EventLog
+from fireflydeck.kernel import EventLog, log_store_failure
 from fireflydeck.policy.pool_sizes import PoolLoad, VmLoad, VmMove, choose_moves
 from fireflydeck.scheduling.borrowed_vms import BorrowedVms
 from fireflydeck.scheduling.demand import PoolDemand
@@ -65,7 +65,7 @@
         """
         failure = await self.borrowed.load()
         if failure is not None:
-            self._note_store_failure(failure)
+            log_store_failure(self.log, failure)
             return
         pools = self._pool_loads(configuration, demand)
         standby = {pool.name for pool in configuration.pools if pool.standby}
@@ -154,14 +154,6 @@
             return
         self.fleet.note_order(vm, move.target, 0, is_certain=result.is_ok())
 
-    def _note_store_failure(self, failure: Failure) -> None:
-        self.log.emit(
-            Event.STORE_CALL_FAILED,
-            step=failure.step,
-            reason=failure.reason,
-            detail=failure.detail,
-        )
-
 
 def _available_cores(server: Server) -> float:
     """Return the cores that long-running tasks leave."""
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -11,7 +11,14 @@
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
 from fireflydeck.core.rows import RowStore, RowWrite
 from fireflydeck.core.vm_orders import VmOrders
-from fireflydeck.kernel import Event, EventLog, Metrics, guard, keep_running
+from fireflydeck.kernel import (
+    Event,
+    EventLog,
+    Metrics,
+    guard,
+    keep_running,
+    log_store_failure,
+)
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.observation.registrations import Registrations
 from fireflydeck.ownership.lease import LeaseKeeper, Tenure
@@ -27,6 +34,7 @@
 from fireflydeck.scheduling.runs import RunLedger
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import HOLD_MS, ServerSession, SessionOwner
+from fireflydeck.scheduling.upkeep_record import UpkeepRecord
 from fireflydeck.scheduling.vm_fleet import DutyTimes, VmFleet
 from fireflydeck.scheduling.wave_duties import WaveDuties
 from fireflydeck.workload.life import Attempt, Job, job_state
@@ -149,6 +157,7 @@
             clock=clock,
             log=log,
             request_stop=self._runs.request_stop,
+            record=UpkeepRecord(self._store, self._lease),
         )
         borrowed = BorrowedVms(self._store, self._lease)
         return FleetDuties(
@@ -237,12 +246,7 @@
             failure = await self._book.load() or await self._load_roster()
             if failure is None:
                 return
-            self._log.emit(
-                Event.STORE_CALL_FAILED,
-                step=failure.step,
-                reason=failure.reason,
-                detail=failure.detail,
-            )
+            log_store_failure(self._log, failure)
             await self._clock.sleep_ms(_LOAD_RETRY_MS)
 
     async def _load_roster(self) -> Failure | None:
--- a/fireflydeck/scheduling/tests/test_duties.py
+++ b/fireflydeck/scheduling/tests/test_duties.py
@@ -90,6 +90,32 @@
         assert _ordered(fleet) == []
 
 
+async def test_next_holder_goes_on_with_a_wave():
+    """Each take-over began the wave anew; VMs that were done stayed out of work for good."""
+    async with running_fleet(servers=2, members=2) as fleet:
+        _list(fleet, "s1", "s2")
+        _request_wave(fleet, "s1")
+        await fleet.advance_ms(_READY_MS + 3000)
+        _bring_back(fleet, "s1", "s3")
+        await fleet.advance_ms(1000)
+        assert _status(fleet) == "completed"
+        await fleet.leader.lease.stop()
+        await fleet.advance_ms(_READY_MS + 3000)
+        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+
+
+async def test_upkeep_that_was_done_already_keeps_no_vm_out_of_work():
+    """The holder before was killed between the order and its record."""
+    async with running_fleet(servers=1) as fleet:
+        _list(fleet, "s1")
+        _request_wave(fleet, "s1")
+        await fleet.advance_ms(_READY_MS + 8000)
+        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(1000)
+        assert len(fleet.starts()) == 1
+
+
 async def test_order_without_an_answer_counts_as_down():
     async with running_fleet(servers=2) as fleet:
         _list(fleet, "s1", "s2")
--- a/fireflydeck/scheduling/vm_fleet.py
+++ b/fireflydeck/scheduling/vm_fleet.py
@@ -22,6 +22,8 @@
 """Added to the lease time between the duties of two holders."""
 _UNCERTAIN_MS = 15_000
 """How long a VM stays out of work after an order for it got no answer."""
+_UNTOUCHED_MS = 4000
+"""Time beyond that of an order after which a VM in its old life shows that nothing was done."""
 
 
 @frozen(kw_only=True)
@@ -137,7 +139,8 @@
     def _is_settled(self, order: SentOrder, lasted_ms: int) -> bool:
         """Whether the list, read `lasted_ms` after an order, shows what became of it.
 
-        A VM that is back has a new backend server, or none while it is on standby.
+        A VM that is back has a new backend server, or none while it is on standby. An upkeep that
+        an earlier holder ordered before is taken again, and changes nothing.
         """
         vm = self.vms.get(order.vm)
         if vm is None:
@@ -146,5 +149,6 @@
             is_new_life = vm.server_id not in ("", order.server_id)
             return (is_new_life and vm.state == VmListState.UP) or lasted_ms > _UNCERTAIN_MS
         least_ms = self.times.maintenance_ms if order.wave else self.times.migration_ms
-        is_old_life = vm.server_id != "" and vm.server_id == order.server_id
-        return vm.state == VmListState.UP and lasted_ms >= least_ms and not is_old_life
+        if vm.server_id != "" and vm.server_id == order.server_id:
+            least_ms += _UNTOUCHED_MS
+        return vm.state == VmListState.UP and lasted_ms >= least_ms
--- a/fireflydeck/scheduling/wave_duties.py
+++ b/fireflydeck/scheduling/wave_duties.py
@@ -4,17 +4,18 @@
 
 from attrs import define, field
 
-from fireflydeck.core import Clock, Failure, Ran
+from fireflydeck.core import Clock, Ran
 from fireflydeck.core.fleet_configuration import MaintenanceWave
 from fireflydeck.core.rows import RowStore
 from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState
-from fireflydeck.kernel import Event, EventLog
+from fireflydeck.kernel import Event, EventLog, log_store_failure
 from fireflydeck.platform.documents import WaveState
 from fireflydeck.policy.upkeep import DueVm, choose_vms_to_empty
 from fireflydeck.scheduling.availability import may_disrupt
 from fireflydeck.scheduling.demand import PoolDemand
 from fireflydeck.scheduling.relocation import relocate_lasting
 from fireflydeck.scheduling.servers import Server
+from fireflydeck.scheduling.upkeep_record import UpkeepRecord
 from fireflydeck.scheduling.vm_fleet import CALL_TIMEOUT_MS, VmFleet
 from fireflydeck.scheduling.wave_status import report_wave
 from fireflydeck.workload.life import Attempt
@@ -42,7 +43,7 @@
     clock: Clock
     log: EventLog
     request_stop: Callable[[Attempt], None]
-    _kept: set[tuple[int, str]] = field(factory=set, init=False)
+    record: UpkeepRecord
     _first_seen_ms: dict[int, int] = field(factory=dict, init=False)
     _reported: dict[int, str] = field(factory=dict, init=False)
 
@@ -52,27 +53,44 @@
             self._first_seen_ms.setdefault(wave.number, self.clock.now_ms())
         return [wave for wave in waves if self._reported.get(wave.number) != WaveState.COMPLETED]
 
+    async def serve(self, waves: list[MaintenanceWave], demand: dict[str, PoolDemand]) -> bool:
+        """Go on with all waves; returns whether it is known which VMs are still due."""
+        if not waves:
+            return True
+        failure = await self.record.load()
+        if failure is None:
+            self._mark_due(waves)
+            for wave in waves:
+                await self._serve_wave(wave, demand)
+            failure = await self.record.save({wave.number for wave in waves})
+        if failure is not None:
+            log_store_failure(self.log, failure)
+        return failure is None
+
     def due_vms(self, waves: list[MaintenanceWave]) -> set[str]:
         """Return the VMs whose upkeep has not begun."""
         return {
-            name for wave in waves for name in wave.vms if (wave.number, name) not in self._kept
+            name
+            for wave in waves
+            for name in wave.vms
+            if not self.record.has_begun(wave.number, name)
         }
 
-    def mark_due(self, waves: list[MaintenanceWave]) -> None:
+    def _mark_due(self, waves: list[MaintenanceWave]) -> None:
         """Tell the backend servers on VMs that are due apart from the others."""
         due = self.due_vms(waves)
         due_servers = {self.fleet.vms[name].server_id for name in due if name in self.fleet.vms}
         for server in self.fleet.servers.values():
             server.is_due = server.id in due_servers
 
-    async def serve(self, wave: MaintenanceWave, demand: dict[str, PoolDemand]) -> None:
+    async def _serve_wave(self, wave: MaintenanceWave, demand: dict[str, PoolDemand]) -> None:
         """Empty VMs of a wave, take empty ones down, and report how far it is."""
         if wave.number not in self._reported:
             await self._report(wave, WaveState.RUNNING)
         due = [
             self.fleet.vms[name]
             for name in wave.vms
-            if name in self.fleet.vms and (wave.number, name) not in self._kept
+            if name in self.fleet.vms and not self.record.has_begun(wave.number, name)
         ]
         if not due:
             if all(order.wave != wave.number for order in self.fleet.sent.values()):
@@ -163,7 +181,7 @@
         )
         self.fleet.log_order("upkeep", vm, str(wave.number), result)
         if result.is_ok() and result.ok == DutyOutcome.TAKEN:
-            self._kept.add((wave.number, vm.name))
+            self.record.add(wave.number, vm.name)
         elif result.is_ok() or result.error.ran == Ran.NO:
             return 0
         self.fleet.note_order(vm, vm.pool, wave.number, is_certain=result.is_ok())
@@ -172,19 +190,11 @@
     async def _report(self, wave: MaintenanceWave, state: str) -> None:
         failure = await report_wave(self.store, wave.number, state)
         if failure is not None:
-            self._note_store_failure(failure)
+            log_store_failure(self.log, failure)
             return
         self._reported[wave.number] = state
         self.log.emit(Event.WAVE_STATE, wave=wave.number, state=state)
 
-    def _note_store_failure(self, failure: Failure) -> None:
-        self.log.emit(
-            Event.STORE_CALL_FAILED,
-            step=failure.step,
-            reason=failure.reason,
-            detail=failure.detail,
-        )
-
 
 def _is_empty(vm: ListedVm, server: Server | None) -> bool:
     """Whether nothing runs on a VM, and nothing will be started there."""
