--- a/fireflydeck/core/vm_orders.py
+++ b/fireflydeck/core/vm_orders.py
@@ -33,7 +33,10 @@
 
 @frozen(kw_only=True)
 class ListedVm:
-    """A VM; `server_id` is the id of the backend server on it, empty if there is none."""
+    """A VM; `server_id` is the id of the backend server on it, empty if there is none.
+
+    `labels` tell its kind and its rack; tasks may require one of them.
+    """
 
     name: str
     pool: str
@@ -42,6 +45,7 @@
     rack: str
     capacity: Resources
     server_id: str
+    labels: frozenset[str] = frozenset()
 
 
 class VmOrders(ABC):
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -161,7 +161,6 @@
             "target",
             "outcome",
             "list_age_ms",
-            "waiting_core_s",
             "needed_cores",
             "available_cores",
             "incoming_cores",
--- a/fireflydeck/platform/vm_client.py
+++ b/fireflydeck/platform/vm_client.py
@@ -119,4 +119,5 @@
         rack=rack_of(item.get("labels", [])),
         capacity=decode_resources(item["capacity"]),
         server_id=item.get("id") or "",
+        labels=frozenset(item.get("labels", ())),
     )
--- a/fireflydeck/scheduling/demand.py
+++ b/fireflydeck/scheduling/demand.py
@@ -5,7 +5,14 @@
 from fireflydeck.scheduling.work_estimates import WorkEstimates
 from fireflydeck.workload.life import Job
 
-__all__ = ["Inflow", "PoolDemand", "needed_cores", "waiting_core_s"]
+__all__ = [
+    "Inflow",
+    "PoolDemand",
+    "least_vms",
+    "needed_cores",
+    "required_labels",
+    "waiting_core_s",
+]
 
 _CORE_SECOND = 1_000_000
 """Thousandths of a core, times milliseconds."""
@@ -28,10 +35,16 @@
         Work that neither runs nor is done, in core-seconds.
     needed_cores
         Cores with which the open jobs would be done in time.
+    least_vms
+        VMs that a job needs whose tasks may be only so many on one.
+    required_labels
+        Labels that tasks of open jobs require.
     """
 
     waiting_core_s: float = 0.0
     needed_cores: float = 0.0
+    least_vms: int = 0
+    required_labels: frozenset[str] = frozenset()
 
 
 def waiting_core_s(job: Job, estimates: WorkEstimates) -> float:
@@ -55,6 +68,22 @@
     return work / _CORE_SECOND / max(_LEAST_TIME_S, left_s)
 
 
+def least_vms(job: Job) -> int:
+    """Return the VMs over which the widest open step of a job has to spread."""
+    widest = 0
+    for (_, number), open_count in job.open_tasks.items():
+        step = job.spec.steps[number]
+        if step.max_per_server > 0:
+            widest = max(widest, -(-open_count // step.max_per_server))
+    return widest
+
+
+def required_labels(job: Job) -> set[str]:
+    """Return the labels that the open steps of a job require."""
+    steps = (job.spec.steps[number] for (_, number), count in job.open_tasks.items() if count > 0)
+    return {step.required_label for step in steps if step.required_label}
+
+
 class Inflow:
     """Cores with which jobs as they come in are done in time, by pool.
 
--- a/fireflydeck/scheduling/dispatch.py
+++ b/fireflydeck/scheduling/dispatch.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from fireflydeck.core import Clock, Failure, Ran
 from fireflydeck.core.backend_orders import (
@@ -19,7 +19,14 @@
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.policy.job_order import JobRank, rank
 from fireflydeck.policy.server_choice import Candidate, choose_server
-from fireflydeck.scheduling.demand import Inflow, PoolDemand, needed_cores, waiting_core_s
+from fireflydeck.scheduling.demand import (
+    Inflow,
+    PoolDemand,
+    least_vms,
+    needed_cores,
+    required_labels,
+    waiting_core_s,
+)
 from fireflydeck.scheduling.fleet_usage import OrganisationUsage
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import HOLD_MS
@@ -139,23 +146,38 @@
         if configuration is None:
             return {}
         now_ms = self.clock.now_ms()
-        waiting: dict[str, float] = {}
-        needed: dict[str, float] = {}
+        demand = {
+            pool.name: PoolDemand(needed_cores=self._inflow.cores(pool.name, now_ms))
+            for pool in configuration.pools
+        }
+        open_cores: dict[str, float] = {}
         for queued in self._queued.values():
-            job = queued.job
-            queue = configuration.queue(job.spec.queue)
-            if queue is None or not job.is_open or queued.is_lasting:
+            queue = configuration.queue(queued.job.spec.queue)
+            if queue is None or queue.pool not in demand or not queued.job.is_open:
                 continue
-            left_ms = self._estimates.deadline_ms(job, queue) - now_ms
-            work = waiting_core_s(job, self._estimates)
-            waiting[queue.pool] = waiting.get(queue.pool, 0.0) + work
-            cores = needed_cores(job, self._estimates, left_ms=left_ms)
-            needed[queue.pool] = needed.get(queue.pool, 0.0) + cores
-        demand: dict[str, PoolDemand] = {}
-        for pool in configuration.pools:
-            cores = max(needed.get(pool.name, 0.0), self._inflow.cores(pool.name, now_ms))
-            demand[pool.name] = PoolDemand(waiting.get(pool.name, 0.0), cores)
-        return demand
+            cores = self._needed_cores(queued, queue, now_ms)
+            open_cores[queue.pool] = open_cores.get(queue.pool, 0.0) + cores
+            demand[queue.pool] = self._add_job(demand[queue.pool], queued)
+        return {
+            pool: evolve(item, needed_cores=max(item.needed_cores, open_cores.get(pool, 0.0)))
+            for pool, item in demand.items()
+        }
+
+    def _needed_cores(self, queued: _QueuedJob, queue: JobQueue, now_ms: int) -> float:
+        if queued.is_lasting:
+            return 0.0
+        left_ms = self._estimates.deadline_ms(queued.job, queue) - now_ms
+        return needed_cores(queued.job, self._estimates, left_ms=left_ms)
+
+    def _add_job(self, demand: PoolDemand, queued: _QueuedJob) -> PoolDemand:
+        job = queued.job
+        work = 0.0 if queued.is_lasting else waiting_core_s(job, self._estimates)
+        return evolve(
+            demand,
+            waiting_core_s=demand.waiting_core_s + work,
+            least_vms=max(demand.least_vms, least_vms(job)),
+            required_labels=demand.required_labels | required_labels(job),
+        )
 
     def plan(
         self, servers: dict[str, Server], unsettled_pools: set[str], since_version: int
--- a/fireflydeck/scheduling/duties.py
+++ b/fireflydeck/scheduling/duties.py
@@ -39,14 +39,17 @@
         while True:
             await self.clock.sleep_ms(_ROUND_MS)
             configuration = self.operators.configuration
-            if configuration is None or not self.fleet.may_order():
+            if configuration is None:
                 continue
-            await self._round(configuration)
-
-    async def _round(self, configuration: FleetConfiguration) -> None:
-        self.pools.note_idle()
+            demand = self.demand()
+            self.pools.note(demand)
+            if self.fleet.may_order():
+                await self._round(configuration, demand)
+
+    async def _round(
+        self, configuration: FleetConfiguration, demand: dict[str, PoolDemand]
+    ) -> None:
         waves = self.waves.open_waves(self.operators.waves)
-        demand = self.demand()
         if not waves and not self.pools.is_wanted(configuration, demand):
             return
         if not await self.fleet.refresh():
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -159,11 +159,16 @@
             request_stop=self._runs.request_stop,
             record=UpkeepRecord(self._store, self._lease),
         )
-        borrowed = BorrowedVms(self._store, self._lease)
         return FleetDuties(
             fleet=fleet,
             waves=waves,
-            pools=PoolDuties(fleet=fleet, borrowed=borrowed, clock=clock, log=log),
+            pools=PoolDuties(
+                fleet=fleet,
+                borrowed=BorrowedVms(self._store, self._lease),
+                operators=self._operators,
+                clock=clock,
+                log=log,
+            ),
             operators=self._operators,
             clock=clock,
             demand=self._dispatch.demand,
--- a/fireflydeck/scheduling/tests/test_demand.py
+++ b/fireflydeck/scheduling/tests/test_demand.py
@@ -3,7 +3,13 @@
 import pytest
 
 from fireflydeck.core.placement import Resources
-from fireflydeck.scheduling.demand import Inflow, needed_cores, waiting_core_s
+from fireflydeck.scheduling.demand import (
+    Inflow,
+    least_vms,
+    needed_cores,
+    required_labels,
+    waiting_core_s,
+)
 from fireflydeck.scheduling.work_estimates import WorkEstimates
 from fireflydeck.testing.fleet_builders import build_job, build_step
 from fireflydeck.workload import begin_attempt
@@ -48,3 +54,13 @@
     cores = needed_cores(_job(), _ESTIMATES, left_ms=12_000)
     inflow.add("carve", cores, objective_ms=12_000, now_ms=0)
     assert inflow.cores("carve", 11_000) == pytest.approx(1.0)
+
+
+def test_tasks_that_are_kept_apart_need_vms():
+    job = build_job(build_step(count=5, max_per_server=2), build_step(count=9))
+    assert least_vms(job) == 3
+
+
+def test_labels_of_open_steps():
+    job = build_job(build_step(required_label="gpu"), build_step())
+    assert required_labels(job) == {"gpu"}
--- a/fireflydeck/scheduling/tests/test_duties.py
+++ b/fireflydeck/scheduling/tests/test_duties.py
@@ -217,6 +217,20 @@
         assert fleet.vm_orders.orders == [("move", "vm-s2", "spare", 1)]
 
 
+async def test_pool_that_refuses_a_vm_is_not_asked_again():
+    async with running_fleet(servers=1) as fleet:
+        fleet.servers["s1"].duration_ms = 600
+        _list(fleet, "s1")
+        _list(fleet, "", pool="spare")
+        fleet.vm_orders.next_outcomes = [DutyOutcome.INVALID]
+        await fleet.advance_ms(_READY_MS)
+        for number in range(40):
+            spec = build_spec(build_step(count=16, estimated_ms=2000), job_id=f"{number:016x}")
+            accept_job(fleet.rows, spec)
+        await fleet.advance_ms(3000)
+        assert fleet.vm_orders.orders == [("move", "vm-", "paint", 1)]
+
+
 async def test_vm_that_came_back_to_standby_can_move_again():
     """Without a backend server it looked as if its upkeep never ended."""
     async with running_fleet(servers=1) as fleet:
