--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -1,10 +1,12 @@
 """The job interface: submissions, states, cancellations and pending counts over HTTP."""
 
+import anyio
 from aiohttp import web
 from attrs import frozen
+from expression import Error, Ok, Result
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
-from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
+from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue, RequestLimits
 from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.routing import QueueIndex
 from fireflydeck.entry.state_source import StateSource
@@ -30,6 +32,7 @@
 _MAX_STORE_SILENCE_MS = 3000
 """Without an answer of the store for this long, submissions are refused at once."""
 _RETRY_AFTER_S = 1
+_MS_PER_S = 1000
 
 
 @frozen
@@ -138,18 +141,15 @@
     async def _submit(
         self, request: web.BaseRequest, call: _Call, configuration: FleetConfiguration
     ) -> web.Response:
-        limit = configuration.limits.max_body_bytes
-        if (request.content_length or 0) > limit:
-            return _refusal(413, Reason.BODY_TOO_LARGE, f"more than {limit} bytes")
-        content = await _read_body(request, limit)
-        if content is None:
-            return _refusal(413, Reason.BODY_TOO_LARGE, f"more than {limit} bytes")
+        received = await _receive_body(request, configuration.limits)
+        if received.is_error():
+            return received.error
         age_ms = self._operators.age_ms
         if age_ms is None or age_ms > _MAX_STORE_SILENCE_MS:
             return _refusal(503, Reason.STORE_UNAVAILABLE, "the store does not answer")
         try:
             spec = decode_submission(
-                content,
+                received.ok,
                 job_id=call.job_id,
                 queue=call.queue.name,
                 organisation=call.organisation,
@@ -215,6 +215,22 @@
     )
 
 
+async def _receive_body(
+    request: web.BaseRequest, limits: RequestLimits
+) -> Result[bytes, web.Response]:
+    """Read the body, or tell how the request is refused."""
+    limit = limits.max_body_bytes
+    content: bytes | None = None
+    if (request.content_length or 0) <= limit:
+        with anyio.move_on_after(limits.idle_timeout_ms / _MS_PER_S) as scope:
+            content = await _read_body(request, limit)
+        if scope.cancelled_caught:
+            return Error(_refusal(408, Reason.BAD_REQUEST, "the body did not arrive in time"))
+    if content is None:
+        return Error(_refusal(413, Reason.BODY_TOO_LARGE, f"more than {limit} bytes"))
+    return Ok(content)
+
+
 async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
     """Read the body; `None` if it is longer than the limit."""
     content = bytearray()
--- a/fireflydeck/entry/intake.py
+++ b/fireflydeck/entry/intake.py
@@ -31,6 +31,8 @@
 _RETRY_MS = 80
 _REFUSED_RETRIES_MS = 400
 """How long calls that the store refused are repeated before the caller is refused."""
+_UNCERTAIN_RETRIES_MS = 800
+"""How long a call without an answer is repeated; the caller then tries another process."""
 
 
 class Submission(StrEnum):
@@ -136,7 +138,7 @@
         return progress.map(lambda row: "queued" if row is None else "running")
 
     async def _commit(self, transaction: RowTransaction, deadline_ms: int) -> Result[int, Failure]:
-        """Commit; repeated until the outcome is known or the deadline is near.
+        """Commit; repeated for a while until the outcome is known.
 
         Once a call got no answer, a refusal of a later one says nothing about it: it may still
         take effect. A conflict then means that it did, or that another caller's did.
@@ -153,9 +155,8 @@
             if result.error.ran == Ran.UNKNOWN:
                 uncertain = result.error
             waited_ms = self._clock.now_ms() - started_ms
-            if uncertain is None and waited_ms > _REFUSED_RETRIES_MS:
-                return result
-            if self._clock.now_ms() + _RETRY_MS >= deadline_ms:
+            bound_ms = _REFUSED_RETRIES_MS if uncertain is None else _UNCERTAIN_RETRIES_MS
+            if waited_ms > bound_ms or self._clock.now_ms() + _RETRY_MS >= deadline_ms:
                 return Error(uncertain or result.error)
             await self._clock.sleep_ms(_RETRY_MS)
 
@@ -173,6 +174,7 @@
     async def _read(
         self, table: str, partition: str, first: str, before: str, deadline_ms: int
     ) -> Result[tuple[StoredRow, ...], Failure]:
+        started_ms = self._clock.now_ms()
         while True:
             left_ms = deadline_ms - self._clock.now_ms()
             result = await self._store.read(
@@ -184,6 +186,7 @@
             )
             if result.is_ok():
                 return Ok(result.ok.rows)
-            if self._clock.now_ms() + _RETRY_MS >= deadline_ms:
+            waited_ms = self._clock.now_ms() - started_ms
+            if waited_ms > _UNCERTAIN_RETRIES_MS or self._clock.now_ms() + _RETRY_MS >= deadline_ms:
                 return Error(result.error)
             await self._clock.sleep_ms(_RETRY_MS)
--- a/fireflydeck/entry/tests/test_caller_interface.py
+++ b/fireflydeck/entry/tests/test_caller_interface.py
@@ -49,11 +49,11 @@
 
 
 @asynccontextmanager
-async def _callers(*, configured=True):
+async def _callers(*, configured=True, **configuration):
     clock, log = SystemClock(), EventLog()
     store = FakeRowStore(clock)
     if configured:
-        put_operator_document(store.rows, "config", configuration_document())
+        put_operator_document(store.rows, "config", configuration_document(**configuration))
     operators = OperatorDocuments(store, clock, log)
     lease = LeaseKeeper(store, clock, log, name="m1", address="m1:1")
     interface = CallerInterface(
@@ -141,3 +141,15 @@
         answer = await callers.call("POST", f"/swatch/{JOB_ID}", _BODY, **headers)
         assert answer[0] == status
         assert ("Retry-After" in answer[2]) == (status == 503)
+
+
+async def test_body_that_does_not_arrive_is_given_up():
+    async def slow_body():
+        yield _BODY[:10]
+        await anyio.sleep(5)
+
+    limits = {**CONFIGURATION["limits"], "idle_timeout_ms": 200}
+    async with _callers(limits=limits) as callers:
+        status, _, _ = await callers.call("POST", f"/swatch/{JOB_ID}", slow_body())
+        assert status == 408
+        assert callers.store.rows.get(job_key(JOB_ID)) is None
--- a/fireflydeck/entry/tests/test_intake.py
+++ b/fireflydeck/entry/tests/test_intake.py
@@ -76,6 +76,16 @@
     assert store.deliver_late() == [True]
 
 
+async def test_caller_learns_soon_that_the_outcome_is_unknown():
+    """Such calls were held until most of the caller's time was over."""
+    clock, store = _store()
+    store.outage = Ran.UNKNOWN
+    begun_ms = clock.now_ms()
+    result = await _result(clock, Intake(store, clock).submit, build_spec())
+    assert result.error.ran == Ran.UNKNOWN
+    assert clock.now_ms() - begun_ms <= 1000
+
+
 async def test_refused_store_is_not_waited_for_until_the_deadline():
     clock, store = _store()
     store.outage = Ran.NO
--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -137,6 +137,11 @@
         record = evolve(self._record, holder="", sequence=self._record.sequence + 1)
         await self._write_lease(record, self._lease_version, _CALL_TIMEOUT_MS)
 
+    def resign(self, tenure: Tenure, why: str) -> None:
+        """End a tenure at once, for another process is known to hold the lease."""
+        if self._tenure is tenure:
+            self._leave(why)
+
     async def commit(self, writes: list[RowWrite], removals: list[RowKey]) -> Failure | None:
         """Write rows of the lease's partition as its holder; retries until the outcome is known.
 
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -446,6 +446,7 @@
     def on_fenced(self, server: Server) -> None:
         """Note a higher fencing token: another process holds the lease."""
         self._log.emit(Event.ORDER_FENCED, server=server.id, term=self.term)
+        self._lease.resign(self._tenure, "a backend server has seen a higher term")
 
     async def _check_leases(self) -> None:
         while True:
--- a/fireflydeck/scheduling/tests/test_take_over.py
+++ b/fireflydeck/scheduling/tests/test_take_over.py
@@ -47,6 +47,20 @@
         assert fleet.outcome(JOB_ID) == "completed"
 
 
+async def test_holder_that_is_fenced_without_the_store_orders_no_more():
+    """It sent holds that were refused for as long as the store stayed away."""
+    async with running_fleet(servers=2, members=2) as fleet:
+        _long_tasks(fleet)
+        accept_job(fleet.rows, build_spec(build_step(count=4)))
+        await fleet.advance_ms(500)
+        first = fleet.leader
+        first.store.outage = Ran.UNKNOWN
+        while first.scheduler.current is not None and fleet.clock.now_ms() < 20_000:
+            await fleet.advance_ms(20, check=never_twice(fleet))
+        assert first.scheduler.current is None
+        assert fleet.leader is not first
+
+
 async def test_run_on_an_unreachable_server_is_not_started_again_while_it_may_run():
     async with running_fleet(servers=2, members=2) as fleet:
         _long_tasks(fleet)
