Grants of an ended dispatcher return as soon as its grace time is over

Cause: the reaper looked every 2 s; the first look that missed the member and the look after the grace time could each come 2 s late. With 1.4 s until the restarted dispatcher replaces its member and a second until the grant is asked for, the path took 7.4 to 11.4 s, where the test allows 10. Ruled out: the bound of the test, which stays. Test: three phases of the look, each seen failing before.

--- a/fireflydeck/recovery/allotment_reaper.py
+++ b/fireflydeck/recovery/allotment_reaper.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from fireflydeck.configuration import ConfigurationView
-from fireflydeck.core import Clock, Member, Vm
+from fireflydeck.core import Clock, Configuration, Member, Vm
 from fireflydeck.kernel import Event, EventLog, Registry, Service
 from fireflydeck.policy.allotment import AllotmentRow, reclaim
 from fireflydeck.recovery.running_tasks import RunningTasks, TaskCount
@@ -27,7 +27,7 @@
     interval_ms
         Time between two looks at the rows.
     grace_ms
-        Time since a dispatcher's absence from the configuration was first seen, after which it
+        Time since a dispatcher was no member any more, or that was first seen, after which it
         starts nothing more: the freshness bound and a margin.
     task_lease_ms
         Time after which a task on a backend server that does not answer has surely ended.
@@ -71,6 +71,7 @@
         self._log = log
         self._options = options or AllotmentReaperOptions()
         self._absent_since_ms: dict[str, int] = {}
+        view.on_change(self._on_change)
 
     @property
     def name(self) -> str:
@@ -110,7 +111,7 @@
                 await self._cut(row, due, running)
 
     def _absent_holders(self, rows: Iterable[Row]) -> set[str]:
-        members = {member.name for member in self._view.current.all(Member) if not member.fenced}
+        members = _active_members(self._view.current)
         holders = {name for row in rows for name in AllotmentRow.from_plain(row.value).grants}
         return holders - members
 
@@ -137,7 +138,24 @@
             returned = sum(before.grants.values()) - sum(after.grants.values())
             self._log.emit(Event.ALLOTMENT_RECLAIMED, team=row.key, tasks=returned)
 
+    def _on_change(self, previous: Configuration, current: Configuration) -> None:
+        """Note when members went, so that the grace time runs from then on."""
+        now_ms = self._clock.now_ms()
+        for name in _active_members(previous) - _active_members(current):
+            self._absent_since_ms.setdefault(name, now_ms)
+
+    def _pause_ms(self) -> int:
+        """Return the time until the next look: the interval, or less if a grace time ends."""
+        now_ms = self._clock.now_ms()
+        ends_ms = [since_ms + self._options.grace_ms for since_ms in self._absent_since_ms.values()]
+        left_ms = [end_ms - now_ms for end_ms in ends_ms if end_ms > now_ms]
+        return min([self._options.interval_ms, *left_ms])
+
     async def _run(self) -> None:
         while True:
-            await self._clock.sleep_ms(self._options.interval_ms)
+            await self._clock.sleep_ms(self._pause_ms())
             await self.reap()
+
+
+def _active_members(configuration: Configuration) -> set[str]:
+    return {member.name for member in configuration.all(Member) if not member.fenced}
--- a/fireflydeck/recovery/tests/test_allotment_reaper.py
+++ b/fireflydeck/recovery/tests/test_allotment_reaper.py
@@ -4,11 +4,12 @@
 
 import anyio
 import pytest
+from attrs import evolve
 from expression import Error, Ok
 
 from fireflydeck.configuration import ConfigurationView
 from fireflydeck.core import Failure, Member, MemberRole, Reason
-from fireflydeck.kernel import EventLog
+from fireflydeck.kernel import EventLog, Registry
 from fireflydeck.recovery import (
     AllotmentReaper,
     AllotmentReaperOptions,
@@ -27,6 +28,12 @@
     def __init__(self, *members):
         self.configuration = build_configuration(*members)
         self.fresh = True
+        self.listeners = []
+
+    def change(self, *members):
+        previous, self.configuration = self.configuration, build_configuration(*members)
+        for listener in self.listeners:
+            listener(previous, self.configuration)
 
     @property
     def current(self):
@@ -36,7 +43,7 @@
         return self.fresh
 
     def on_change(self, listener):
-        pass
+        self.listeners.append(listener)
 
 
 class _RunningTasks(RunningTasks):
@@ -91,3 +98,34 @@
 )
 def test_reap(case, expected):
     assert _grants_after(**case) == expected
+
+
+@pytest.mark.parametrize("removed_at_ms", [10, 1000, 1990])
+def test_grants_return_as_soon_as_the_grace_time_is_over(removed_at_ms):
+    """Looks every 2 s added up to 4 s to the grace time, more than the whole path may take."""
+
+    async def scenario():
+        tables, clock = FakeTableService(), FakeClock()
+        value = {"limit": 8, "grants": {"gone": 5}, "wanted": {}}
+        tables.tables.commit(Transaction(puts=(Put("allotments", "museum", value),)))
+        view = _View(LIVING, evolve(FENCED, fenced=False))
+        reaper = AllotmentReaper(
+            view=view,
+            tables=tables,
+            running_tasks=_RunningTasks(0),
+            clock=clock,
+            log=EventLog(),
+        )
+        async with anyio.create_task_group() as tasks:
+            await reaper.start(Registry(), tasks)
+            await clock.advance_ms(removed_at_ms)
+            view.change(LIVING)
+            await clock.advance_ms(GRACE_MS - 100)
+            before = tables.tables.get("allotments", "museum").value["grants"]
+            for _ in range(10):
+                await clock.advance_ms(20)
+            after = tables.tables.get("allotments", "museum").value["grants"]
+            tasks.cancel_scope.cancel()
+        return before, after
+
+    assert anyio.run(scenario) == ({"gone": 5}, {})
