Timeouts follow the store's latency; renewals and commits whose answers were lost are settled by a read

A commit without an answer stood for 1.2 s and was then written again. Now calls wait six times the usual latency (250 ms at least), doubling while none answers; a renewal that took effect holds from when it was first sent, before which nobody can have seen it; commits carry a marker. Tests: two, seen failing with the earlier lease.

--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -6,7 +6,7 @@
 from anyio.abc import TaskGroup
 from attrs import evolve, frozen
 
-from fireflydeck.core import Clock, Failure, Reason
+from fireflydeck.core import Clock, Failure, Ran, Reason
 from fireflydeck.core.rows import (
     ABSENT_VERSION,
     RowChanges,
@@ -75,6 +75,8 @@
         self._commit_version = ABSENT_VERSION
         self._seen_version = 0
         self._standing_since_ms = 0
+        self._renewal: tuple[int, int] | None = None
+        self._commits = 0
         self._valid_until_ms = 0
         self._tenure: Tenure | None = None
         self._ttl_ms = _TTL_MS
@@ -149,34 +151,42 @@
         """
         async with self._commit_lock:
             tenure = self._tenure
+            self._commits += 1
             while tenure is not None and self._tenure is tenure:
+                marker = f"{tenure.term}.{self._commits}".encode()
                 transaction = RowTransaction(
                     conditions=(RowCondition(COMMIT_ROW, self._commit_version),),
-                    writes=(RowWrite(COMMIT_ROW, str(tenure.term).encode()), *writes),
+                    writes=(RowWrite(COMMIT_ROW, marker), *writes),
                     removals=tuple(removals),
                 )
                 result = await self._store.commit(transaction, timeout_ms=_CALL_TIMEOUT_MS)
                 if result.is_ok():
                     self._commit_version = result.ok
                     return None
-                if result.error.reason == Reason.CONFLICT:
-                    await self._refresh_commit_version()
-                else:
+                if result.error.reason != Reason.CONFLICT:
                     self._health.note_failure(result.error)
+                if result.error.ran != Ran.UNKNOWN and result.error.reason != Reason.CONFLICT:
                     await self._clock.sleep_ms(_RETRY_MS)
+                elif await self._refresh_commit_version() == marker:
+                    return None
         return Failure(Reason.NOT_OWNER, "lease.commit", detail="the lease was lost")
 
-    async def _refresh_commit_version(self) -> None:
-        """Read the version again: an earlier commit of ours took effect, or the lease is lost."""
+    async def _refresh_commit_version(self) -> bytes:
+        """Read the version again: an earlier commit of ours took effect, or the lease is lost.
+
+        Returns the marker of the last commit that took effect.
+        """
         rows = await self._read_rows()
         if rows is None or self._tenure is None:
-            return
+            await self._clock.sleep_ms(_RETRY_MS)
+            return b""
         lease = rows.get(LEASE_ROW)
         if lease is not None and decode_lease(lease.value).term != self._tenure.term:
             self._leave("taken by another process")
-            return
+            return b""
         commits = rows.get(COMMIT_ROW)
         self._commit_version = commits.version if commits else ABSENT_VERSION
+        return commits.value if commits else b""
 
     async def _run(self) -> None:
         while not self._stopping:
@@ -194,6 +204,8 @@
         renewed = evolve(
             record, sequence=record.sequence + 1, ttl_ms=self._ttl_ms, pending=self._pending()
         )
+        if self._renewal is None or self._renewal[0] != renewed.sequence:
+            self._renewal = (renewed.sequence, sent_ms)
         result = await self._write_lease(renewed, self._lease_version, self._call_timeout_ms())
         if self._tenure is not tenure:
             return
@@ -203,16 +215,18 @@
             self._ttl_ms = min(_MAX_TTL_MS, max(_TTL_MS, took_ms * _TTL_LATENCIES))
             await self._clock.sleep_ms(max(_RETRY_MS, _RENEWAL_MS - took_ms))
             return
-        if result.reason == Reason.CONFLICT:
+        if result.reason != Reason.CONFLICT:
+            self._health.note_failure(result)
+        if result.reason == Reason.CONFLICT or result.ran == Ran.UNKNOWN:
             await self._settle_renewal()
-            return
-        self._health.note_failure(result)
-        await self._clock.sleep_ms(_RETRY_MS)
+        else:
+            await self._clock.sleep_ms(_RETRY_MS)
 
     async def _settle_renewal(self) -> None:
-        """Find out whether an earlier renewal took effect late, or another process took over.
+        """Find out whether a renewal took effect, or another process took over.
 
-        An earlier renewal confirms nothing: others may have seen it long ago.
+        A renewal that took effect without an answer holds from when it was first sent: no other
+        process can have seen it earlier.
         """
         rows = await self._read_rows()
         lease = rows.get(LEASE_ROW) if rows is not None else None
@@ -224,8 +238,11 @@
             self._observe(record, lease.version)
             self._leave("taken by another process")
             return
+        has_effect = lease.version != self._lease_version
         self._lease_version = lease.version
         self._record = record
+        if has_effect and self._renewal is not None and self._renewal[0] == record.sequence:
+            self._confirm(record, self._renewal[1])
 
     def _call_timeout_ms(self) -> int:
         return max(_MIN_TIMEOUT_MS, min(_CALL_TIMEOUT_MS, self._ttl_ms - _RENEWAL_MS))
--- a/fireflydeck/ownership/tests/test_lease.py
+++ b/fireflydeck/ownership/tests/test_lease.py
@@ -142,6 +142,42 @@
             assert len(_holders(members)) <= 1
 
 
+async def test_every_second_answer_lost_keeps_the_lease():
+    """Each lost renewal cost the holder its lease, and the fleet a take-over of two seconds."""
+    clock = FakeClock()
+    async with _members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = _holders(members)[0]
+        for _ in range(500):
+            if len(first.store.next_commits) < 2:
+                first.store.next_commits += [RowStoreFault.ANSWER_LOST, None]
+            await clock.advance_ms(20)
+            assert _holders(members) == [first]
+
+
+async def test_commit_whose_answer_was_lost_is_not_repeated():
+    clock = FakeClock()
+    async with _members(clock, "a") as members:
+        await clock.advance_ms(1000)
+        member = members[0]
+        member.store.next_commits = [RowStoreFault.ANSWER_LOST]
+        results = []
+
+        async def commit():
+            results.append(await member.lease.commit([RowWrite(_ROW, b"new")], []))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(commit)
+            await clock.advance_ms(1000)
+        assert results == [None]
+        written = [
+            commit
+            for commit in member.store.commits
+            if any(write.id == _ROW for write in commit.writes)
+        ]
+        assert len(written) == 1
+
+
 async def test_lost_renewals_keep_the_lease():
     clock = FakeClock()
     async with _members(clock, "a", "b") as members:
--- a/fireflydeck/platform/store.py
+++ b/fireflydeck/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 from collections.abc import Mapping
+from time import monotonic
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -16,11 +17,15 @@
     StoredRow,
 )
 from fireflydeck.platform.http_peer import HttpAnswer, HttpPeer
+from fireflydeck.policy.call_timeout import CallTimeout
 
 __all__ = ["PlatformStore"]
 
 _CONNECTIONS = 24
 _PAGE_ROWS = 500
+_LEAST_TIMEOUT_MS = 250
+_MOST_TIMEOUT_MS = 2000
+_MS_PER_S = 1000
 _LONG_POLL_SLACK_MS = 700
 """Time beyond the wait of a long poll after which its connection counts as silent."""
 
@@ -34,6 +39,9 @@
 class PlatformStore(RowStore):
     """Client of the platform's row calls.
 
+    Calls wait no longer for an answer than the store's latency of late suggests, nor than their
+    caller allows.
+
     Parameters
     ----------
     address
@@ -42,6 +50,7 @@
 
     def __init__(self, address: str) -> None:
         self._peer = HttpPeer(address, reason=Reason.STORE_UNAVAILABLE, connections=_CONNECTIONS)
+        self._timeout = CallTimeout(_LEAST_TIMEOUT_MS, _MOST_TIMEOUT_MS)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -90,7 +99,10 @@
         """Return the rows of a table that changed after a version."""
         params = {"table": table, "depends_on": str(after), "wait_ms": str(wait_ms)}
         timeout_ms = wait_ms + _LONG_POLL_SLACK_MS
-        answer = await self._call("GET", "/-/rows-feed", "changes", timeout_ms, params=params)
+        received = await self._peer.exchange(
+            "GET", "/-/rows-feed", step="store.changes", timeout_ms=timeout_ms, params=params
+        )
+        answer = received.bind(lambda page: self._outcome(page, "store.changes"))
         if answer.is_error():
             return Error(answer.error)
         version = self._version(answer.ok, "changes")
@@ -100,9 +112,15 @@
         self, method: str, path: str, step: str, timeout_ms: int, **options: Any
     ) -> Result[Mapping[str, Any], Failure]:
         step = f"store.{step}"
+        sent_s = monotonic()
+        bounded_ms = min(timeout_ms, self._timeout.timeout_ms)
         answer = await self._peer.exchange(
-            method, path, step=step, timeout_ms=timeout_ms, **options
+            method, path, step=step, timeout_ms=bounded_ms, **options
         )
+        if answer.is_ok():
+            self._timeout.note_answer((monotonic() - sent_s) * _MS_PER_S)
+        elif bounded_ms < timeout_ms:
+            self._timeout.note_timeout()
         return answer.bind(lambda received: self._outcome(received, step))
 
     def _outcome(self, answer: HttpAnswer, step: str) -> Result[Mapping[str, Any], Failure]:
