--- a/fireflydeck/observation/table_follower.py
+++ b/fireflydeck/observation/table_follower.py
@@ -6,7 +6,7 @@
 from anyio.abc import TaskGroup
 
 from fireflydeck.core import Clock
-from fireflydeck.core.rows import RowKey, RowStore, StoredRow
+from fireflydeck.core.rows import RowChanges, RowKey, RowStore, StoredRow
 from fireflydeck.kernel import EventLog, Registry, Service, StoreHealth, keep_running
 
 __all__ = ["TableFollower"]
@@ -82,16 +82,14 @@
 
     async def _read_all(self) -> int | None:
         sent_ms = self._clock.now_ms()
-        found: dict[RowKey, StoredRow] = {}
-        oldest: int | None = None
-        for partition in self._partitions:
-            result = await self._store.read(self._table, partition, timeout_ms=_READ_TIMEOUT_MS)
-            if result.is_error():
-                self._health.note_failure(result.error)
-                return None
-            found.update({row.id: row for row in result.ok.rows})
-            oldest = result.ok.version if oldest is None else min(oldest, result.ok.version)
-        version = oldest or 0
+        pages: list[RowChanges] = []
+        async with anyio.create_task_group() as tasks:
+            for partition in self._partitions:
+                tasks.start_soon(self._read_partition, partition, pages)
+        if len(pages) < len(self._partitions):
+            return None
+        found = {row.id: row for page in pages for row in page.rows}
+        version = min(page.version for page in pages)
         for key in [key for key, known in self._versions.items() if key not in found]:
             self._take(StoredRow(key, b"", max(version, self._versions[key]), deleted=True))
         for row in found.values():
@@ -100,6 +98,13 @@
         self._loaded.set()
         return version
 
+    async def _read_partition(self, partition: str, pages: list[RowChanges]) -> None:
+        result = await self._store.read(self._table, partition, timeout_ms=_READ_TIMEOUT_MS)
+        if result.is_error():
+            self._health.note_failure(result.error)
+            return
+        pages.append(result.ok)
+
     async def _follow_changes(self, version: int) -> None:
         while True:
             sent_ms = self._clock.now_ms()
--- a/fireflydeck/workload/records.py
+++ b/fireflydeck/workload/records.py
@@ -37,7 +37,8 @@
 PROGRESS_TABLE = "progress"
 OUTCOMES_TABLE = "outcomes"
 FLEET_PARTITION = "fleet"
-JOB_PARTITIONS = tuple(f"jobs-{number}" for number in range(4))
+JOB_PARTITIONS = tuple(f"jobs-{number}" for number in range(16))
+"""Transactions of one partition wait for each other, which counts while the store is slow."""
 _CANCELLATION_SUFFIX = "/cancelled"
 
 
