What a process can't serve for want of the store is answered by another one

Cause: part of the entry processes may lose the store for many seconds while clients keep their connections to them; their callers waited for the store, or got 503 with a pause of a second, of an objective of two. Now a caller's request is read whole, and passed on to the lease's holder or to a process that called lately; a process that lacks the store too says so at once. One codec between the processes (CallerRequest, CallerAnswer); reading from HTTP, deciding and answering are modules of their own. Ruled out: relaying the rows only, which keeps the age of keys and queues. Tests: both kinds of outage, no second hop, codecs; the first fails without the change (no forwarder).

--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -1,23 +1,19 @@
-"""The job interface: submissions, states, cancellations and pending counts over HTTP."""
+"""The job interface: submissions, states, cancellations and pending counts."""
 
-import anyio
-from aiohttp import web
 from attrs import frozen
-from expression import Error, Ok, Result
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
-from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue, RequestLimits
+from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
+from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.routing import QueueIndex
-from fireflydeck.entry.state_source import StateSource
+from fireflydeck.entry.state_source import RequestForwarder, StateSource
 from fireflydeck.kernel import Event, EventLog, Metrics
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.platform.documents import DocumentError
 from fireflydeck.platform.job_documents import (
-    DEADLINE_HEADER,
     JOB_ID,
-    KEY_HEADER,
     decode_submission,
     encode_pending,
     encode_refusal,
@@ -26,13 +22,13 @@
 
 __all__ = ["CallerInterface"]
 
-_DEFAULT_DEADLINE_MS = 3000
 _DEADLINE_SHARE = 0.8
-"""Part of the caller's time in which an answer is sought from the store."""
+"""Part of the caller's time in which an answer is sought."""
 _MAX_STORE_SILENCE_MS = 3000
 """Without an answer of the store for this long, submissions are refused at once."""
 _RETRY_AFTER_S = 1
-_MS_PER_S = 1000
+_LEAST_FORWARD_MS = 100
+"""With less time left, a request is not passed on."""
 
 
 @frozen
@@ -46,7 +42,10 @@
 
 
 class CallerInterface:
-    """Handles callers' requests."""
+    """Answers callers' requests.
+
+    What this process can't serve for want of the store is passed on to another one.
+    """
 
     def __init__(
         self,
@@ -54,6 +53,7 @@
         operators: OperatorDocuments,
         lease: LeaseKeeper,
         states: StateSource,
+        forwarder: RequestForwarder,
         intake: Intake,
         clock: Clock,
         log: EventLog,
@@ -62,56 +62,79 @@
         self._operators = operators
         self._lease = lease
         self._states = states
+        self._forwarder = forwarder
         self._intake = intake
         self._clock = clock
         self._log = log
         self._metrics = metrics
         self._index: QueueIndex | None = None
         self._indexed: FleetConfiguration | None = None
-        self._is_stopping = False
-
-    def stop_keeping_alive(self) -> None:
-        """Close each connection after its next answer."""
-        self._is_stopping = True
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def answer(self, request: CallerRequest) -> CallerAnswer:
         """Answer one request."""
         begun_ms = self._clock.now_ms()
-        response = await self._respond(request, begun_ms)
-        if self._is_stopping:
-            response.force_close()
+        answer = await self._serve(request, begun_ms)
         took_ms = self._clock.now_ms() - begun_ms
         self._metrics.observe_ms("request_ms", took_ms, method=request.method)
-        self._metrics.count("requests_total", method=request.method, status=str(response.status))
-        if request.method != "GET" or response.status != 200:
+        self._metrics.count("requests_total", method=request.method, status=str(answer.status))
+        if request.method != "GET" or answer.status != 200:
             configuration = self._operators.configuration
             self._log.emit(
                 Event.REQUEST_ANSWERED,
                 method=request.method,
-                job=request.path.rpartition("/")[2],
-                status=response.status,
+                job=request.job,
+                status=answer.status,
                 took_ms=took_ms,
+                forwarded=request.was_forwarded,
                 configuration=configuration.version if configuration else 0,
                 configuration_age_ms=self._operators.age_ms,
             )
-        return response
+        return answer
+
+    async def _serve(self, request: CallerRequest, begun_ms: int) -> CallerAnswer:
+        if self._operators.is_lost:
+            if request.was_forwarded:
+                return _no_store(Reason.STORE_UNAVAILABLE, "the store does not answer here either")
+            answer = await self._forward(request, begun_ms)
+            if answer is not None:
+                return answer
+        answer = await self._respond(request, begun_ms)
+        if not answer.lacks_store or request.was_forwarded:
+            return answer
+        return await self._forward(request, begun_ms) or answer
+
+    async def _forward(self, request: CallerRequest, begun_ms: int) -> CallerAnswer | None:
+        """Let another process answer; `None` if none did."""
+        left_ms = begun_ms + int(request.deadline_ms * _DEADLINE_SHARE) - self._clock.now_ms()
+        if left_ms < _LEAST_FORWARD_MS:
+            return None
+        forwarded = await self._forwarder.forward(request, timeout_ms=left_ms)
+        self._log.emit(
+            Event.REQUEST_FORWARDED,
+            job=request.job,
+            peer=forwarded.peer if forwarded else "",
+            status=forwarded.answer.status if forwarded else 0,
+            store_age_ms=self._operators.age_ms,
+        )
+        if forwarded is None or forwarded.answer.lacks_store:
+            return None
+        return forwarded.answer
 
-    async def _respond(self, request: web.BaseRequest, begun_ms: int) -> web.Response:
+    async def _respond(self, request: CallerRequest, begun_ms: int) -> CallerAnswer:
         configuration = self._operators.configuration
         if configuration is None:
-            return _refusal(503, Reason.NOT_READY, "no configuration yet")
+            return _no_store(Reason.NOT_READY, "no configuration yet")
         queue = self._find_queue(configuration, request)
         if queue is None:
             return _refusal(404, Reason.UNKNOWN_QUEUE, "no such queue")
         organisation = ""
-        key = request.headers.get(KEY_HEADER, "")
-        owner = configuration.organisation_of_key(key) if key else None
+        owner = configuration.organisation_of_key(request.key) if request.key else None
         if owner is not None:
             organisation = owner.name
         elif not queue.public:
             return _refusal(401, Reason.WRONG_KEY, "unknown key")
         job_id = request.path[len(queue.path_prefix) :]
-        deadline_ms = begun_ms + int(_deadline_ms(request) * _DEADLINE_SHARE)
+        deadline_ms = begun_ms + int(request.deadline_ms * _DEADLINE_SHARE)
         call = _Call(queue, organisation, job_id, deadline_ms)
         if not job_id:
             return self._pending(request, call)
@@ -120,16 +143,16 @@
         return await self._job_call(request, call, configuration)
 
     def _find_queue(
-        self, configuration: FleetConfiguration, request: web.BaseRequest
+        self, configuration: FleetConfiguration, request: CallerRequest
     ) -> JobQueue | None:
         if self._index is None or self._indexed is not configuration:
             self._index = QueueIndex(configuration)
             self._indexed = configuration
-        return self._index.find(request.headers.get("Host", ""), request.path)
+        return self._index.find(request.host, request.path)
 
     async def _job_call(
-        self, request: web.BaseRequest, call: _Call, configuration: FleetConfiguration
-    ) -> web.Response:
+        self, request: CallerRequest, call: _Call, configuration: FleetConfiguration
+    ) -> CallerAnswer:
         if request.method == "POST":
             return await self._submit(request, call, configuration)
         if request.method == "GET":
@@ -139,17 +162,17 @@
         return _refusal(405, Reason.BAD_REQUEST, "no such method")
 
     async def _submit(
-        self, request: web.BaseRequest, call: _Call, configuration: FleetConfiguration
-    ) -> web.Response:
-        received = await _receive_body(request, configuration.limits)
-        if received.is_error():
-            return received.error
+        self, request: CallerRequest, call: _Call, configuration: FleetConfiguration
+    ) -> CallerAnswer:
+        limit = configuration.limits.max_body_bytes
+        if len(request.body) > limit:
+            return _refusal(413, Reason.BODY_TOO_LARGE, f"more than {limit} bytes")
         age_ms = self._operators.age_ms
         if age_ms is None or age_ms > _MAX_STORE_SILENCE_MS:
-            return _refusal(503, Reason.STORE_UNAVAILABLE, "the store does not answer")
+            return _no_store(Reason.STORE_UNAVAILABLE, "the store does not answer")
         try:
             spec = decode_submission(
-                received.ok,
+                request.body,
                 job_id=call.job_id,
                 queue=call.queue.name,
                 organisation=call.organisation,
@@ -160,9 +183,9 @@
         result = await self._intake.submit(spec, deadline_ms=call.deadline_ms)
         if result.is_error():
             return self._store_failure(call, result.error)
-        return web.Response(status=200, body=b"{}", content_type="application/json")
+        return CallerAnswer(200, b"{}")
 
-    async def _state(self, call: _Call) -> web.Response:
+    async def _state(self, call: _Call) -> CallerAnswer:
         state = await self._states.job_state(call.job_id)
         if state is None:
             found = await self._intake.find(call.job_id, deadline_ms=call.deadline_ms)
@@ -171,26 +194,26 @@
             if found.ok is None:
                 return _refusal(410, Reason.UNKNOWN_JOB, "no such job")
             state = found.ok.state
-        return web.Response(body=encode_state(state), content_type="application/json")
+        return CallerAnswer(200, encode_state(state))
 
-    async def _cancel(self, call: _Call) -> web.Response:
+    async def _cancel(self, call: _Call) -> CallerAnswer:
         result = await self._intake.cancel(call.job_id, deadline_ms=call.deadline_ms)
         if result.is_error():
             return self._store_failure(call, result.error)
         if not result.ok:
             return _refusal(410, Reason.UNKNOWN_JOB, "no such job")
-        return web.Response(status=200, body=b"{}", content_type="application/json")
+        return CallerAnswer(200, b"{}")
 
-    def _pending(self, request: web.BaseRequest, call: _Call) -> web.Response:
+    def _pending(self, request: CallerRequest, call: _Call) -> CallerAnswer:
         if request.method != "GET":
             return _refusal(405, Reason.BAD_REQUEST, "no such method")
         holder = self._lease.holder
         if holder is None:
-            return _refusal(503, Reason.NOT_READY, "the lease has no holder")
+            return _no_store(Reason.NOT_READY, "the lease has no holder")
         pending = holder.pending.get(call.queue.name, 0)
-        return web.Response(body=encode_pending(pending), content_type="application/json")
+        return CallerAnswer(200, encode_pending(pending))
 
-    def _store_failure(self, call: _Call, failure: Failure) -> web.Response:
+    def _store_failure(self, call: _Call, failure: Failure) -> CallerAnswer:
         """Refuse what is certainly not done; for the rest the outcome is unknown."""
         self._log.emit(
             Event.REQUEST_STORE_FAILED,
@@ -201,46 +224,15 @@
             detail=failure.detail,
         )
         if failure.ran == Ran.NO:
-            return _refusal(503, failure.reason, "the store took nothing")
-        return _refusal(504, failure.reason, "the outcome is unknown")
-
-
-def _refusal(status: int, reason: Reason, detail: str) -> web.Response:
-    headers = {"Retry-After": str(_RETRY_AFTER_S)} if status in (429, 503) else None
-    return web.Response(
-        status=status,
-        body=encode_refusal(reason, detail),
-        content_type="application/json",
-        headers=headers,
-    )
-
-
-async def _receive_body(
-    request: web.BaseRequest, limits: RequestLimits
-) -> Result[bytes, web.Response]:
-    """Read the body, or tell how the request is refused."""
-    limit = limits.max_body_bytes
-    content: bytes | None = None
-    if (request.content_length or 0) <= limit:
-        with anyio.move_on_after(limits.idle_timeout_ms / _MS_PER_S) as scope:
-            content = await _read_body(request, limit)
-        if scope.cancelled_caught:
-            return Error(_refusal(408, Reason.BAD_REQUEST, "the body did not arrive in time"))
-    if content is None:
-        return Error(_refusal(413, Reason.BODY_TOO_LARGE, f"more than {limit} bytes"))
-    return Ok(content)
-
-
-async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
-    """Read the body; `None` if it is longer than the limit."""
-    content = bytearray()
-    async for chunk in request.content.iter_any():
-        content.extend(chunk)
-        if len(content) > limit:
-            return None
-    return bytes(content)
+            return _no_store(failure.reason, "the store took nothing")
+        body = encode_refusal(failure.reason, "the outcome is unknown")
+        return CallerAnswer(504, body, lacks_store=True)
+
+
+def _refusal(status: int, reason: Reason, detail: str) -> CallerAnswer:
+    return CallerAnswer(status, encode_refusal(reason, detail))
 
 
-def _deadline_ms(request: web.BaseRequest) -> int:
-    value = request.headers.get(DEADLINE_HEADER, "")
-    return int(value) if value.isdigit() and int(value) > 0 else _DEFAULT_DEADLINE_MS
+def _no_store(reason: Reason, detail: str) -> CallerAnswer:
+    """Return the refusal of what is not done and can be tried again."""
+    return CallerAnswer(503, encode_refusal(reason, detail), _RETRY_AFTER_S, lacks_store=True)
--- /dev/null
+++ b/fireflydeck/entry/caller_request.py
@@ -0,0 +1,96 @@
+"""Callers' requests and their answers, apart from the connection that they came by."""
+
+import msgpack
+from attrs import astuple, frozen
+
+__all__ = ["CallerAnswer", "CallerRequest"]
+
+
+@frozen(kw_only=True)
+class CallerRequest:
+    """One request of a caller, whole.
+
+    Parameters
+    ----------
+    deadline_ms
+        How long the caller waits, in milliseconds from the arrival.
+    was_forwarded
+        Whether another entry process passed it on.
+    """
+
+    method: str
+    host: str
+    path: str
+    key: str
+    deadline_ms: int
+    body: bytes = b""
+    was_forwarded: bool = False
+
+    @property
+    def job(self) -> str:
+        """Last part of the path: the job's id, or empty."""
+        return self.path.rpartition("/")[2]
+
+    def encode(self) -> bytes:
+        """Encode for another entry process."""
+        fields = (self.method, self.host, self.path, self.key, self.deadline_ms, self.body)
+        return msgpack.packb(fields)
+
+    @classmethod
+    def decode(cls, content: bytes) -> "CallerRequest":
+        """Decode what another entry process passed on.
+
+        Raises
+        ------
+        ValueError
+            If it is not a request.
+        """
+        try:
+            method, host, path, key, deadline_ms, body = msgpack.unpackb(content)
+        except (TypeError, msgpack.UnpackException) as error:
+            raise ValueError(f"not a caller's request: {error}") from error
+        return cls(
+            method=method,
+            host=host,
+            path=path,
+            key=key,
+            deadline_ms=deadline_ms,
+            body=body,
+            was_forwarded=True,
+        )
+
+
+@frozen
+class CallerAnswer:
+    """An answer to a caller.
+
+    Parameters
+    ----------
+    retry_after_s
+        When the caller may come again; `None` if the answer is final.
+    lacks_store
+        Whether the request was not served for want of the store; not told to the caller.
+    """
+
+    status: int
+    body: bytes
+    retry_after_s: int | None = None
+    lacks_store: bool = False
+
+    def encode(self) -> bytes:
+        """Encode for another entry process."""
+        return msgpack.packb(astuple(self))
+
+    @classmethod
+    def decode(cls, content: bytes) -> "CallerAnswer":
+        """Decode the answer of another entry process.
+
+        Raises
+        ------
+        ValueError
+            If it is not an answer.
+        """
+        try:
+            return cls(*msgpack.unpackb(content))
+        except (TypeError, msgpack.UnpackException) as error:
+            raise ValueError(f"not an answer: {error}") from error
--- /dev/null
+++ b/fireflydeck/entry/http_requests.py
@@ -0,0 +1,79 @@
+"""Callers' requests as they come by HTTP: bounded in size and time."""
+
+import anyio
+from aiohttp import web
+from expression import Error, Ok, Result
+
+from fireflydeck.core import Reason
+from fireflydeck.core.fleet_configuration import RequestLimits
+from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
+from fireflydeck.platform.job_documents import DEADLINE_HEADER, KEY_HEADER, encode_refusal
+
+__all__ = ["build_response", "receive_request"]
+
+_DEFAULT_DEADLINE_MS = 3000
+_MS_PER_S = 1000
+
+
+async def receive_request(
+    request: web.BaseRequest, limits: RequestLimits
+) -> Result[CallerRequest, web.Response]:
+    """Read a request, or tell how it is refused."""
+    body = await _receive_body(request, limits)
+    return body.map(
+        lambda content: CallerRequest(
+            method=request.method,
+            host=request.headers.get("Host", ""),
+            path=request.path,
+            key=request.headers.get(KEY_HEADER, ""),
+            deadline_ms=_deadline_ms(request),
+            body=content,
+        )
+    )
+
+
+def build_response(answer: CallerAnswer) -> web.Response:
+    """Return the HTTP response of an answer."""
+    headers = {}
+    if answer.retry_after_s is not None:
+        headers["Retry-After"] = str(answer.retry_after_s)
+    return web.Response(
+        status=answer.status,
+        body=answer.body,
+        content_type="application/json",
+        headers=headers,
+    )
+
+
+async def _receive_body(
+    request: web.BaseRequest, limits: RequestLimits
+) -> Result[bytes, web.Response]:
+    limit = limits.max_body_bytes
+    content: bytes | None = None
+    if (request.content_length or 0) <= limit:
+        with anyio.move_on_after(limits.idle_timeout_ms / _MS_PER_S) as scope:
+            content = await _read_body(request, limit)
+        if scope.cancelled_caught:
+            return Error(_refusal(408, Reason.BAD_REQUEST, "the body did not arrive in time"))
+    if content is None:
+        return Error(_refusal(413, Reason.BODY_TOO_LARGE, f"more than {limit} bytes"))
+    return Ok(content)
+
+
+async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
+    """Read the body; `None` if it is longer than the limit."""
+    content = bytearray()
+    async for chunk in request.content.iter_any():
+        content.extend(chunk)
+        if len(content) > limit:
+            return None
+    return bytes(content)
+
+
+def _refusal(status: int, reason: Reason, detail: str) -> web.Response:
+    return build_response(CallerAnswer(status, encode_refusal(reason, detail)))
+
+
+def _deadline_ms(request: web.BaseRequest) -> int:
+    value = request.headers.get(DEADLINE_HEADER, "")
+    return int(value) if value.isdigit() and int(value) > 0 else _DEFAULT_DEADLINE_MS
--- /dev/null
+++ b/fireflydeck/entry/peer_link.py
@@ -0,0 +1,143 @@
+"""Calls between the entry processes, by msgpack over HTTP: states of jobs, forwarded requests."""
+
+from collections.abc import Awaitable, Callable
+
+import msgpack
+from aiohttp import ClientError, ClientSession, ClientTimeout, DummyCookieJar, TCPConnector, web
+from anyio.abc import TaskGroup
+
+from fireflydeck.core import Clock
+from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
+from fireflydeck.entry.state_source import ForwardedAnswer, RequestForwarder, StateSource
+from fireflydeck.kernel import Registry, Service
+from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.scheduling.scheduler import Scheduler
+
+__all__ = ["PeerLink"]
+
+_STATE_TIMEOUT_MS = 300
+_FORWARD_TIMEOUT_MS = 1500
+_STATE_PATH = "/job-state"
+_FORWARD_PATH = "/forward"
+_CONNECTIONS = 8
+_TRIED_PEERS = 2
+_SEEN_MS = 30_000
+"""How long a process that called counts as a peer to forward to."""
+_MS_PER_S = 1000
+
+
+class PeerLink(Service, StateSource, RequestForwarder):
+    """Serves other entry processes, and asks them.
+
+    The holder of the lease is known from its row; other processes from their calls.
+
+    Parameters
+    ----------
+    address
+        ``ip:port`` to listen on.
+    """
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._address = address
+        self._clock = clock
+        self._lease: LeaseKeeper | None = None
+        self._scheduler: Scheduler | None = None
+        self._session: ClientSession | None = None
+        self._runner: web.ServerRunner | None = None
+        self._seen_ms: dict[str, int] = {}
+        self._answer: Callable[[CallerRequest], Awaitable[CallerAnswer]] | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of the service."""
+        return "peer-link"
+
+    def serve_forwarded(self, answer: Callable[[CallerRequest], Awaitable[CallerAnswer]]) -> None:
+        """Answer forwarded requests by `answer`."""
+        self._answer = answer
+
+    async def start(self, registry: Registry, tasks: TaskGroup) -> None:
+        """Listen for other processes."""
+        self._lease = registry.get("lease", LeaseKeeper)
+        self._scheduler = registry.get("scheduler", Scheduler)
+        self._session = ClientSession(
+            connector=TCPConnector(limit=_CONNECTIONS), cookie_jar=DummyCookieJar()
+        )
+        self._runner = web.ServerRunner(web.Server(self._serve))
+        await self._runner.setup()
+        host, _, port = self._address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port), reuse_address=True).start()
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def job_state(self, job_id: str) -> str | None:
+        """Return a job's state from the holder of the lease; `None` if it doesn't know."""
+        run = self._scheduler.current if self._scheduler else None
+        if run is not None:
+            return run.job_state(job_id)
+        holder = self._holder_address()
+        if holder is None:
+            return None
+        content = msgpack.packb([job_id, self._address])
+        received = await self._post(holder, _STATE_PATH, content, _STATE_TIMEOUT_MS)
+        return None if received is None else msgpack.unpackb(received)
+
+    async def forward(self, request: CallerRequest, *, timeout_ms: int) -> ForwardedAnswer | None:
+        """Return the answer of the holder, or of another process that called lately."""
+        bound_ms = min(_FORWARD_TIMEOUT_MS, timeout_ms // _TRIED_PEERS)
+        for peer in self._peers()[:_TRIED_PEERS]:
+            received = await self._post(peer, _FORWARD_PATH, request.encode(), bound_ms)
+            if received is None:
+                continue
+            answer = CallerAnswer.decode(received)
+            if not answer.lacks_store:
+                return ForwardedAnswer(peer, answer)
+        return None
+
+    def _holder_address(self) -> str | None:
+        holder = self._lease.holder if self._lease else None
+        if holder is None or not holder.holder or holder.address == self._address:
+            return None
+        return holder.address
+
+    def _peers(self) -> list[str]:
+        """Return addresses to forward to: the holder, then who called last."""
+        now_ms = self._clock.now_ms()
+        self._seen_ms = {
+            peer: seen_ms for peer, seen_ms in self._seen_ms.items() if now_ms - seen_ms < _SEEN_MS
+        }
+        holder = self._holder_address()
+        seen = sorted(self._seen_ms, key=lambda peer: -self._seen_ms[peer])
+        first = [holder] if holder is not None else []
+        return first + [peer for peer in seen if peer != holder]
+
+    async def _post(self, peer: str, path: str, content: bytes, timeout_ms: int) -> bytes | None:
+        """Return the body of a peer's answer, or `None` without one."""
+        if self._session is None:
+            return None
+        timeout = ClientTimeout(total=timeout_ms / _MS_PER_S)
+        try:
+            url = f"http://{peer}{path}"
+            async with self._session.post(url, data=content, timeout=timeout) as response:
+                received = await response.read()
+        except (ClientError, TimeoutError, OSError):
+            # Not an error: the caller of this method has another way, and logs what it does.
+            self._seen_ms.pop(peer, None)
+            return None
+        return received if response.status == 200 else None
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        content = await request.read()
+        if request.path == _FORWARD_PATH and self._answer is not None:
+            answer = await self._answer(CallerRequest.decode(content))
+            return web.Response(body=answer.encode())
+        job_id, sender = msgpack.unpackb(content)
+        self._seen_ms[sender] = self._clock.now_ms()
+        run = self._scheduler.current if self._scheduler else None
+        state = run.job_state(job_id) if run is not None else None
+        return web.Response(body=msgpack.packb(state))
--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -7,8 +7,8 @@
 from fireflydeck.core import SystemClock
 from fireflydeck.core.placement import Registration
 from fireflydeck.entry.caller_interface import CallerInterface
-from fireflydeck.entry.holder_link import HolderLink
 from fireflydeck.entry.intake import Intake
+from fireflydeck.entry.peer_link import PeerLink
 from fireflydeck.entry.server import CallerServer, StatusServer
 from fireflydeck.entry.settings_watch import SettingsWatch
 from fireflydeck.kernel import Kernel, dump_state
@@ -61,16 +61,18 @@
     operators = OperatorDocuments(store, clock, log)
     link_address = f"{settings.ip}:{settings.internal_ports[0]}"
     lease = LeaseKeeper(store, clock, log, name=settings.name, address=link_address)
-    link = HolderLink(link_address)
+    link = PeerLink(link_address, clock)
     interface = CallerInterface(
         operators=operators,
         lease=lease,
         states=link,
+        forwarder=link,
         intake=Intake(store, clock),
         clock=clock,
         log=log,
         metrics=metrics,
     )
+    link.serve_forwarded(interface.answer)
     kernel.add(operators)
     vm_orders = VmClient(settings.vm_api_address, settings.name)
     times = DutyTimes(
@@ -101,7 +103,7 @@
             dump_state=lambda: dump_state(kernel),
         )
     )
-    kernel.add(CallerServer(settings.caller_address, interface, clock))
+    kernel.add(CallerServer(settings.caller_address, interface, operators, clock))
     kernel.add(lease)
     return kernel
 
--- a/fireflydeck/entry/server.py
+++ b/fireflydeck/entry/server.py
@@ -7,7 +7,9 @@
 from anyio.abc import TaskGroup
 
 from fireflydeck.core import Clock
+from fireflydeck.core.fleet_configuration import RequestLimits
 from fireflydeck.entry.caller_interface import CallerInterface
+from fireflydeck.entry.http_requests import build_response, receive_request
 from fireflydeck.kernel import Metrics, Registry, Service
 from fireflydeck.observation.operators import OperatorDocuments
 
@@ -25,11 +27,19 @@
 class CallerServer(Service):
     """Listens for callers."""
 
-    def __init__(self, address: str, interface: CallerInterface, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        interface: CallerInterface,
+        operators: OperatorDocuments,
+        clock: Clock,
+    ) -> None:
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._interface = interface
+        self._operators = operators
         self._clock = clock
+        self._is_stopping = False
         self._runner: web.ServerRunner | None = None
 
     @property
@@ -40,7 +50,7 @@
     async def start(self, registry: Registry, tasks: TaskGroup) -> None:
         """Begin to listen."""
         server = web.Server(
-            self._interface.handle,
+            self.handle,
             keepalive_timeout=_KEEP_ALIVE_S,
             max_line_size=16384,
             max_field_size=16384,
@@ -53,11 +63,24 @@
 
     async def stop(self) -> None:
         """Serve until the balancer has noticed, then close."""
-        self._interface.stop_keeping_alive()
+        self._is_stopping = True
         await self._clock.sleep_ms(_DRAIN_MS)
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Read one request whole and write the answer."""
+        configuration = self._operators.configuration
+        limits = configuration.limits if configuration else RequestLimits()
+        received = await receive_request(request, limits)
+        if received.is_error():
+            response = received.error
+        else:
+            response = build_response(await self._interface.answer(received.ok))
+        if self._is_stopping:
+            response.force_close()
+        return response
+
 
 class StatusServer(Service):
     """Tells the balancer whether the process is ready; serves metrics and the state dump."""
--- a/fireflydeck/entry/tests/test_caller_interface.py
+++ b/fireflydeck/entry/tests/test_caller_interface.py
@@ -9,8 +9,10 @@
 
 from fireflydeck.core import Ran, SystemClock
 from fireflydeck.entry.caller_interface import CallerInterface
+from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 from fireflydeck.entry.intake import Intake
-from fireflydeck.entry.state_source import StateSource
+from fireflydeck.entry.server import CallerServer
+from fireflydeck.entry.state_source import ForwardedAnswer, RequestForwarder, StateSource
 from fireflydeck.kernel import EventLog, Metrics, Registry
 from fireflydeck.observation import OperatorDocuments
 from fireflydeck.ownership import LeaseKeeper
@@ -35,10 +37,22 @@
         return None
 
 
+class _Forwarder(RequestForwarder):
+    def __init__(self):
+        self.answer = None
+        self.forwarded = []
+
+    async def forward(self, request, *, timeout_ms):
+        self.forwarded.append(request)
+        return ForwardedAnswer("m2:1", self.answer) if self.answer else None
+
+
 class _Callers:
-    def __init__(self, address, store):
+    def __init__(self, address, store, interface, forwarder):
         self._address = address
         self.store = store
+        self.interface = interface
+        self.forwarder = forwarder
 
     async def call(self, method, path, body=None, **headers):
         async with ClientSession() as session:
@@ -56,10 +70,12 @@
         put_operator_document(store.rows, "config", configuration_document(**configuration))
     operators = OperatorDocuments(store, clock, log)
     lease = LeaseKeeper(store, clock, log, name="m1", address="m1:1")
+    forwarder = _Forwarder()
     interface = CallerInterface(
         operators=operators,
         lease=lease,
         states=_NoStates(),
+        forwarder=forwarder,
         intake=Intake(store, clock),
         clock=clock,
         log=log,
@@ -71,8 +87,9 @@
         await operators.wait_loaded()
         while lease.holder is None:
             await anyio.sleep(0.01)
-        async with local_server(interface.handle) as address:
-            yield _Callers(address, store)
+        server = CallerServer("127.0.0.1:1", interface, operators, clock)
+        async with local_server(server.handle) as address:
+            yield _Callers(address, store, interface, forwarder)
         tasks.cancel_scope.cancel()
 
 
@@ -153,3 +170,42 @@
         status, _, _ = await callers.call("POST", f"/swatch/{JOB_ID}", slow_body())
         assert status == 408
         assert callers.store.rows.get(job_key(JOB_ID)) is None
+
+
+@pytest.mark.parametrize("outage", list(Ran))
+async def test_request_is_passed_on_for_want_of_the_store(outage):
+    """Part of the entry processes lost the store; their callers waited or came again."""
+    async with _callers() as callers:
+        callers.store.outage = outage
+        callers.forwarder.answer = CallerAnswer(200, b"{}")
+        status, _, _ = await callers.call("POST", f"/swatch/{JOB_ID}", _BODY)
+        assert status == 200
+        request = callers.forwarder.forwarded[0]
+        assert (request.method, request.path, request.body) == ("POST", f"/swatch/{JOB_ID}", _BODY)
+        assert CallerRequest.decode(request.encode()).key == "key-1"
+
+
+async def test_forwarded_request_is_not_passed_on_again():
+    async with _callers() as callers:
+        callers.store.outage = Ran.NO
+        request = CallerRequest(
+            method="POST",
+            host="paint.example",
+            path=f"/swatch/{JOB_ID}",
+            key="key-1",
+            deadline_ms=1000,
+            body=_BODY,
+            was_forwarded=True,
+        )
+        answer = await callers.interface.answer(request)
+        assert (answer.status, answer.lacks_store) == (503, True)
+        assert callers.forwarder.forwarded == []
+
+
+async def test_answers_between_processes():
+    answer = CallerAnswer(503, b"{}", 1, lacks_store=True)
+    assert CallerAnswer.decode(answer.encode()) == answer
+    with pytest.raises(ValueError, match="not an answer"):
+        CallerAnswer.decode(b"\xc1")
+    with pytest.raises(ValueError, match="not a caller's request"):
+        CallerRequest.decode(b"\x01")
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -167,10 +167,23 @@
         ),
     ),
     6504: EventNote(written="The status of a wave was written.", fields=("wave", "state")),
+    6403: EventNote(
+        written="This process lacks the store; another entry process answered, or none did.",
+        action="Without a peer: no other process was known or had the store; see 1110.",
+        fields=("job", "peer", "status", "store_age_ms"),
+    ),
     6401: EventNote(
         written="A caller got an answer other than a plain state.",
         action="For 503: see 1110 and 6402 of the same time.",
-        fields=("method", "job", "status", "took_ms", "configuration", "configuration_age_ms"),
+        fields=(
+            "method",
+            "job",
+            "status",
+            "took_ms",
+            "forwarded",
+            "configuration",
+            "configuration_age_ms",
+        ),
     ),
     6402: EventNote(
         written="The store did not settle a caller's request in its time.",
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -107,6 +107,7 @@
     WAVE_STATE = _Entry(6504, "info", "status of a wave written")
     REQUEST_ANSWERED = _Entry(6401, "info", "caller's request answered")
     REQUEST_STORE_FAILED = _Entry(6402, "warning", "store did not settle a caller's request")
+    REQUEST_FORWARDED = _Entry(6403, "warning", "caller's request passed on for want of the store")
     STANDIN_LISTENING = _Entry(5001, "info", "stand-in listens")
 
     @property
--- a/fireflydeck/kernel/store_health.py
+++ b/fireflydeck/kernel/store_health.py
@@ -31,6 +31,11 @@
         self._table = table
         self._is_lost = False
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call failed."""
+        return self._is_lost
+
     def note_failure(self, failure: Failure) -> None:
         """Take over a failed call; history that was discarded is none."""
         if self._is_lost or failure.reason == Reason.NOT_FOUND:
--- a/fireflydeck/observation/table_follower.py
+++ b/fireflydeck/observation/table_follower.py
@@ -61,6 +61,11 @@
             return None
         return self._clock.now_ms() - self._confirmed_ms
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call failed; what is known may be old."""
+        return self._health.is_lost
+
     @abstractmethod
     def apply(self, row: StoredRow) -> None:
         """Take over a row that is newer than the one known, or deleted."""
