VM orders right after a take-over; each is announced before it is sent

Cause: a new holder ordered nothing for lease_ms and more, so after each take-over no VM moved for five seconds, also VMs that the holder before had not touched. Now orders are announced in a row that only the holder can write; a successor keeps away for that time from the VMs announced last, counts their upkeep as begun, and orders the others at once. One record replaces two. Rule: two holders must keep apart at one VM; orders are sent only under a valid lease, as before.

--- a/fireflydeck/ownership/records.py
+++ b/fireflydeck/ownership/records.py
@@ -7,12 +7,11 @@
 from fireflydeck.workload.records import FLEET_PARTITION
 
 __all__ = [
-    "BORROWED_ROW",
     "COMMIT_ROW",
+    "DUTIES_ROW",
     "LEASE_ROW",
     "OWNERSHIP_TABLE",
     "ROSTER_ROW",
-    "UPKEEP_ROW",
     "LeaseRecord",
     "decode_lease",
 ]
@@ -25,10 +24,8 @@
 
 ROSTER_ROW = RowKey("roster", FLEET_PARTITION, "servers")
 """Backend servers that may run what the holder started."""
-UPKEEP_ROW = RowKey("roster", FLEET_PARTITION, "upkeep")
-"""VMs whose upkeep has begun, by wave."""
-BORROWED_ROW = RowKey("roster", FLEET_PARTITION, "borrowed-vms")
-"""VMs that were taken from standby, with the pool that they came from."""
+DUTIES_ROW = RowKey("roster", FLEET_PARTITION, "duties")
+"""VMs that were ordered lately, had their upkeep, or came from standby."""
 
 
 @frozen(kw_only=True)
--- a/fireflydeck/scheduling/duties.py
+++ b/fireflydeck/scheduling/duties.py
@@ -6,7 +6,9 @@
 
 from fireflydeck.core import Clock
 from fireflydeck.core.fleet_configuration import FleetConfiguration
+from fireflydeck.kernel import EventLog, log_store_failure
 from fireflydeck.observation.operators import OperatorDocuments
+from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.scheduling.demand import PoolDemand
 from fireflydeck.scheduling.pool_duties import PoolDuties
 from fireflydeck.scheduling.vm_fleet import VmFleet
@@ -27,11 +29,13 @@
         Returns the work in sight by pool.
     """
 
+    lease: LeaseKeeper
     fleet: VmFleet
     waves: WaveDuties
     pools: PoolDuties
     operators: OperatorDocuments
     clock: Clock
+    log: EventLog
     demand: Callable[[], dict[str, PoolDemand]]
 
     async def run(self) -> None:
@@ -43,7 +47,7 @@
                 continue
             demand = self.demand()
             self.pools.note(demand)
-            if self.fleet.may_order():
+            if self.lease.is_valid():
                 await self._round(configuration, demand)
 
     async def _round(
@@ -52,8 +56,14 @@
         waves = self.waves.open_waves(self.operators.waves)
         if not waves and not self.pools.is_wanted(configuration, demand):
             return
-        if not await self.fleet.refresh():
-            return
-        if not await self.waves.serve(waves, demand):
+        if not await self.fleet.refresh() or not await self._load_record():
             return
+        await self.waves.serve(waves, demand)
         await self.pools.serve(configuration, demand, self.waves.due_vms(waves))
+
+    async def _load_record(self) -> bool:
+        """Read what earlier holders stored; returns whether it is known."""
+        failure = await self.fleet.record.load()
+        if failure is not None:
+            log_store_failure(self.log, failure)
+        return failure is None
--- a/fireflydeck/scheduling/pool_duties.py
+++ b/fireflydeck/scheduling/pool_duties.py
@@ -9,7 +9,6 @@
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.policy.pool_forecast import PoolForecast
 from fireflydeck.policy.pool_sizes import PoolLoad, VmLoad, VmMove, choose_moves
-from fireflydeck.scheduling.borrowed_vms import BorrowedVms
 from fireflydeck.scheduling.demand import PoolDemand
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.vm_fleet import CALL_TIMEOUT_MS, VmFleet
@@ -27,7 +26,6 @@
     """Lends VMs of the standby pools to pools that lack them, and takes idle ones back."""
 
     fleet: VmFleet
-    borrowed: BorrowedVms
     operators: OperatorDocuments
     clock: Clock
     log: EventLog
@@ -71,10 +69,6 @@
         due
             VMs that wait for their upkeep; these stay where they are.
         """
-        failure = await self.borrowed.load()
-        if failure is not None:
-            log_store_failure(self.log, failure)
-            return
         loads = {
             pool.name: self._load(pool, demand.get(pool.name, PoolDemand()))
             for pool in configuration.pools
@@ -84,11 +78,18 @@
             self._vm_load(vm, configuration)
             for vm in self.fleet.vms.values()
             if vm.name not in due
-            and (vm.pool in standby or vm.name in self.borrowed)
+            and (vm.pool in standby or self.fleet.record.is_borrowed(vm.name))
             and self._is_movable(vm)
         ]
-        for move in choose_moves(loads.values(), vms):
-            if not await self.borrowed.add(self.fleet.vms[move.vm]) or not self.fleet.is_current():
+        moves = choose_moves(loads.values(), vms)
+        if not moves:
+            return
+        failure = await self.fleet.record.announce([move.vm for move in moves], borrowed=True)
+        if failure is not None:
+            log_store_failure(self.log, failure)
+            return
+        for move in moves:
+            if not self.fleet.is_current():
                 return
             await self._order(move, loads[move.target])
 
@@ -125,6 +126,8 @@
     def _is_movable(self, vm: ListedVm) -> bool:
         if vm.state != VmListState.UP or vm.name in self.fleet.sent:
             return False
+        if not self.fleet.may_order(vm.name):
+            return False
         server = self.fleet.server_of(vm)
         if server is None:
             return not vm.server_id
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -23,9 +23,9 @@
 from fireflydeck.observation.registrations import Registrations
 from fireflydeck.ownership.lease import LeaseKeeper, Tenure
 from fireflydeck.ownership.records import ROSTER_ROW
-from fireflydeck.scheduling.borrowed_vms import BorrowedVms
 from fireflydeck.scheduling.dispatch import Dispatch
 from fireflydeck.scheduling.duties import FleetDuties
+from fireflydeck.scheduling.duty_record import DutyRecord
 from fireflydeck.scheduling.fleet_usage import OrganisationUsage
 from fireflydeck.scheduling.job_book import JobBook
 from fireflydeck.scheduling.journal import ProgressJournal
@@ -34,7 +34,6 @@
 from fireflydeck.scheduling.runs import RunLedger
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import HOLD_MS, ServerSession, SessionOwner
-from fireflydeck.scheduling.upkeep_record import UpkeepRecord
 from fireflydeck.scheduling.vm_fleet import DutyTimes, VmFleet
 from fireflydeck.scheduling.wave_duties import WaveDuties
 from fireflydeck.workload.life import Attempt, Job, job_state
@@ -145,6 +144,7 @@
         fleet = VmFleet(
             tenure=self._tenure,
             lease=self._lease,
+            record=DutyRecord(self._store, self._lease, clock),
             clock=clock,
             log=log,
             orders=vm_orders,
@@ -157,20 +157,20 @@
             clock=clock,
             log=log,
             request_stop=self._runs.request_stop,
-            record=UpkeepRecord(self._store, self._lease),
         )
         return FleetDuties(
+            lease=self._lease,
             fleet=fleet,
             waves=waves,
             pools=PoolDuties(
                 fleet=fleet,
-                borrowed=BorrowedVms(self._store, self._lease),
                 operators=self._operators,
                 clock=clock,
                 log=log,
             ),
             operators=self._operators,
             clock=clock,
+            log=log,
             demand=self._dispatch.demand,
         )
 
--- a/fireflydeck/scheduling/vm_fleet.py
+++ b/fireflydeck/scheduling/vm_fleet.py
@@ -7,6 +7,7 @@
 from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState, VmOrders
 from fireflydeck.kernel import Event, EventLog
 from fireflydeck.ownership.lease import LeaseKeeper, Tenure
+from fireflydeck.scheduling.duty_record import DutyRecord
 from fireflydeck.scheduling.servers import Server
 
 __all__ = ["CALL_TIMEOUT_MS", "DutyResult", "DutyTimes", "SentOrder", "VmFleet"]
@@ -59,6 +60,7 @@
 
     tenure: Tenure
     lease: LeaseKeeper
+    record: DutyRecord
     clock: Clock
     log: EventLog
     orders: VmOrders
@@ -73,15 +75,20 @@
         """Age of the list, or `None` before the first."""
         return None if self._listed_ms is None else self.clock.now_ms() - self._listed_ms
 
-    def may_order(self) -> bool:
-        """Whether this process may order duties now."""
+    @property
+    def is_settled(self) -> bool:
+        """Whether this holder may order VMs that the one before ordered at its end."""
         earliest_ms = self.tenure.since_ms + self.times.duty_lease_ms + _SETTLE_MS
-        return self.lease.is_valid() and self.clock.now_ms() >= earliest_ms
+        return self.clock.now_ms() >= earliest_ms
+
+    def may_order(self, vm: str) -> bool:
+        """Whether this holder may order a VM now, as far as the holder before is concerned."""
+        return self.is_settled or not self.record.ordered_before(vm)
 
     def is_current(self) -> bool:
         """Whether an order may be sent by the list as it is; checked before each."""
         age_ms = self.list_age_ms
-        return self.may_order() and age_ms is not None and age_ms <= _MAX_LIST_AGE_MS
+        return self.lease.is_valid() and age_ms is not None and age_ms <= _MAX_LIST_AGE_MS
 
     async def refresh(self) -> bool:
         """Read the list of VMs unless it is new enough; returns whether it can be used."""
--- a/fireflydeck/scheduling/wave_duties.py
+++ b/fireflydeck/scheduling/wave_duties.py
@@ -15,7 +15,6 @@
 from fireflydeck.scheduling.demand import PoolDemand
 from fireflydeck.scheduling.relocation import relocate_lasting
 from fireflydeck.scheduling.servers import Server
-from fireflydeck.scheduling.upkeep_record import UpkeepRecord
 from fireflydeck.scheduling.vm_fleet import CALL_TIMEOUT_MS, VmFleet
 from fireflydeck.scheduling.wave_status import report_wave
 from fireflydeck.workload.life import Attempt
@@ -43,7 +42,6 @@
     clock: Clock
     log: EventLog
     request_stop: Callable[[Attempt], None]
-    record: UpkeepRecord
     _first_seen_ms: dict[int, int] = field(factory=dict, init=False)
     _reported: dict[int, str] = field(factory=dict, init=False)
 
@@ -53,19 +51,14 @@
             self._first_seen_ms.setdefault(wave.number, self.clock.now_ms())
         return [wave for wave in waves if self._reported.get(wave.number) != WaveState.COMPLETED]
 
-    async def serve(self, waves: list[MaintenanceWave], demand: dict[str, PoolDemand]) -> bool:
-        """Go on with all waves; returns whether it is known which VMs are still due."""
-        if not waves:
-            return True
-        failure = await self.record.load()
-        if failure is None:
-            self._mark_due(waves)
-            for wave in waves:
-                await self._serve_wave(wave, demand)
-            failure = await self.record.save({wave.number for wave in waves})
+    async def serve(self, waves: list[MaintenanceWave], demand: dict[str, PoolDemand]) -> None:
+        """Go on with all waves."""
+        self._mark_due(waves)
+        for wave in waves:
+            await self._serve_wave(wave, demand)
+        failure = await self.fleet.record.save({wave.number for wave in waves})
         if failure is not None:
             log_store_failure(self.log, failure)
-        return failure is None
 
     def due_vms(self, waves: list[MaintenanceWave]) -> set[str]:
         """Return the VMs whose upkeep has not begun."""
@@ -73,7 +66,7 @@
             name
             for wave in waves
             for name in wave.vms
-            if not self.record.has_begun(wave.number, name)
+            if not self.fleet.record.has_begun(wave.number, name)
         }
 
     def _mark_due(self, waves: list[MaintenanceWave]) -> None:
@@ -90,7 +83,7 @@
         due = [
             self.fleet.vms[name]
             for name in wave.vms
-            if name in self.fleet.vms and not self.record.has_begun(wave.number, name)
+            if name in self.fleet.vms and not self.fleet.record.has_begun(wave.number, name)
         ]
         if not due:
             if all(order.wave != wave.number for order in self.fleet.sent.values()):
@@ -105,10 +98,8 @@
             is_urgent=self._is_urgent(wave),
         ):
             self._empty(self.fleet.vms[name])
-        for vm in due:
-            if down >= wave.max_at_once:
-                return
-            down += await self._begin_upkeep(wave, vm)
+        ready = [vm for vm in due if self._is_ready(vm)]
+        await self._begin_upkeep(wave, ready[: max(0, wave.max_at_once - down)])
 
     def _relocate(self, due: list[ListedVm]) -> None:
         """Stop long-running tasks on VMs that are due, so that they go on elsewhere."""
@@ -133,6 +124,8 @@
         vms = self.fleet.vms
         names = {name for name in wave.vms if name in vms and vms[name].state in states}
         names |= {order.vm for order in self.fleet.sent.values() if order.wave == wave.number}
+        if not self.fleet.is_settled:
+            names |= self.fleet.record.taken_down_before(wave.number)
         return len(names)
 
     def _due_vm(self, vm: ListedVm, demand: dict[str, PoolDemand]) -> DueVm:
@@ -167,12 +160,25 @@
         for attempt in lasting:
             self.request_stop(attempt)
 
-    async def _begin_upkeep(self, wave: MaintenanceWave, vm: ListedVm) -> int:
-        """Order the upkeep of a VM that is empty; returns the number of VMs that went down."""
+    def _is_ready(self, vm: ListedVm) -> bool:
+        """Whether the upkeep of a VM may be ordered now."""
         if vm.state != VmListState.UP or vm.name in self.fleet.sent:
-            return 0
-        if not self.fleet.is_current() or not _is_empty(vm, self.fleet.server_of(vm)):
-            return 0
+            return False
+        return self.fleet.may_order(vm.name) and _is_empty(vm, self.fleet.server_of(vm))
+
+    async def _begin_upkeep(self, wave: MaintenanceWave, vms: list[ListedVm]) -> None:
+        """Announce and order the upkeep of some VMs that are empty."""
+        if not vms:
+            return
+        failure = await self.fleet.record.announce([vm.name for vm in vms], wave=wave.number)
+        if failure is not None:
+            log_store_failure(self.log, failure)
+            return
+        for vm in vms:
+            if self.fleet.is_current() and self._is_ready(vm):
+                await self._order_upkeep(wave, vm)
+
+    async def _order_upkeep(self, wave: MaintenanceWave, vm: ListedVm) -> None:
         result = await self.fleet.orders.upkeep(
             vm=vm.name,
             wave=wave.number,
@@ -181,11 +187,10 @@
         )
         self.fleet.log_order("upkeep", vm, str(wave.number), result)
         if result.is_ok() and result.ok == DutyOutcome.TAKEN:
-            self.record.add(wave.number, vm.name)
+            self.fleet.record.note_upkeep(wave.number, vm.name)
         elif result.is_ok() or result.error.ran == Ran.NO:
-            return 0
+            return
         self.fleet.note_order(vm, vm.pool, wave.number, is_certain=result.is_ok())
-        return 1
 
     async def _report(self, wave: MaintenanceWave, state: str) -> None:
         failure = await report_wave(self.store, wave.number, state)
