--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -15,6 +15,7 @@
 from fireflydeck.kernel.log_sink import configure_bounded_logging
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.platform.advisor_client import AdvisorClient
 from fireflydeck.platform.backend_server_client import BackendServerClient
 from fireflydeck.platform.node_settings import (
     NodeSettings,
@@ -88,6 +89,7 @@
             metrics=metrics,
             make_orders=_make_orders,
             vm_orders=vm_orders,
+            advisor=AdvisorClient(settings.advisor_address),
             duty_times=times,
             status_ms=settings.bounds.status_ms,
         )
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -141,6 +141,11 @@
         written="A long-running task is stopped, to go on at a server that is not due for upkeep.",
         fields=("task", "run", "server", "list_age_ms"),
     ),
+    6308: EventNote(
+        written="The advisor told which backend servers may run a step, or refused (`detail`).",
+        action="For `good` 0 and no `detail`: the queue's policy allows none of those asked about.",
+        fields=("step_of_job", "asked", "good", "took_ms", "detail"),
+    ),
     6501: EventNote(
         written="The platform's VM interface gave no usable answer; it is asked again.",
         action="See whether the interface works; waves and moves stand still until it does.",
--- a/fireflydeck/scheduling/dispatch.py
+++ b/fireflydeck/scheduling/dispatch.py
@@ -19,6 +19,7 @@
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.policy.job_order import JobRank, rank
 from fireflydeck.policy.server_choice import Candidate, choose_server
+from fireflydeck.scheduling.advice import AdviceBook, ServerLife, step_name
 from fireflydeck.scheduling.demand import (
     Inflow,
     PoolDemand,
@@ -92,6 +93,7 @@
     log: EventLog
     metrics: Metrics
     usage: OrganisationUsage
+    advice: AdviceBook
     begin: Callable[[Attempt], None]
     drop: Callable[[Attempt], None]
     on_fenced: Callable[[Server], None]
@@ -119,6 +121,7 @@
         """Schedule a job no more."""
         self._queued.pop(job.id, None)
         self._estimates.forget(job)
+        self.advice.forget_job(job.id)
 
     def touch(self, job: Job) -> None:
         """Look again for the ready tasks of a job."""
@@ -282,6 +285,7 @@
         self, configuration: FleetConfiguration, task: Task, pool: list[Server], least_run: int
     ) -> tuple[Server, Attempt] | None:
         step = task.step
+        pool = self._advised(configuration, task, pool)
         if not any(server.fits(step) for server in pool):
             return None
         organisation = task.job.spec.organisation
@@ -297,6 +301,25 @@
         self.begin(attempt)
         return server, attempt
 
+    def _advised(
+        self, configuration: FleetConfiguration, task: Task, pool: list[Server]
+    ) -> list[Server]:
+        """Return the backend servers for which the start would carry a ticket, if it needs one."""
+        queue = configuration.queue(task.job.spec.queue)
+        if queue is None or queue.advisor is None:
+            return pool
+        name = _step_of(task)
+        self.advice.request(name, [_life(server) for server in pool], queue.advisor)
+        return [server for server in pool if self.advice.ticket(name, _life(server))]
+
+    def _ticket(self, server: Server, task: Task) -> str | None:
+        """Return the ticket of a start, empty if it needs none; `None` if it lacks one."""
+        configuration = self.operators.configuration
+        queue = configuration.queue(task.job.spec.queue) if configuration else None
+        if queue is None or queue.advisor is None:
+            return ""
+        return self.advice.ticket(_step_of(task), _life(server)) or None
+
     def _candidate(self, server: Server, task: Task) -> Candidate:
         step = task.step
         same_step = 0
@@ -326,7 +349,8 @@
         """Send the start of an attempt, if it is still allowed at this moment."""
         now_ms = self.clock.now_ms()
         task = attempt.task
-        if not self._may_start(server, task, now_ms):
+        ticket = self._ticket(server, task)
+        if ticket is None or not self._may_start(server, task, now_ms):
             self.drop(attempt)
             return
         until_ms = server.clock_at(now_ms) + HOLD_MS
@@ -338,6 +362,7 @@
             lease_until_ms=until_ms,
             fencing_token=self.term,
             checkpoint=task.checkpoint if task.step.checkpointing else "",
+            ticket=ticket,
         )
         result = await server.orders.start(order, timeout_ms=_ORDER_TIMEOUT_MS)
         took_ms = self.clock.now_ms() - now_ms
@@ -387,6 +412,8 @@
             server.crowded_until_ms = now_ms + _BUSY_PAUSE_MS
         elif outcome == StartOutcome.INVALID:
             attempt.task.not_before_ms = now_ms + _MAX_RETRY_PAUSE_MS
+        elif outcome == StartOutcome.NO_TICKET:
+            self.advice.drop(_step_of(attempt.task), server.id)
         elif outcome == StartOutcome.FENCED:
             self.on_fenced(server)
         self.drop(attempt)
@@ -435,3 +462,11 @@
             taken=result.is_ok() and result.ok,
             phase="unknown",
         )
+
+
+def _step_of(task: Task) -> str:
+    return step_name(task.key.job_id, task.key.occurrence, task.key.step)
+
+
+def _life(server: Server) -> ServerLife:
+    return ServerLife(server.id, server.born_ms)
--- a/fireflydeck/scheduling/scheduler.py
+++ b/fireflydeck/scheduling/scheduler.py
@@ -4,6 +4,7 @@
 from anyio.abc import TaskGroup
 
 from fireflydeck.core import Clock
+from fireflydeck.core.advisor import PlacementAdvisor
 from fireflydeck.core.rows import RowStore
 from fireflydeck.core.vm_orders import VmOrders
 from fireflydeck.kernel import EventLog, Metrics, Registry, Service, keep_running
@@ -27,6 +28,7 @@
         metrics: Metrics,
         make_orders: OrdersFactory,
         vm_orders: VmOrders,
+        advisor: PlacementAdvisor,
         duty_times: DutyTimes,
         status_ms: int,
     ) -> None:
@@ -36,6 +38,7 @@
         self._metrics = metrics
         self._make_orders = make_orders
         self._vm_orders = vm_orders
+        self._advisor = advisor
         self._duty_times = duty_times
         self._status_ms = status_ms
         self._lease: LeaseKeeper | None = None
@@ -113,6 +116,7 @@
             metrics=self._metrics,
             make_orders=self._make_orders,
             vm_orders=self._vm_orders,
+            advisor=self._advisor,
             duty_times=self._duty_times,
             status_ms=self._status_ms,
         )
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 
 from fireflydeck.core import Clock, Failure
+from fireflydeck.core.advisor import PlacementAdvisor
 from fireflydeck.core.backend_orders import BackendServerOrders, HoldReport
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
 from fireflydeck.core.rows import RowStore, RowWrite
@@ -23,6 +24,7 @@
 from fireflydeck.observation.registrations import Registrations
 from fireflydeck.ownership.lease import LeaseKeeper, Tenure
 from fireflydeck.ownership.records import ROSTER_ROW
+from fireflydeck.scheduling.advice import AdviceBook
 from fireflydeck.scheduling.dispatch import Dispatch
 from fireflydeck.scheduling.duties import FleetDuties
 from fireflydeck.scheduling.duty_record import DutyRecord
@@ -62,6 +64,8 @@
         Creates the client of a backend server.
     vm_orders
         The platform's VM interface.
+    advisor
+        The platform's placement advisor.
     status_ms
         Time for which callers may ask for the outcome of a job.
     """
@@ -78,6 +82,7 @@
         metrics: Metrics,
         make_orders: OrdersFactory,
         vm_orders: VmOrders,
+        advisor: PlacementAdvisor,
         duty_times: DutyTimes,
         status_ms: int,
     ) -> None:
@@ -129,6 +134,7 @@
             begin=self._runs.begin,
             drop=self._runs.drop,
             usage=self._usage,
+            advice=AdviceBook(advisor, clock, log, self._send, self.wake),
             on_fenced=self.on_fenced,
             on_other_instance=self.on_other_instance,
             wake=self.wake,
@@ -141,7 +147,7 @@
 
     def _make_duties(self, vm_orders: VmOrders, duty_times: DutyTimes) -> FleetDuties:
         clock, log = self._clock, self._log
-        fleet = VmFleet(
+        self._fleet = fleet = VmFleet(
             tenure=self._tenure,
             lease=self._lease,
             record=DutyRecord(self._store, self._lease, clock),
@@ -433,6 +439,8 @@
                 detail=failure.detail,
                 running=len(server.attempts),
             )
+            if not server.is_cordoned:
+                self._fleet.note_trouble()
         server.is_reachable = False
 
     def on_other_instance(self, server: Server) -> None:
--- a/fireflydeck/scheduling/tests/fleet.py
+++ b/fireflydeck/scheduling/tests/fleet.py
@@ -18,7 +18,7 @@
     put_operator_document,
     put_registration,
 )
-from fireflydeck.testing.fleet_fakes import FakeOrders, FakeVmOrders
+from fireflydeck.testing.fleet_fakes import FakeAdvisor, FakeOrders, FakeVmOrders
 from fireflydeck.testing.rows import FakeRowStore
 from fireflydeck.workload import decode_outcome, outcome_key
 
@@ -45,6 +45,7 @@
             metrics=Metrics(),
             make_orders=lambda registration: self._orders(fleet, registration.server_id),
             vm_orders=fleet.vm_orders,
+            advisor=fleet.advisor,
             duty_times=_TIMES,
             status_ms=STATUS_MS,
         )
@@ -74,6 +75,7 @@
         self.clock = FakeClock()
         self.rows = MemoryRows()
         self.vm_orders = FakeVmOrders()
+        self.advisor = FakeAdvisor()
         self.servers = {}
         put_operator_document(self.rows, "config", configuration_document(**configuration))
         for number in range(1, servers + 1):
--- /dev/null
+++ b/fireflydeck/scheduling/tests/test_advice.py
@@ -0,0 +1,63 @@
+"""Queues whose starts need a ticket of the placement advisor."""
+
+import pytest
+
+from fireflydeck.scheduling.tests.fleet import running_fleet
+from fireflydeck.testing.fleet_builders import (
+    CONFIGURATION,
+    JOB_ID,
+    accept_job,
+    build_spec,
+    build_step,
+)
+
+pytestmark = pytest.mark.anyio
+
+_ADVISOR = {"decision_ms": 50, "period_ms": 5, "validity_ms": 3000}
+_ROUTES = [{**CONFIGURATION["routes"][0], "placement_advisor": _ADVISOR}]
+
+
+def _advise(*good, **options):
+    def prepare(fleet):
+        fleet.advisor.good = set(good)
+        for name, value in options.items():
+            setattr(fleet.advisor, name, value)
+
+    return prepare
+
+
+async def test_starts_go_where_a_ticket_allows_them():
+    async with running_fleet(prepare=_advise("s2"), servers=3, routes=_ROUTES) as fleet:
+        accept_job(fleet.rows, build_spec(build_step(count=4)))
+        await fleet.advance_ms(1500)
+        assert len(fleet.servers["s2"].starts) == 4
+        assert len(fleet.starts()) == 4
+        assert [step for step, _ in fleet.advisor.calls] == [f"{JOB_ID}.0.0"]
+
+
+async def test_refused_advice_is_asked_for_again():
+    prepare = _advise("s1", failures=2)
+    async with running_fleet(prepare=prepare, servers=1, routes=_ROUTES) as fleet:
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(2000)
+        assert len(fleet.advisor.calls) == 3
+        assert len(fleet.starts()) == 1
+
+
+async def test_ticket_that_ran_out_is_renewed_for_the_good_servers_only():
+    prepare = _advise("s1", validity_ms=800)
+    async with running_fleet(prepare=prepare, servers=2, routes=_ROUTES) as fleet:
+        fleet.servers["s1"].duration_ms = 1500
+        accept_job(fleet.rows, build_spec(build_step(count=32)))
+        await fleet.advance_ms(4000)
+        assert len(fleet.starts()) == 32
+        assert fleet.advisor.calls[0][1] == ("s1", "s2")
+        assert {servers for _, servers in fleet.advisor.calls[1:]} == {("s1",)}
+
+
+async def test_no_start_without_a_good_server():
+    async with running_fleet(prepare=_advise(), servers=2, routes=_ROUTES) as fleet:
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(3000)
+        assert fleet.starts() == []
+        assert len(fleet.advisor.calls) == 1
--- a/fireflydeck/testing/fleet_fakes.py
+++ b/fireflydeck/testing/fleet_fakes.py
@@ -1,11 +1,13 @@
 """Backend servers and VMs in memory, reached by orders with faults on demand."""
 
+from collections.abc import Sequence
 from enum import StrEnum
 
 import anyio.lowlevel
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
+from fireflydeck.core.advisor import Advice, PlacementAdvisor
 from fireflydeck.core.backend_orders import (
     BackendServerOrders,
     HoldReport,
@@ -15,7 +17,7 @@
 from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmOrders
 from fireflydeck.standins.task_server import TaskServer
 
-__all__ = ["FakeOrders", "FakeVmOrders", "OrderFault"]
+__all__ = ["FakeAdvisor", "FakeOrders", "FakeVmOrders", "OrderFault"]
 
 _POLL_MS = 20
 
@@ -109,6 +111,36 @@
             await self._clock.sleep_ms(_POLL_MS)
 
 
+class FakeAdvisor(PlacementAdvisor):
+    """An advisor that allows the backend servers in `good`; tickets name step and server.
+
+    Attributes
+    ----------
+    calls
+        Step and backend servers of each call.
+    failures
+        Number of the next calls that are refused.
+    """
+
+    def __init__(self, *good: str, validity_ms: int = 3000) -> None:
+        self.good = set(good)
+        self.validity_ms = validity_ms
+        self.calls: list[tuple[str, tuple[str, ...]]] = []
+        self.failures = 0
+
+    async def advise(
+        self, step: str, server_ids: Sequence[str], *, timeout_ms: int
+    ) -> Result[Advice, Failure]:
+        """Give tickets for the good ones."""
+        await anyio.lowlevel.checkpoint()
+        self.calls.append((step, tuple(server_ids)))
+        if self.failures:
+            self.failures -= 1
+            return Error(Failure(Reason.TOO_MANY_REQUESTS, "advisor.advise", ran=Ran.NO))
+        tickets = {name: f"{step}/{name}" for name in server_ids if name in self.good}
+        return Ok(Advice(tickets, self.validity_ms))
+
+
 class FakeVmOrders(VmOrders):
     """The VM interface in memory.
 
