--- a/fireflydeck/scheduling/advice.py
+++ b/fireflydeck/scheduling/advice.py
@@ -8,8 +8,10 @@
 from fireflydeck.core.advisor import PlacementAdvisor
 from fireflydeck.core.fleet_configuration import AdvisorTimes
 from fireflydeck.kernel import Event, EventLog
+from fireflydeck.scheduling.servers import Server
+from fireflydeck.workload.life import Task
 
-__all__ = ["AdviceBook", "ServerLife", "step_name"]
+__all__ = ["AdviceBook"]
 
 _MOST_SERVERS = 30
 """Backend servers named in one call; each makes it longer."""
@@ -38,17 +40,9 @@
     not_before_ms: int = 0
 
 
-@frozen
-class ServerLife:
-    """A backend server in one of its lives; a ticket holds for one life."""
-
-    server_id: str
-    born_ms: int
-
-
-def step_name(job_id: str, occurrence: int, step: int) -> str:
-    """Return the name of a step as the advisor knows it."""
-    return f"{job_id}.{occurrence}.{step}"
+def _step_name(task: Task) -> str:
+    """Return the name of a task's step as the advisor knows it."""
+    return f"{task.key.job_id}.{task.key.occurrence}.{task.key.step}"
 
 
 @define(eq=False)
@@ -71,20 +65,28 @@
     _steps: dict[str, _StepAdvice] = field(factory=dict, init=False)
     _calls: int = field(default=0, init=False)
 
-    def ticket(self, step: str, life: ServerLife) -> str:
+    def allowed(self, task: Task, pool: list[Server], times: AdvisorTimes) -> list[Server]:
+        """Return the servers for which there is a ticket, and ask about the others."""
+        self._request(_step_name(task), pool, times)
+        return [server for server in pool if self.ticket(task, server)]
+
+    def ticket(self, task: Task, server: Server) -> str:
         """Return a valid ticket for a start, or an empty text."""
-        known = self._steps.get(step)
-        ticket = known.tickets.get(life.server_id) if known else None
-        if ticket is None or ticket.born_ms != life.born_ms:
+        known = self._steps.get(_step_name(task))
+        return self._valid_text(known, server) if known else ""
+
+    def _valid_text(self, known: _StepAdvice, server: Server) -> str:
+        ticket = known.tickets.get(server.id)
+        if ticket is None or ticket.born_ms != server.born_ms:
             return ""
         return ticket.text if self._clock.now_ms() < ticket.until_ms else ""
 
-    def drop(self, step: str, server_id: str) -> None:
+    def drop(self, task: Task, server: Server) -> None:
         """Forget a ticket that was rejected."""
-        known = self._steps.get(step)
+        known = self._steps.get(_step_name(task))
         if known is not None:
-            known.tickets.pop(server_id, None)
-            known.asked.pop(server_id, None)
+            known.tickets.pop(server.id, None)
+            known.asked.pop(server.id, None)
 
     def forget_job(self, job_id: str) -> None:
         """Forget the steps of a job."""
@@ -93,33 +95,33 @@
             name: known for name, known in self._steps.items() if not name.startswith(prefix)
         }
 
-    def request(self, step: str, lives: Sequence[ServerLife], times: AdvisorTimes) -> None:
-        """Ask about backend servers that are not known, or whose tickets run out."""
+    def _request(self, step: str, pool: Sequence[Server], times: AdvisorTimes) -> None:
+        """Ask about backend servers that are not known, or whose tickets ran out."""
         known = self._steps.setdefault(step, _StepAdvice())
         now_ms = self._clock.now_ms()
         if known.is_asking or self._calls >= _MOST_CALLS or now_ms < known.not_before_ms:
             return
-        unknown = [life for life in lives if self._is_unknown(known, step, life, now_ms)]
+        unknown = [server for server in pool if self._is_unknown(known, server)]
         if unknown:
             known.is_asking = True
             self._calls += 1
             self._send("advise", self._ask, step, known, unknown[:_MOST_SERVERS], times)
 
-    def _is_unknown(self, known: _StepAdvice, step: str, life: ServerLife, now_ms: int) -> bool:
+    def _is_unknown(self, known: _StepAdvice, server: Server) -> bool:
         """Whether to ask about a server; which ones are good for a step does not change."""
-        if known.asked.get(life.server_id) != life.born_ms:
+        if known.asked.get(server.id) != server.born_ms:
             return True
-        return life.server_id in known.tickets and not self.ticket(step, life)
+        return server.id in known.tickets and not self._valid_text(known, server)
 
     async def _ask(
-        self, step: str, known: _StepAdvice, lives: Sequence[ServerLife], times: AdvisorTimes
+        self, step: str, known: _StepAdvice, servers: Sequence[Server], times: AdvisorTimes
     ) -> None:
         sent_ms = self._clock.now_ms()
-        work_ms = times.decision_ms + times.per_server_ms * len(lives)
+        work_ms = times.decision_ms + times.per_server_ms * len(servers)
         try:
             result = await self._advisor.advise(
                 step,
-                [life.server_id for life in lives],
+                [server.id for server in servers],
                 timeout_ms=work_ms * _MOST_CALLS + _CALL_SLACK_MS,
             )
         finally:
@@ -131,7 +133,7 @@
             self._log.emit(
                 Event.ADVICE_RECEIVED,
                 step_of_job=step,
-                asked=len(lives),
+                asked=len(servers),
                 good=0,
                 took_ms=took_ms,
                 detail=result.error.detail,
@@ -139,15 +141,15 @@
             return
         valid_ms = result.ok.validity_ms or times.validity_ms
         until_ms = sent_ms + took_ms + max(0, valid_ms - _EXPIRY_MARGIN_MS)
-        for life in lives:
-            known.asked[life.server_id] = life.born_ms
-            text = result.ok.tickets.get(life.server_id)
+        for server in servers:
+            known.asked[server.id] = server.born_ms
+            text = result.ok.tickets.get(server.id)
             if text is not None:
-                known.tickets[life.server_id] = _Ticket(text, life.born_ms, until_ms)
+                known.tickets[server.id] = _Ticket(text, server.born_ms, until_ms)
         self._log.emit(
             Event.ADVICE_RECEIVED,
             step_of_job=step,
-            asked=len(lives),
+            asked=len(servers),
             good=len(result.ok.tickets),
             took_ms=took_ms,
             detail="",
--- a/fireflydeck/scheduling/dispatch.py
+++ b/fireflydeck/scheduling/dispatch.py
@@ -1,25 +1,16 @@
-"""Chooses what is started where, and sends the orders."""
+"""Chooses what is started where."""
 
 from collections.abc import Callable
-from functools import partial
 
 from attrs import define, evolve, field
 
-from fireflydeck.core import Clock, Failure, Ran
-from fireflydeck.core.backend_orders import (
-    EndedRun,
-    RunEnd,
-    StartOrder,
-    StartOutcome,
-)
+from fireflydeck.core import Clock
+from fireflydeck.core.backend_orders import EndedRun, RunEnd
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
-from fireflydeck.kernel import Event, EventLog, Metrics
 from fireflydeck.observation.operators import OperatorDocuments
-from fireflydeck.observation.registrations import Registrations
-from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.policy.job_order import JobRank, rank
 from fireflydeck.policy.server_choice import Candidate, choose_server
-from fireflydeck.scheduling.advice import AdviceBook, ServerLife, step_name
+from fireflydeck.scheduling.advice import AdviceBook
 from fireflydeck.scheduling.demand import (
     Inflow,
     PoolDemand,
@@ -29,12 +20,15 @@
     waiting_core_s,
 )
 from fireflydeck.scheduling.fleet_usage import OrganisationUsage
+from fireflydeck.scheduling.order_sender import (
+    MAX_RETRY_PAUSE_MS,
+    RETRY_PAUSE_MS,
+    OrderSender,
+)
 from fireflydeck.scheduling.servers import Server
-from fireflydeck.scheduling.session import HOLD_MS
 from fireflydeck.scheduling.work_estimates import WorkEstimates
 from fireflydeck.workload.life import (
     Attempt,
-    AttemptPhase,
     Job,
     Task,
     begin_attempt,
@@ -44,14 +38,6 @@
 
 __all__ = ["Dispatch"]
 
-_ORDER_TIMEOUT_MS = 900
-_MAX_DOCUMENT_AGE_MS = 2500
-"""Oldest knowledge of operators' documents and registrations with which a run is started."""
-_CROWDED_PAUSE_MS = 150
-"""No start at a server for this long after it rejected one for want of room."""
-_BUSY_PAUSE_MS = 400
-_RETRY_PAUSE_MS = 100
-_MAX_RETRY_PAUSE_MS = 1600
 _RUNS_A_TERM = 1000
 """Run numbers of a term begin above all that earlier holders may have used."""
 
@@ -77,7 +63,7 @@
 
 @define(eq=False, kw_only=True)
 class Dispatch:
-    """Decides starts from what is known, and sends starts, stops and paces.
+    """Decides starts from what is known.
 
     Parameters
     ----------
@@ -86,19 +72,13 @@
     """
 
     term: int
-    lease: LeaseKeeper
     operators: OperatorDocuments
-    registrations: Registrations
     clock: Clock
-    log: EventLog
-    metrics: Metrics
     usage: OrganisationUsage
     advice: AdviceBook
+    sender: OrderSender
     begin: Callable[[Attempt], None]
     drop: Callable[[Attempt], None]
-    on_fenced: Callable[[Server], None]
-    on_other_instance: Callable[[Server], None]
-    wake: Callable[[], None]
     _queued: dict[str, _QueuedJob] = field(factory=dict, init=False)
     _inflow: Inflow = field(factory=Inflow, init=False)
     _estimates: WorkEstimates = field(factory=WorkEstimates, init=False)
@@ -137,7 +117,7 @@
             self._estimates.note_done(attempt, self.clock.now_ms())
         if ended.end == RunEnd.FAILED:
             doublings = min(task.failures, 4)
-            pause_ms = min(_MAX_RETRY_PAUSE_MS, _RETRY_PAUSE_MS << doublings)
+            pause_ms = min(MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS << doublings)
             task.not_before_ms = self.clock.now_ms() + pause_ms
         server.crowded_until_ms = 0
 
@@ -187,7 +167,7 @@
     ) -> list[tuple[Server, Attempt]]:
         """Return the starts to send; their capacity is reserved."""
         configuration = self.operators.configuration
-        if configuration is None or not self._is_fresh():
+        if configuration is None or not self.sender.knows_operators():
             return []
         now_ms = self.clock.now_ms()
         open_servers = self._open_servers(servers, now_ms)
@@ -232,10 +212,6 @@
             starts.append(start)
         return starts
 
-    def _is_fresh(self) -> bool:
-        ages = (self.operators.age_ms, self.registrations.age_ms)
-        return all(age is not None and age <= _MAX_DOCUMENT_AGE_MS for age in ages)
-
     def _open_servers(self, servers: dict[str, Server], now_ms: int) -> dict[str, list[Server]]:
         evacuated = self.operators.evacuated_data_centres
         by_pool: dict[str, list[Server]] = {}
@@ -285,7 +261,9 @@
         self, configuration: FleetConfiguration, task: Task, pool: list[Server], least_run: int
     ) -> tuple[Server, Attempt] | None:
         step = task.step
-        pool = self._advised(configuration, task, pool)
+        queue = configuration.queue(task.job.spec.queue)
+        if queue is not None and queue.advisor is not None:
+            pool = self.advice.allowed(task, pool, queue.advisor)
         if not any(server.fits(step) for server in pool):
             return None
         organisation = task.job.spec.organisation
@@ -301,25 +279,6 @@
         self.begin(attempt)
         return server, attempt
 
-    def _advised(
-        self, configuration: FleetConfiguration, task: Task, pool: list[Server]
-    ) -> list[Server]:
-        """Return the backend servers for which the start would carry a ticket, if it needs one."""
-        queue = configuration.queue(task.job.spec.queue)
-        if queue is None or queue.advisor is None:
-            return pool
-        name = _step_of(task)
-        self.advice.request(name, [_life(server) for server in pool], queue.advisor)
-        return [server for server in pool if self.advice.ticket(name, _life(server))]
-
-    def _ticket(self, server: Server, task: Task) -> str | None:
-        """Return the ticket of a start, empty if it needs none; `None` if it lacks one."""
-        configuration = self.operators.configuration
-        queue = configuration.queue(task.job.spec.queue) if configuration else None
-        if queue is None or queue.advisor is None:
-            return ""
-        return self.advice.ticket(_step_of(task), _life(server)) or None
-
     def _candidate(self, server: Server, task: Task) -> Candidate:
         step = task.step
         same_step = 0
@@ -342,131 +301,3 @@
             disturbs=disturbs,
             is_due=server.is_due,
         )
-
-    # Orders
-
-    async def send_start(self, server: Server, attempt: Attempt) -> None:
-        """Send the start of an attempt, if it is still allowed at this moment."""
-        now_ms = self.clock.now_ms()
-        task = attempt.task
-        ticket = self._ticket(server, task)
-        if ticket is None or not self._may_start(server, task, now_ms):
-            self.drop(attempt)
-            return
-        until_ms = server.clock_at(now_ms) + HOLD_MS
-        server.lease_until_ms = max(server.lease_until_ms, until_ms)
-        order = StartOrder(
-            task=task.name,
-            run=attempt.run,
-            payload=task.job.spec.payload,
-            lease_until_ms=until_ms,
-            fencing_token=self.term,
-            checkpoint=task.checkpoint if task.step.checkpointing else "",
-            ticket=ticket,
-        )
-        result = await server.orders.start(order, timeout_ms=_ORDER_TIMEOUT_MS)
-        took_ms = self.clock.now_ms() - now_ms
-        self.metrics.observe_ms("start_order_ms", took_ms)
-        outcome = result.ok.value if result.is_ok() else "no answer"
-        self.log.emit(
-            Event.START_SENT,
-            task=task.name,
-            run=attempt.run,
-            server=server.id,
-            outcome=outcome,
-            took_ms=took_ms,
-            free_cpu=server.free.cpu,
-            operators_age_ms=self.operators.age_ms,
-            waited_ms=now_ms - (task.waiting_since_ms or task.job.accepted_at_ms),
-        )
-        if result.is_ok():
-            self._on_start_outcome(server, attempt, result.ok)
-        else:
-            self._on_start_failure(attempt, result.error)
-
-    def _may_start(self, server: Server, task: Task, now_ms: int) -> bool:
-        """Check at the moment of the send what a start depends on."""
-        return (
-            self.lease.is_valid()
-            and task.job.is_open
-            and not task.done
-            and self._is_fresh()
-            and server.takes_work(now_ms)
-            and server.registration.data_centre not in self.operators.evacuated_data_centres
-        )
-
-    def _on_start_outcome(self, server: Server, attempt: Attempt, outcome: StartOutcome) -> None:
-        now_ms = self.clock.now_ms()
-        if outcome == StartOutcome.ACCEPTED:
-            if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.UNCERTAIN):
-                attempt.enter(AttemptPhase.RUNNING, now_ms)
-            return
-        if attempt.phase != AttemptPhase.STARTING:
-            return
-        self.metrics.count("starts_rejected_total", reason=outcome.value)
-        attempt.task.not_before_ms = now_ms + _RETRY_PAUSE_MS
-        if outcome == StartOutcome.NO_ROOM:
-            server.crowded_until_ms = now_ms + _CROWDED_PAUSE_MS
-            attempt.task.not_before_ms = 0
-        elif outcome == StartOutcome.BUSY:
-            server.crowded_until_ms = now_ms + _BUSY_PAUSE_MS
-        elif outcome == StartOutcome.INVALID:
-            attempt.task.not_before_ms = now_ms + _MAX_RETRY_PAUSE_MS
-        elif outcome == StartOutcome.NO_TICKET:
-            self.advice.drop(_step_of(attempt.task), server.id)
-        elif outcome == StartOutcome.FENCED:
-            self.on_fenced(server)
-        self.drop(attempt)
-        if outcome == StartOutcome.OTHER_INSTANCE:
-            self.on_other_instance(server)
-
-    def _on_start_failure(self, attempt: Attempt, failure: Failure) -> None:
-        if attempt.phase != AttemptPhase.STARTING:
-            return
-        now_ms = self.clock.now_ms()
-        if failure.ran == Ran.NO:
-            attempt.task.not_before_ms = now_ms + _RETRY_PAUSE_MS
-            self.drop(attempt)
-            return
-        attempt.enter(AttemptPhase.UNCERTAIN, now_ms)
-
-    async def send_stop(self, server: Server, attempt: Attempt) -> None:
-        """Send the stop of an attempt; a run that has not begun then never will."""
-        result = await server.orders.stop(
-            task=attempt.task.name,
-            run=attempt.run,
-            fencing_token=self.term,
-            timeout_ms=_ORDER_TIMEOUT_MS,
-        )
-        taken = result.is_ok() and result.ok
-        self.log.emit(
-            Event.STOP_SENT,
-            task=attempt.task.name,
-            run=attempt.run,
-            server=server.id,
-            taken=taken,
-            phase=attempt.phase.value,
-        )
-        if taken:
-            attempt.enter(AttemptPhase.STOPPING, self.clock.now_ms())
-
-    async def stop_unknown(self, server: Server, task: str, run: int) -> None:
-        """Stop a run of a task that is over or not known."""
-        send = partial(server.orders.stop, task=task, run=run, fencing_token=self.term)
-        result = await send(timeout_ms=_ORDER_TIMEOUT_MS)
-        self.log.emit(
-            Event.STOP_SENT,
-            task=task,
-            run=run,
-            server=server.id,
-            taken=result.is_ok() and result.ok,
-            phase="unknown",
-        )
-
-
-def _step_of(task: Task) -> str:
-    return step_name(task.key.job_id, task.key.occurrence, task.key.step)
-
-
-def _life(server: Server) -> ServerLife:
-    return ServerLife(server.id, server.born_ms)
--- a/fireflydeck/scheduling/runs.py
+++ b/fireflydeck/scheduling/runs.py
@@ -12,6 +12,7 @@
 from fireflydeck.scheduling.fleet_usage import OrganisationUsage
 from fireflydeck.scheduling.job_book import JobBook
 from fireflydeck.scheduling.journal import ProgressJournal
+from fireflydeck.scheduling.order_sender import OrderSender
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.workload.life import (
     Attempt,
@@ -50,6 +51,7 @@
     send: Callable[..., None]
     wake: Callable[[], None]
     dispatch: Dispatch = field(init=False)
+    sender: OrderSender = field(init=False)
 
     def begin(self, attempt: Attempt) -> None:
         """Reserve what an attempt uses."""
@@ -93,7 +95,7 @@
         attempt.stop_requested = True
         server = self.servers.get(attempt.server_id)
         if server is not None:
-            self.send("stop", self.dispatch.send_stop, server, attempt)
+            self.send("stop", self.sender.send_stop, server, attempt)
 
     def on_end(self, server: Server, ended: EndedRun) -> None:
         """Take over an end; it is acknowledged once what follows from it is stored."""
@@ -181,7 +183,7 @@
         task = self._task(name)
         if task is None:
             self.log.emit(Event.RUN_UNKNOWN, task=name, run=run, server=server.id)
-            self.send("stop", self.dispatch.stop_unknown, server, name, run)
+            self.send("stop", self.sender.stop_unknown, server, name, run)
             return
         others = bool(task.attempts)
         attempt = confirm_attempt(task, run, server.id, now_ms)
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -31,6 +31,7 @@
 from fireflydeck.scheduling.fleet_usage import OrganisationUsage
 from fireflydeck.scheduling.job_book import JobBook
 from fireflydeck.scheduling.journal import ProgressJournal
+from fireflydeck.scheduling.order_sender import OrderSender
 from fireflydeck.scheduling.pool_duties import PoolDuties
 from fireflydeck.scheduling.retention import Retention
 from fireflydeck.scheduling.runs import RunLedger
@@ -123,23 +124,32 @@
             send=self._send,
             wake=self.wake,
         )
-        self._dispatch = Dispatch(
+        advice = AdviceBook(advisor, clock, log, self._send, self.wake)
+        self._sender = OrderSender(
             term=tenure.term,
             lease=lease,
             operators=operators,
+            registrations=self._registrations,
             clock=clock,
             log=log,
             metrics=metrics,
-            registrations=self._registrations,
-            begin=self._runs.begin,
+            advice=advice,
             drop=self._runs.drop,
-            usage=self._usage,
-            advice=AdviceBook(advisor, clock, log, self._send, self.wake),
             on_fenced=self.on_fenced,
             on_other_instance=self.on_other_instance,
-            wake=self.wake,
+        )
+        self._dispatch = Dispatch(
+            term=tenure.term,
+            operators=operators,
+            clock=clock,
+            usage=self._usage,
+            advice=advice,
+            sender=self._sender,
+            begin=self._runs.begin,
+            drop=self._runs.drop,
         )
         self._runs.dispatch = self._dispatch
+        self._runs.sender = self._sender
         self._retention = Retention(
             store=store, lease=lease, clock=clock, log=log, status_ms=status_ms
         )
@@ -479,7 +489,7 @@
                 self._servers, self._unsettled_pools(), self._tenure.since_version
             )
             for server, attempt in starts:
-                self._send("start", self._dispatch.send_start, server, attempt)
+                self._send("start", self._sender.send_start, server, attempt)
 
 
 def _placeholder(server_id: str, pool: str, address: str) -> Registration:
