--- a/fireflydeck/policy/pool_sizes.py
+++ b/fireflydeck/policy/pool_sizes.py
@@ -15,7 +15,7 @@
 
 @frozen(kw_only=True)
 class VmLoad:
-    """A VM that is up and may move.
+    """A VM that is up and may move: one on standby, or taken from there.
 
     Parameters
     ----------
@@ -51,8 +51,6 @@
         VMs that open jobs need because they may have only so many tasks on one.
     vms
         VMs that take work or are on their way here.
-    reserve_vms
-        VMs that stay here while there is nothing to do.
     required_labels
         Labels that tasks of open jobs require.
     missing_labels
@@ -67,7 +65,6 @@
     incoming_cores: float = 0.0
     least_vms: int = 0
     vms: int = 0
-    reserve_vms: int = 1
     required_labels: frozenset[str] = frozenset()
     missing_labels: frozenset[str] = frozenset()
     standby: bool = False
@@ -135,10 +132,9 @@
         return True
     if vm.idle_ms < _IDLE_BEFORE_MOVE_MS or vm.labels & pool.required_labels:
         return False
-    left = pool.available_cores - vm.cores
-    return left >= pool.needed_cores * _MARGIN and pool.vms - 1 >= max(
-        pool.reserve_vms, pool.least_vms
-    )
+    kept_vms = max(1, pool.least_vms)
+    left_cores = pool.available_cores - vm.cores
+    return left_cores >= pool.needed_cores * _MARGIN and pool.vms > kept_vms
 
 
 def _to_standby(pools: dict[str, PoolLoad], spare: list[VmLoad]) -> list[VmMove]:
--- a/fireflydeck/scheduling/pool_duties.py
+++ b/fireflydeck/scheduling/pool_duties.py
@@ -17,8 +17,6 @@
 
 _CORE = 1000
 """Thousandths in a core."""
-_RESERVE_SHARE = 0.6
-"""Part of an even share of all VMs that a pool keeps while there is nothing to do."""
 _ARRIVAL_SLACK_MS = 700
 """Time beyond that of a move until a VM is seen, held and given work."""
 
@@ -80,7 +78,7 @@
             self._vm_load(vm, configuration)
             for vm in self.fleet.vms.values()
             if vm.name not in due
-            and (vm.pool in standby or self._may_leave_home(vm))
+            and (vm.pool in standby or self.fleet.record.is_borrowed(vm.name))
             and self._is_movable(vm)
         ]
         moves = choose_moves(loads.values(), vms)
@@ -116,24 +114,11 @@
             incoming_cores=sum(vm.capacity.cpu for vm in incoming) / _CORE,
             least_vms=demand.least_vms,
             vms=len(servers) + len(incoming),
-            reserve_vms=self._reserve_vms(),
             required_labels=demand.required_labels,
             missing_labels=demand.required_labels.difference(*labels),
             standby=pool.standby,
         )
 
-    def _may_leave_home(self, vm: ListedVm) -> bool:
-        """Whether a VM outside of the standby pools may move.
-
-        While something fails, only those that came from standby do: a pool that gave VMs away can't
-        get them back during a take-over.
-        """
-        return self.fleet.is_calm or self.fleet.record.is_borrowed(vm.name)
-
-    def _reserve_vms(self) -> int:
-        pools = {vm.pool for vm in self.fleet.vms.values()}
-        return max(1, int(_RESERVE_SHARE * len(self.fleet.vms) / max(1, len(pools))))
-
     def _serves(self, server: Server) -> bool:
         evacuated = self.operators.evacuated_data_centres
         return server.can_work() and server.registration.data_centre not in evacuated
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -157,7 +157,7 @@
 
     def _make_duties(self, vm_orders: VmOrders, duty_times: DutyTimes) -> FleetDuties:
         clock, log = self._clock, self._log
-        self._fleet = fleet = VmFleet(
+        fleet = VmFleet(
             tenure=self._tenure,
             lease=self._lease,
             record=DutyRecord(self._store, self._lease, clock),
@@ -449,8 +449,6 @@
                 detail=failure.detail,
                 running=len(server.attempts),
             )
-            if not server.is_cordoned:
-                self._fleet.note_trouble()
         server.is_reachable = False
 
     def on_other_instance(self, server: Server) -> None:
--- a/fireflydeck/scheduling/vm_fleet.py
+++ b/fireflydeck/scheduling/vm_fleet.py
@@ -21,7 +21,6 @@
 """No duty is ordered by an older list."""
 _SETTLE_MS = 400
 """Added to the lease time between the duties of two holders."""
-_CALM_MS = 10_000
 _UNCERTAIN_MS = 15_000
 """How long a VM stays out of work after an order for it got no answer."""
 _UNTOUCHED_MS = 4000
@@ -70,17 +69,6 @@
     vms: dict[str, ListedVm] = field(factory=dict, init=False)
     sent: dict[str, SentOrder] = field(factory=dict, init=False)
     _listed_ms: int | None = field(default=None, init=False)
-    _trouble_ms: int = field(default=0, init=False)
-
-    @property
-    def is_calm(self) -> bool:
-        """Whether nothing has failed for a while: neither a holder of the lease nor a server."""
-        since_ms = max(self._trouble_ms, self.tenure.since_ms)
-        return self.clock.now_ms() - since_ms >= _CALM_MS
-
-    def note_trouble(self) -> None:
-        """Note that a backend server failed."""
-        self._trouble_ms = self.clock.now_ms()
 
     @property
     def list_age_ms(self) -> int | None:
