A later wave no longer erases the record of an earlier one; timeouts belong to the core

Cause (found by reading): the record of upkeep kept only the waves that are not completed, so after a second wave the next holder of the lease would have served the first one again. Requested waves are kept now. Test seen failing.

--- a/fireflydeck/policy/tests/test_call_timeout.py
+++ b/fireflydeck/core/tests/test_call_timeout.py
@@ -1,6 +1,6 @@
 """Timeouts that follow the latency: quick, slow and lossy peers."""
 
-from fireflydeck.policy.call_timeout import CallTimeout
+from fireflydeck.core.call_timeout import CallTimeout
 
 
 def _timeout(*answers_ms):
--- a/fireflydeck/entry/peer_link.py
+++ b/fireflydeck/entry/peer_link.py
@@ -94,8 +94,8 @@
             received = await self._post(peer, _FORWARD_PATH, request.encode(), bound_ms)
             if received is None:
                 continue
-            answer = CallerAnswer.decode(received)
-            if not answer.lacks_store:
+            answer = _decode_answer(received)
+            if answer is not None and not answer.lacks_store:
                 return ForwardedAnswer(peer, answer)
         return None
 
@@ -141,3 +141,11 @@
         run = self._scheduler.current if self._scheduler else None
         state = run.job_state(job_id) if run is not None else None
         return web.Response(body=msgpack.packb(state))
+
+
+def _decode_answer(content: bytes) -> CallerAnswer | None:
+    try:
+        return CallerAnswer.decode(content)
+    except ValueError:
+        # Not an error: a process of another version answers in its own way; the next peer is asked.
+        return None
--- a/fireflydeck/platform/store.py
+++ b/fireflydeck/platform/store.py
@@ -9,6 +9,7 @@
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Failure, Ran, Reason
+from fireflydeck.core.call_timeout import CallTimeout
 from fireflydeck.core.rows import (
     RowChanges,
     RowKey,
@@ -17,7 +18,6 @@
     StoredRow,
 )
 from fireflydeck.platform.http_peer import HttpAnswer, HttpPeer
-from fireflydeck.policy.call_timeout import CallTimeout
 
 __all__ = ["PlatformStore"]
 
--- a/fireflydeck/scheduling/duty_record.py
+++ b/fireflydeck/scheduling/duty_record.py
@@ -103,7 +103,7 @@
         return await self.save()
 
     async def save(self, waves: set[int] | None = None) -> Failure | None:
-        """Store what was noted; of the upkeep only `waves` are kept, if given."""
+        """Store what was noted; of the upkeep only the requested `waves` are kept, if given."""
         if self._is_stored:
             return None
         if waves is not None:
--- a/fireflydeck/scheduling/tests/fleet.py
+++ b/fireflydeck/scheduling/tests/fleet.py
@@ -54,8 +54,10 @@
             self.registry.add(service)
 
     def _orders(self, fleet, server_id):
-        self.orders[server_id] = FakeOrders(fleet.servers[server_id], fleet.clock)
-        self.orders[server_id].is_cut = server_id in self.unreachable
+        server = fleet.servers.get(server_id)
+        is_gone = server is None
+        self.orders[server_id] = FakeOrders(server or TaskServer(fleet.clock, CORES), fleet.clock)
+        self.orders[server_id].is_cut = is_gone or server_id in self.unreachable
         return self.orders[server_id]
 
     async def start(self, tasks):
--- a/fireflydeck/scheduling/tests/test_duties.py
+++ b/fireflydeck/scheduling/tests/test_duties.py
@@ -37,14 +37,14 @@
         )
 
 
-def _request_wave(fleet, *server_ids, max_at_once=1):
+def _request_wave(fleet, *server_ids, max_at_once=1, number=1):
     document = {
-        "maintenance_wave": 1,
+        "maintenance_wave": number,
         "machines": [f"vm-{server_id}" for server_id in server_ids],
         "duration_s": 20,
         "cap": max_at_once,
     }
-    put_operator_document(fleet.rows, "wave/1", orjson.dumps(document))
+    put_operator_document(fleet.rows, f"wave/{number}", orjson.dumps(document))
 
 
 def _status(fleet):
@@ -55,6 +55,7 @@
 def _bring_back(fleet, server_id, new_id):
     """Let a VM come back from its upkeep with a new backend server."""
     del fleet.servers[server_id]
+    fleet.rows.commit(RowTransaction(removals=(RowKey("servers", "", server_id),)))
     fleet.add_server(new_id)
     vm = fleet.vm_orders.vms[f"vm-{server_id}"]
     fleet.vm_orders.vms[vm.name] = evolve(vm, server_id=new_id)
@@ -141,6 +142,24 @@
         assert _ordered(fleet) == [("upkeep", "vm-s1")]
 
 
+async def test_next_holder_leaves_a_completed_wave_alone_after_another():
+    """The record of the first wave went when the second one was stored."""
+    async with running_fleet(servers=3, members=2) as fleet:
+        _list(fleet, "s1", "s2", "s3")
+        _request_wave(fleet, "s1")
+        await fleet.advance_ms(3000)
+        _bring_back(fleet, "s1", "s4")
+        await fleet.advance_ms(2000)
+        _request_wave(fleet, "s2", number=2)
+        await fleet.advance_ms(2000)
+        _bring_back(fleet, "s2", "s5")
+        await fleet.advance_ms(2000)
+        assert _ordered(fleet) == [("upkeep", "vm-s1"), ("upkeep", "vm-s2")]
+        await fleet.leader.lease.stop()
+        await fleet.advance_ms(6000)
+        assert _ordered(fleet) == [("upkeep", "vm-s1"), ("upkeep", "vm-s2")]
+
+
 async def test_upkeep_that_was_done_already_keeps_no_vm_out_of_work():
     """The holder before was killed between the order and its record."""
     async with running_fleet(servers=1) as fleet:
--- a/fireflydeck/scheduling/wave_duties.py
+++ b/fireflydeck/scheduling/wave_duties.py
@@ -42,13 +42,15 @@
     clock: Clock
     log: EventLog
     request_stop: Callable[[Attempt], None]
+    _requested: set[int] = field(factory=set, init=False)
     _first_seen_ms: dict[int, int] = field(factory=dict, init=False)
     _reported: dict[int, str] = field(factory=dict, init=False)
 
     def open_waves(self, waves: tuple[MaintenanceWave, ...]) -> list[MaintenanceWave]:
         """Return the waves that are not reported as completed."""
-        for wave in waves:
-            self._first_seen_ms.setdefault(wave.number, self.clock.now_ms())
+        self._requested = {wave.number for wave in waves}
+        for number in self._requested:
+            self._first_seen_ms.setdefault(number, self.clock.now_ms())
         return [wave for wave in waves if self._reported.get(wave.number) != WaveState.COMPLETED]
 
     async def serve(self, waves: list[MaintenanceWave], demand: dict[str, PoolDemand]) -> None:
@@ -56,7 +58,7 @@
         self._mark_due(waves)
         for wave in waves:
             await self._serve_wave(wave, demand)
-        failure = await self.fleet.record.save({wave.number for wave in waves})
+        failure = await self.fleet.record.save(self._requested)
         if failure is not None:
             log_store_failure(self.log, failure)
 
