--- a/fireflydeck/core/backend_orders.py
+++ b/fireflydeck/core/backend_orders.py
@@ -138,13 +138,13 @@
 
     @abstractmethod
     async def hold(
-        self, *, fencing_token: int, last_seen: int, lease_until_ms: int, wait_ms: int
+        self, *, fencing_token: int, acknowledged_end: int, lease_until_ms: int, wait_ms: int
     ) -> Result[HoldReport, Failure]:
         """Extend the lease of all that runs, and return both lists.
 
         Parameters
         ----------
-        last_seen
+        acknowledged_end
             Number of the newest end that is stored; ends up to it are forgotten there.
         lease_until_ms
             New end of the lease on the backend server's clock; 0 to leave it.
--- a/fireflydeck/core/rows.py
+++ b/fireflydeck/core/rows.py
@@ -103,6 +103,17 @@
         The version is one that the rows are no older than.
         """
 
+    async def read_row(self, key: RowKey, *, timeout_ms: int) -> Result[StoredRow | None, Failure]:
+        """Return one row, or `None` if there is none; failures are those of `read`."""
+        result = await self.read(
+            key.table,
+            key.partition,
+            first=key.key,
+            before=key.key + "\0",
+            timeout_ms=timeout_ms,
+        )
+        return result.map(lambda changes: changes.rows[0] if changes.rows else None)
+
     @abstractmethod
     async def changes(self, table: str, *, after: int, wait_ms: int) -> Result[RowChanges, Failure]:
         """Return the rows of a table that changed after a version, as soon as there are any."""
--- a/fireflydeck/platform/backend_server_client.py
+++ b/fireflydeck/platform/backend_server_client.py
@@ -102,14 +102,14 @@
         return answer.map(lambda received: received.status == _OK)
 
     async def hold(
-        self, *, fencing_token: int, last_seen: int, lease_until_ms: int, wait_ms: int
+        self, *, fencing_token: int, acknowledged_end: int, lease_until_ms: int, wait_ms: int
     ) -> Result[HoldReport, Failure]:
         """Extend the lease of all that runs and return both lists.
 
         Failures: `NOT_OWNER` for a fencing token that is too low, `BACKEND_LOST` if another
         instance answers, `BACKEND_REFUSED` for any other refusal.
         """
-        body = {"fencing_token": fencing_token, "last_seen": last_seen, "wait_ms": wait_ms}
+        body = {"fencing_token": fencing_token, "last_seen": acknowledged_end, "wait_ms": wait_ms}
         if lease_until_ms > 0:
             body["deadline_ms"] = lease_until_ms
         answer = await self._call("/-/hold", "hold", body, wait_ms + _HOLD_SLACK_MS)
--- a/fireflydeck/platform/tests/test_backend_server_client.py
+++ b/fireflydeck/platform/tests/test_backend_server_client.py
@@ -32,7 +32,7 @@
 
 
 async def _hold(client, **fields):
-    order = {"fencing_token": 2, "last_seen": 0, "lease_until_ms": 0, "wait_ms": 0}
+    order = {"fencing_token": 2, "acknowledged_end": 0, "lease_until_ms": 0, "wait_ms": 0}
     return await client.hold(**{**order, **fields})
 
 
@@ -49,7 +49,7 @@
         assert stopped.ok
         report = (await _hold(client)).ok
         assert [(row.number, row.end) for row in report.ended] == [(1, RunEnd.STOPPED)]
-        assert (await _hold(client, last_seen=1)).ok.ended == ()
+        assert (await _hold(client, acknowledged_end=1)).ok.ended == ()
         await client.close()
 
 
--- a/fireflydeck/policy/job_order.py
+++ b/fireflydeck/policy/job_order.py
@@ -15,7 +15,7 @@
 
 @frozen(order=True)
 class JobRank:
-    """Smaller goes first: lasting work, then what can still be in time, by its deadline.
+    """Smaller goes first: long-running work, then what can still be in time, by its deadline.
 
     Of what can still be in time, jobs that have begun go first: the work done on them is lost if
     they become late.
@@ -45,7 +45,7 @@
     deadline_ms: float,
     remaining_ms: float,
     priority: int,
-    is_lasting: bool,
+    is_long_running: bool,
     has_begun: bool,
     now_ms: int,
 ) -> JobRank:
@@ -58,7 +58,7 @@
     remaining_ms
         What the job still takes if all its tasks start as soon as they may.
     """
-    if is_lasting:
+    if is_long_running:
         return JobRank(0, priority, deadline_ms)
     margin = 1.0 if has_begun else _NEW_JOB_MARGIN
     if now_ms + remaining_ms * margin > deadline_ms:
--- a/fireflydeck/policy/tests/test_job_order.py
+++ b/fireflydeck/policy/tests/test_job_order.py
@@ -19,7 +19,7 @@
 def _rank(deadline_ms, **fields):
     known = {
         "priority": 0,
-        "is_lasting": False,
+        "is_long_running": False,
         "now_ms": 1000,
         "remaining_ms": 0,
         "has_begun": False,
@@ -69,8 +69,8 @@
     assert _rank(5000, remaining_ms=800) < _rank(1900, remaining_ms=800)
 
 
-def test_lasting_work_goes_first():
-    assert _rank(9000, is_lasting=True) < _rank(1001)
+def test_long_running_work_goes_first():
+    assert _rank(9000, is_long_running=True) < _rank(1001)
 
 
 def test_urgent_queues_go_first_among_those_in_time():
--- a/fireflydeck/scheduling/dispatch.py
+++ b/fireflydeck/scheduling/dispatch.py
@@ -55,7 +55,7 @@
     """
 
     job: Job
-    is_lasting: bool
+    is_long_running: bool
     ready: list[Task] | None = None
     deadline_ms: float = 0.0
     remaining_ms: float = 0.0
@@ -87,11 +87,11 @@
 
     def add_job(self, job: Job) -> None:
         """Schedule a job."""
-        lasting = any(step.long_running for step in job.spec.steps)
-        self._queued[job.id] = _QueuedJob(job, lasting)
+        long_running = any(step.long_running for step in job.spec.steps)
+        self._queued[job.id] = _QueuedJob(job, long_running)
         configuration = self.operators.configuration
         queue = configuration.queue(job.spec.queue) if configuration else None
-        if queue is not None and not lasting:
+        if queue is not None and not long_running:
             now_ms = self.clock.now_ms()
             left_ms = self._estimates.deadline_ms(job, queue) - job.accepted_at_ms
             cores = needed_cores(job, self._estimates, left_ms=left_ms)
@@ -147,14 +147,14 @@
         }
 
     def _needed_cores(self, queued: _QueuedJob, queue: JobQueue, now_ms: int) -> float:
-        if queued.is_lasting:
+        if queued.is_long_running:
             return 0.0
         left_ms = self._estimates.deadline_ms(queued.job, queue) - now_ms
         return needed_cores(queued.job, self._estimates, left_ms=left_ms)
 
     def _add_job(self, demand: PoolDemand, queued: _QueuedJob) -> PoolDemand:
         job = queued.job
-        work = 0.0 if queued.is_lasting else waiting_core_s(job, self._estimates)
+        work = 0.0 if queued.is_long_running else waiting_core_s(job, self._estimates)
         return evolve(
             demand,
             waiting_core_s=demand.waiting_core_s + work,
@@ -234,7 +234,7 @@
                 deadline_ms=queued.deadline_ms,
                 remaining_ms=queued.remaining_ms,
                 priority=queue.priority,
-                is_lasting=queued.is_lasting,
+                is_long_running=queued.is_long_running,
                 has_begun=queued.job.begun,
                 now_ms=now_ms,
             )
--- a/fireflydeck/scheduling/duties.py
+++ b/fireflydeck/scheduling/duties.py
@@ -2,17 +2,18 @@
 
 from collections.abc import Callable
 
-from attrs import define
+from attrs import define, field
 
 from fireflydeck.core import Clock
 from fireflydeck.core.fleet_configuration import FleetConfiguration
+from fireflydeck.core.rows import RowStore
 from fireflydeck.kernel import EventLog, log_store_failure
 from fireflydeck.observation.operators import OperatorDocuments
-from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.scheduling.demand import PoolDemand
 from fireflydeck.scheduling.pool_duties import PoolDuties
 from fireflydeck.scheduling.vm_fleet import VmFleet
 from fireflydeck.scheduling.wave_duties import WaveDuties
+from fireflydeck.workload.life import Attempt
 
 __all__ = ["FleetDuties"]
 
@@ -27,16 +28,35 @@
     ----------
     demand
         Returns the work in sight by pool.
+    request_stop
+        Stops a run.
     """
 
-    lease: LeaseKeeper
     fleet: VmFleet
-    waves: WaveDuties
-    pools: PoolDuties
+    store: RowStore
     operators: OperatorDocuments
     clock: Clock
     log: EventLog
     demand: Callable[[], dict[str, PoolDemand]]
+    request_stop: Callable[[Attempt], None]
+    _waves: WaveDuties = field(init=False)
+    _pools: PoolDuties = field(init=False)
+
+    @_waves.default
+    def _make_waves(self) -> WaveDuties:
+        return WaveDuties(
+            fleet=self.fleet,
+            store=self.store,
+            clock=self.clock,
+            log=self.log,
+            request_stop=self.request_stop,
+        )
+
+    @_pools.default
+    def _make_pools(self) -> PoolDuties:
+        return PoolDuties(
+            fleet=self.fleet, operators=self.operators, clock=self.clock, log=self.log
+        )
 
     async def run(self) -> None:
         """Look for duties until cancelled."""
@@ -46,20 +66,20 @@
             if configuration is None:
                 continue
             demand = self.demand()
-            self.pools.note(demand)
-            if self.lease.is_valid():
+            self._pools.note(demand)
+            if self.fleet.lease.is_valid():
                 await self._round(configuration, demand)
 
     async def _round(
         self, configuration: FleetConfiguration, demand: dict[str, PoolDemand]
     ) -> None:
-        waves = self.waves.open_waves(self.operators.waves)
-        if not waves and not self.pools.is_wanted(configuration, demand):
+        waves = self._waves.open_waves(self.operators.waves)
+        if not waves and not self._pools.is_wanted(configuration, demand):
             return
         if not await self.fleet.refresh() or not await self._load_record():
             return
-        await self.waves.serve(waves, demand)
-        await self.pools.serve(configuration, demand, self.waves.due_vms(waves))
+        await self._waves.serve(waves, demand)
+        await self._pools.serve(configuration, demand, self._waves.due_vms(waves))
 
     async def _load_record(self) -> bool:
         """Read what earlier holders stored; returns whether it is known."""
--- a/fireflydeck/scheduling/duty_record.py
+++ b/fireflydeck/scheduling/duty_record.py
@@ -39,17 +39,11 @@
         """Read what earlier holders stored, once."""
         if self._is_loaded:
             return None
-        result = await self._store.read(
-            DUTIES_ROW.table,
-            DUTIES_ROW.partition,
-            first=DUTIES_ROW.key,
-            before=DUTIES_ROW.key + "\0",
-            timeout_ms=_TIMEOUT_MS,
-        )
+        result = await self._store.read_row(DUTIES_ROW, timeout_ms=_TIMEOUT_MS)
         if result.is_error():
             return result.error
-        for row in result.ok.rows:
-            borrowed, upkeep, recent = msgpack.unpackb(row.value, strict_map_key=False)
+        if result.ok is not None:
+            borrowed, upkeep, recent = msgpack.unpackb(result.ok.value, strict_map_key=False)
             self._borrowed = set(borrowed)
             self._upkeep = {number: set(vms) for number, vms in upkeep.items()}
             self._before = recent
--- a/fireflydeck/scheduling/order_sender.py
+++ b/fireflydeck/scheduling/order_sender.py
@@ -1,7 +1,6 @@
 """Sends starts and stops to backend servers, and takes over the answers."""
 
 from collections.abc import Callable
-from functools import partial
 
 from attrs import define
 
@@ -152,23 +151,26 @@
 
     async def send_stop(self, server: Server, attempt: Attempt) -> None:
         """Send the stop of an attempt; a run that has not begun then never will."""
+        if await self._stop(server, attempt.task.name, attempt.run, attempt.phase.value):
+            attempt.enter(AttemptPhase.STOPPING, self.clock.now_ms())
+
+    async def stop_unknown(self, server: Server, task: str, run: int) -> None:
+        """Stop a run of a task that is over or not known."""
+        await self._stop(server, task, run, "unknown")
+
+    async def _stop(self, server: Server, task: str, run: int, phase: str) -> bool:
+        """Send a stop; returns whether it was taken."""
         result = await server.orders.stop(
-            task=attempt.task.name,
-            run=attempt.run,
+            task=task,
+            run=run,
             fencing_token=self.term,
             timeout_ms=_ORDER_TIMEOUT_MS,
         )
         taken = result.is_ok() and result.ok
         self.log.emit(
-            Event.STOP_SENT,
-            task=attempt.task.name,
-            run=attempt.run,
-            server=server.id,
-            taken=taken,
-            phase=attempt.phase.value,
+            Event.STOP_SENT, task=task, run=run, server=server.id, taken=taken, phase=phase
         )
-        if taken:
-            attempt.enter(AttemptPhase.STOPPING, self.clock.now_ms())
+        return taken
 
     async def send_pace(self, server: Server, attempt: Attempt, percent: int) -> None:
         """Send the pace of an attempt; without an answer it counts as not taken."""
@@ -192,16 +194,3 @@
         )
         if taken:
             attempt.pace = percent
-
-    async def stop_unknown(self, server: Server, task: str, run: int) -> None:
-        """Stop a run of a task that is over or not known."""
-        send = partial(server.orders.stop, task=task, run=run, fencing_token=self.term)
-        result = await send(timeout_ms=_ORDER_TIMEOUT_MS)
-        self.log.emit(
-            Event.STOP_SENT,
-            task=task,
-            run=run,
-            server=server.id,
-            taken=result.is_ok() and result.ok,
-            phase="unknown",
-        )
--- a/fireflydeck/scheduling/pool_duties.py
+++ b/fireflydeck/scheduling/pool_duties.py
@@ -180,9 +180,9 @@
 
 def _available_cores(server: Server) -> float:
     """Return the cores that long-running tasks leave."""
-    lasting = sum(
+    long_running = sum(
         attempt.task.step.demand.cpu
         for attempt in server.attempts.values()
         if attempt.task.step.long_running and not attempt.task.step.fill
     )
-    return (server.registration.capacity.cpu - lasting) / _CORE
+    return (server.registration.capacity.cpu - long_running) / _CORE
--- a/fireflydeck/scheduling/relocation.py
+++ b/fireflydeck/scheduling/relocation.py
@@ -6,10 +6,10 @@
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.workload.life import Attempt
 
-__all__ = ["relocate_lasting"]
+__all__ = ["relocate_long_running"]
 
 
-def relocate_lasting(due: Sequence[Server], servers: Sequence[Server]) -> list[Attempt]:
+def relocate_long_running(due: Sequence[Server], servers: Sequence[Server]) -> list[Attempt]:
     """Return the runs to stop now, at most one a pool.
 
     A run is stopped only if a server of its pool that is not due has room for it, and its step's
@@ -17,19 +17,19 @@
     first, so that whole VMs become free.
     """
     chosen: dict[str, Attempt] = {}
-    for server in sorted(due, key=lambda server: (len(_lasting(server)), server.id)):
+    for server in sorted(due, key=lambda server: (len(_long_running(server)), server.id)):
         pool = server.registration.pool
         if pool in chosen:
             continue
         others = [other for other in servers if _may_receive(other, pool)]
-        for attempt in _lasting(server):
+        for attempt in _long_running(server):
             if _may_leave(attempt, others):
                 chosen[pool] = attempt
                 break
     return list(chosen.values())
 
 
-def _lasting(server: Server) -> list[Attempt]:
+def _long_running(server: Server) -> list[Attempt]:
     return [attempt for attempt in server.attempts.values() if attempt.task.step.long_running]
 
 
--- a/fireflydeck/scheduling/session.py
+++ b/fireflydeck/scheduling/session.py
@@ -1,14 +1,17 @@
 """Holds one backend server: extends its leases and collects what ended there."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterable
 
 import anyio
+from anyio.abc import TaskGroup
 
 from fireflydeck.core import Clock, Failure, Reason
 from fireflydeck.core.backend_orders import HoldReport
+from fireflydeck.kernel import EventLog, keep_running
 from fireflydeck.scheduling.servers import Server
 
-__all__ = ["HOLD_MS", "ServerSession", "SessionOwner"]
+__all__ = ["HOLD_MS", "ServerSession", "SessionOwner", "SessionSet"]
 
 HOLD_MS = 3000
 """Length of the leases given to backend servers."""
@@ -78,7 +81,7 @@
         wait_ms = _WAIT_MS if server.attempts and server.is_reachable else 0
         result = await server.orders.hold(
             fencing_token=self._owner.term,
-            last_seen=stored_end,
+            acknowledged_end=stored_end,
             lease_until_ms=until_ms,
             wait_ms=wait_ms,
         )
@@ -112,3 +115,40 @@
         else:
             self._owner.on_unreachable(server, failure)
         await self._clock.sleep_ms(_RETRY_MS if server.attempts else _CALM_RETRY_MS)
+
+
+class SessionSet:
+    """The sessions with all backend servers; begun once runs can be told apart."""
+
+    def __init__(self, owner: SessionOwner, clock: Clock, log: EventLog) -> None:
+        self._owner = owner
+        self._clock = clock
+        self._log = log
+        self._tasks: TaskGroup | None = None
+        self._scopes: dict[str, anyio.CancelScope] = {}
+
+    def open(self, tasks: TaskGroup, servers: Iterable[Server]) -> None:
+        """Begin to hold the servers that are known, and from now on those that come."""
+        self._tasks = tasks
+        for server in servers:
+            self.start(server)
+
+    def start(self, server: Server) -> None:
+        """Begin to hold a server, once the sessions are open."""
+        if self._tasks is None or server.id in self._scopes:
+            return
+        scope = anyio.CancelScope()
+        self._scopes[server.id] = scope
+        self._tasks.start_soon(self._run, server, scope)
+
+    def end(self, server: Server) -> None:
+        """Hold a server no more."""
+        scope = self._scopes.pop(server.id, None)
+        if scope is not None:
+            scope.cancel()
+
+    async def _run(self, server: Server, scope: anyio.CancelScope) -> None:
+        with scope:
+            session = ServerSession(server, self._owner, self._clock)
+            await keep_running(self._clock, self._log, f"session {server.id}", session.run)
+        await server.orders.close()
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -4,14 +4,13 @@
 from functools import partial
 
 import anyio
-import msgpack
 from anyio.abc import TaskGroup
 
 from fireflydeck.core import Clock, Failure
 from fireflydeck.core.advisor import PlacementAdvisor
 from fireflydeck.core.backend_orders import BackendServerOrders, HoldReport
-from fireflydeck.core.placement import BackendServerState, Registration, Resources
-from fireflydeck.core.rows import RowStore, RowWrite
+from fireflydeck.core.placement import Registration
+from fireflydeck.core.rows import RowStore
 from fireflydeck.core.vm_orders import VmOrders
 from fireflydeck.kernel import (
     Event,
@@ -24,7 +23,6 @@
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.observation.registrations import Registrations
 from fireflydeck.ownership.lease import LeaseKeeper, Tenure
-from fireflydeck.ownership.records import ROSTER_ROW
 from fireflydeck.scheduling.advice import AdviceBook
 from fireflydeck.scheduling.dispatch import Dispatch
 from fireflydeck.scheduling.duties import FleetDuties
@@ -34,13 +32,12 @@
 from fireflydeck.scheduling.journal import ProgressJournal
 from fireflydeck.scheduling.order_sender import OrderSender
 from fireflydeck.scheduling.pacing import Pacer
-from fireflydeck.scheduling.pool_duties import PoolDuties
 from fireflydeck.scheduling.retention import Retention
+from fireflydeck.scheduling.roster import Roster
 from fireflydeck.scheduling.runs import RunLedger
 from fireflydeck.scheduling.servers import Server
-from fireflydeck.scheduling.session import HOLD_MS, ServerSession, SessionOwner
+from fireflydeck.scheduling.session import HOLD_MS, SessionOwner, SessionSet
 from fireflydeck.scheduling.vm_fleet import DutyTimes, VmFleet
-from fireflydeck.scheduling.wave_duties import WaveDuties
 from fireflydeck.workload.life import Attempt, Job, job_state
 
 __all__ = ["EXTENDED_HOLD_MS", "OrdersFactory", "TenureRun"]
@@ -54,7 +51,6 @@
 _SETTLE_SLACK_MS = 200
 _CHECK_MS = 100
 _PLAN_PAUSE_MS = 4
-_READ_TIMEOUT_MS = 2000
 _LOAD_RETRY_MS = 100
 
 
@@ -98,12 +94,11 @@
         self._metrics = metrics
         self._make_orders = make_orders
         self._servers: dict[str, Server] = {}
-        self._sessions: dict[str, anyio.CancelScope] = {}
-        self._sessions_open = False
+        self._sessions = SessionSet(self, clock, log)
         self._usage = OrganisationUsage()
         self._tasks: TaskGroup | None = None
         self._plan_wake = anyio.Event()
-        self._roster_wake = anyio.Event()
+        self._roster = Roster(store=store, lease=lease, servers=self._servers, on_stored=self.wake)
         self._registrations = Registrations(store, clock, log, self._on_registration)
         self._book = JobBook(
             store,
@@ -159,38 +154,24 @@
         self._duties = self._make_duties(vm_orders, duty_times)
 
     def _make_duties(self, vm_orders: VmOrders, duty_times: DutyTimes) -> FleetDuties:
-        clock, log = self._clock, self._log
         fleet = VmFleet(
             tenure=self._tenure,
             lease=self._lease,
-            record=DutyRecord(self._store, self._lease, clock),
-            clock=clock,
-            log=log,
+            record=DutyRecord(self._store, self._lease, self._clock),
+            clock=self._clock,
+            log=self._log,
             orders=vm_orders,
             times=duty_times,
             servers=self._servers,
         )
-        waves = WaveDuties(
-            fleet=fleet,
-            store=self._store,
-            clock=clock,
-            log=log,
-            request_stop=self._runs.request_stop,
-        )
         return FleetDuties(
-            lease=self._lease,
             fleet=fleet,
-            waves=waves,
-            pools=PoolDuties(
-                fleet=fleet,
-                operators=self._operators,
-                clock=clock,
-                log=log,
-            ),
+            store=self._store,
             operators=self._operators,
-            clock=clock,
-            log=log,
+            clock=self._clock,
+            log=self._log,
             demand=self._dispatch.demand,
+            request_stop=self._runs.request_stop,
         )
 
     @property
@@ -241,9 +222,9 @@
             self._keep_running("job-book", self._book.follow)
             await self._book.wait_loaded()
             await self._registrations.wait_loaded()
-            self._open_sessions()
+            self._sessions.open(tasks, self._servers.values())
             self._keep_running("journal", self._journal.run)
-            self._keep_running("roster", self._keep_roster)
+            self._keep_running("roster", self._roster.keep)
             self._keep_running("leases", self._check_leases)
             self._keep_running("plan", self._plan)
             self._keep_running("duties", self._duties.run)
@@ -267,47 +248,15 @@
 
     async def _load(self) -> None:
         while True:
-            failure = await self._book.load() or await self._load_roster()
+            failure = await self._book.load() or await self._roster.load(self._add_earlier_server)
             if failure is None:
                 return
             log_store_failure(self._log, failure)
             await self._clock.sleep_ms(_LOAD_RETRY_MS)
 
-    async def _load_roster(self) -> Failure | None:
-        """Read which backend servers an earlier holder may have given work to."""
-        result = await self._store.read(
-            ROSTER_ROW.table,
-            ROSTER_ROW.partition,
-            first=ROSTER_ROW.key,
-            before=ROSTER_ROW.key + "\0",
-            timeout_ms=_READ_TIMEOUT_MS,
-        )
-        if result.is_error():
-            return result.error
-        for row in result.ok.rows:
-            for server_id, pool, address in msgpack.unpackb(row.value):
-                registration = _placeholder(server_id, pool, address)
-                self._servers[server_id] = Server(
-                    registration, self._make_orders(registration), is_registered=False
-                )
-        return None
-
-    async def _keep_roster(self) -> None:
-        """Store which backend servers may have work before any is given to them."""
-        while True:
-            await self._roster_wake.wait()
-            self._roster_wake = anyio.Event()
-            servers = [server for server in self._servers.values()]
-            rows = [
-                [server.id, server.registration.pool, server.registration.address]
-                for server in servers
-            ]
-            writes = [RowWrite(ROSTER_ROW, msgpack.packb(rows))]
-            if await self._lease.commit(writes, []) is not None:
-                return
-            for server in servers:
-                server.is_listed = True
-            self.wake()
+    def _add_earlier_server(self, registration: Registration) -> None:
+        orders = self._make_orders(registration)
+        self._servers[registration.server_id] = Server(registration, orders, is_registered=False)
 
     def _unsettled_pools(self) -> set[str]:
         """Return the pools with a server that may run what an earlier holder started."""
@@ -332,8 +281,8 @@
         if server is None:
             server = Server(registration, self._make_orders(registration))
             self._servers[server_id] = server
-            self._start_session(server)
-            self._roster_wake.set()
+            self._sessions.start(server)
+            self._roster.changed()
             self._log.emit(
                 Event.SERVER_SEEN,
                 server=server_id,
@@ -343,7 +292,7 @@
         elif server.registration.state != registration.state:
             self._log.emit(Event.SERVER_STATE, server=server_id, state=registration.state.value)
         if not server.is_registered:
-            self._roster_wake.set()
+            self._roster.changed()
         server.registration = registration
         server.is_registered = True
         self._note_life(server, registration.born_ms)
@@ -366,25 +315,6 @@
             server.wake.set()
         server.born_ms = max(server.born_ms, born_ms)
 
-    def _open_sessions(self) -> None:
-        """Begin to hold the backend servers; their runs can be told apart from now on."""
-        self._sessions_open = True
-        for server in self._servers.values():
-            self._start_session(server)
-
-    def _start_session(self, server: Server) -> None:
-        if self._tasks is None or not self._sessions_open or server.id in self._sessions:
-            return
-        scope = anyio.CancelScope()
-        self._sessions[server.id] = scope
-        self._tasks.start_soon(self._run_session, server, scope)
-
-    async def _run_session(self, server: Server, scope: anyio.CancelScope) -> None:
-        with scope:
-            session = ServerSession(server, self, self._clock)
-            await keep_running(self._clock, self._log, f"session {server.id}", session.run)
-        await server.orders.close()
-
     def _retire_if_idle(self, server: Server) -> None:
         """Forget a server that is no longer registered and runs nothing that matters."""
         if server.is_registered or server.attempts:
@@ -392,10 +322,8 @@
         if not server.is_held and server.registration.pool in self._unsettled_pools():
             return
         self._servers.pop(server.id, None)
-        scope = self._sessions.pop(server.id, None)
-        if scope is not None:
-            scope.cancel()
-        self._roster_wake.set()
+        self._sessions.end(server)
+        self._roster.changed()
 
     def _on_submitted(self, job: Job) -> None:
         self._log.emit(
@@ -492,16 +420,3 @@
             )
             for server, attempt in starts:
                 self._send("start", self._sender.send_start, server, attempt)
-
-
-def _placeholder(server_id: str, pool: str, address: str) -> Registration:
-    """Return the entry of a server that an earlier holder knew and that is not registered."""
-    return Registration(
-        server_id=server_id,
-        pool=pool,
-        address=address,
-        data_centre="",
-        state=BackendServerState.DRAINING,
-        capacity=Resources(),
-        labels=frozenset(),
-    )
--- a/fireflydeck/scheduling/tests/test_demand.py
+++ b/fireflydeck/scheduling/tests/test_demand.py
@@ -33,7 +33,7 @@
     assert needed_cores(_job(), _ESTIMATES, left_ms=left_ms) == pytest.approx(cores)
 
 
-def test_lasting_tasks_need_nothing():
+def test_long_running_tasks_need_nothing():
     job = build_job(build_step(count=5, long_running=True))
     assert needed_cores(job, _ESTIMATES, left_ms=1000) == 0
     assert waiting_core_s(job, _ESTIMATES) == 0
--- a/fireflydeck/scheduling/tests/test_duties.py
+++ b/fireflydeck/scheduling/tests/test_duties.py
@@ -195,8 +195,8 @@
     async with running_fleet(servers=2) as fleet:
         for server in fleet.servers.values():
             server.duration_ms = None
-        lasting = build_step(count=2, long_running=True, max_unavailable=1, max_per_server=1)
-        accept_job(fleet.rows, build_spec(lasting))
+        long_running = build_step(count=2, long_running=True, max_unavailable=1, max_per_server=1)
+        accept_job(fleet.rows, build_spec(long_running))
         await fleet.advance_ms(1000)
         _list(fleet, "s1", "s2")
         _request_wave(fleet, "s1", "s2", max_at_once=2)
--- a/fireflydeck/scheduling/wave_duties.py
+++ b/fireflydeck/scheduling/wave_duties.py
@@ -13,7 +13,7 @@
 from fireflydeck.policy.upkeep import DueVm, choose_vms_to_empty
 from fireflydeck.scheduling.availability import may_disrupt
 from fireflydeck.scheduling.demand import PoolDemand
-from fireflydeck.scheduling.relocation import relocate_lasting
+from fireflydeck.scheduling.relocation import relocate_long_running
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.vm_fleet import CALL_TIMEOUT_MS, VmFleet
 from fireflydeck.scheduling.wave_status import report_wave
@@ -106,7 +106,7 @@
     def _relocate(self, due: list[ListedVm]) -> None:
         """Stop long-running tasks on VMs that are due, so that they go on elsewhere."""
         servers = [server for vm in due if (server := self.fleet.server_of(vm)) is not None]
-        for attempt in relocate_lasting(servers, list(self.fleet.servers.values())):
+        for attempt in relocate_long_running(servers, list(self.fleet.servers.values())):
             self.log.emit(
                 Event.RUN_RELOCATED,
                 task=attempt.task.name,
@@ -133,12 +133,12 @@
     def _due_vm(self, vm: ListedVm, demand: dict[str, PoolDemand]) -> DueVm:
         server = self.fleet.server_of(vm)
         attempts = list(server.attempts.values()) if server else []
-        lasting = [attempt for attempt in attempts if attempt.task.step.long_running]
+        long_running = [attempt for attempt in attempts if attempt.task.step.long_running]
         return DueVm(
             name=vm.name,
             pool=vm.pool,
             running=len(attempts),
-            may_stop=vm.name not in self.fleet.sent and may_disrupt(lasting),
+            may_stop=vm.name not in self.fleet.sent and may_disrupt(long_running),
             is_emptying=server is not None and server.is_cordoned,
             is_pressed=demand.get(vm.pool, PoolDemand()).waiting_core_s > _PRESSED_CORE_S,
         )
@@ -149,7 +149,7 @@
         if server is None:
             return
         server.is_cordoned = True
-        lasting = [
+        long_running = [
             attempt for attempt in server.attempts.values() if attempt.task.step.long_running
         ]
         self.log.emit(
@@ -157,9 +157,9 @@
             vm=vm.name,
             server=server.id,
             running=len(server.attempts),
-            stopped=len(lasting),
+            stopped=len(long_running),
         )
-        for attempt in lasting:
+        for attempt in long_running:
             self.request_stop(attempt)
 
     def _is_ready(self, vm: ListedVm) -> bool:
--- a/fireflydeck/standins/task_server.py
+++ b/fireflydeck/standins/task_server.py
@@ -114,13 +114,15 @@
         self.paces.append((task, percent))
         return True
 
-    def hold(self, fencing_token: int, last_seen: int, lease_until_ms: int) -> HoldReport | None:
+    def hold(
+        self, fencing_token: int, acknowledged_end: int, lease_until_ms: int
+    ) -> HoldReport | None:
         """Extend all leases and return the lists; `None` for a fencing token that is too low."""
         self._advance()
         if fencing_token < self.fencing_token:
             return None
         self.fencing_token = fencing_token
-        self._ended = [ended for ended in self._ended if ended.number > last_seen]
+        self._ended = [ended for ended in self._ended if ended.number > acknowledged_end]
         if lease_until_ms:
             self._extend(lease_until_ms)
         running = tuple(
--- a/fireflydeck/testing/fleet_fakes.py
+++ b/fireflydeck/testing/fleet_fakes.py
@@ -94,7 +94,7 @@
         return Ok(self.server.pace(task, run, percent, fencing_token))
 
     async def hold(
-        self, *, fencing_token: int, last_seen: int, lease_until_ms: int, wait_ms: int
+        self, *, fencing_token: int, acknowledged_end: int, lease_until_ms: int, wait_ms: int
     ) -> Result[HoldReport, Failure]:
         """Hold the server; waits for an end."""
         until_ms = self._clock.now_ms() + wait_ms
@@ -104,7 +104,7 @@
             if self.is_cut:
                 await self._clock.sleep_ms(_POLL_MS)
                 return Error(_unreachable("backend.hold", Ran.UNKNOWN))
-            report = self.server.hold(fencing_token, last_seen, extended_ms)
+            report = self.server.hold(fencing_token, acknowledged_end, extended_ms)
             if report is None:
                 return Error(Failure(Reason.NOT_OWNER, "backend.hold"))
             if report.ended or self._clock.now_ms() >= until_ms:
