A withdrawn key is checked again by the dispatcher at the send

Cause supposed for the red test of the withdrawn key: a gateway that is paused between its check of the key and the send passes the request on when it resumes, and a dispatcher that knows of the withdrawal started it, since a request named its team only. The request carries the hash of its key now. Ruled out: a stale dispatcher (freshness is checked at the send).

--- a/fireflydeck/dispatcher/dispatcher.py
+++ b/fireflydeck/dispatcher/dispatcher.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok, Result
 
 from fireflydeck.configuration import ConfigurationView
-from fireflydeck.core import Answer, Clock, Failure, Ran, Reason, Request, Vm
+from fireflydeck.core import Answer, Clock, Failure, Ran, Reason, Request, Team, Vm
 from fireflydeck.dispatcher.backend_client import BackendClient, BackendRequest
 from fireflydeck.dispatcher.idempotency import Claim, IdempotencyKeys
 from fireflydeck.dispatcher.lingering import LingeringSlots
@@ -27,7 +27,9 @@
 
 _MS_PER_S = 1000
 _STORE_RETRY_MS = 100
-_NOT_RETRIED = frozenset({Reason.BAD_REQUEST, Reason.ANSWER_TOO_LARGE, Reason.CANCELLED})
+_NOT_RETRIED = frozenset(
+    {Reason.BAD_REQUEST, Reason.ANSWER_TOO_LARGE, Reason.CANCELLED, Reason.WRONG_KEY}
+)
 
 
 @define(eq=False)
@@ -228,21 +230,35 @@
         return None
 
     def _reason_against(self, call: _Call, grant: SlotGrant) -> Reason | None:
-        now_ms = self._clock.now_ms()
-        vm = self._view.current.get(Vm, grant.vm.name)
+        return self._reason_against_call(call) or self._reason_against_vm(grant)
+
+    def _reason_against_call(self, call: _Call) -> Reason | None:
         if call.is_cancelled:
             return Reason.CANCELLED
-        if now_ms >= call.deadline_ms:
+        if self._clock.now_ms() >= call.deadline_ms:
             return Reason.DEADLINE
         if not self._view.is_fresh():
             return Reason.STALE_CONFIGURATION
+        if not self._is_key_granted(call.request):
+            return Reason.WRONG_KEY
+        return None
+
+    def _reason_against_vm(self, grant: SlotGrant) -> Reason | None:
+        vm = self._view.current.get(Vm, grant.vm.name)
         if vm is None or vm.address != grant.vm.address:
             return Reason.NO_CAPACITY
-        is_old = now_ms - grant.granted_ms > MAX_DECISION_AGE_MS
+        is_old = self._clock.now_ms() - grant.granted_ms > MAX_DECISION_AGE_MS
         if is_old or not self._view.current.accepts_work(vm):
             return Reason.NO_CAPACITY
         return None
 
+    def _is_key_granted(self, request: Request) -> bool:
+        """Whether the key is still in force; the gateway may have been paused after its check."""
+        if not request.key_hash or not request.team:
+            return True
+        team = self._view.current.get(Team, request.team)
+        return team is not None and request.key_hash in team.key_hashes
+
     def _may_retry(self, call: _Call, failure: Failure, sends: int) -> bool:
         budget = self._budgets.setdefault(call.request.queue, RetryBudget())
         if sends == 1:
--- a/fireflydeck/dispatcher/tests/test_dispatcher.py
+++ b/fireflydeck/dispatcher/tests/test_dispatcher.py
@@ -106,6 +106,21 @@
             await anyio.sleep(0.01)
 
 
+async def test_request_whose_key_was_withdrawn_on_its_way_starts_nothing():
+    """A gateway was paused between its check of the key and the send."""
+
+    async def use(sites, backends, tables):
+        site = sites[0]
+        museum = Team(name="museum", limit=10, key_hashes=("granted",))
+        site.view.put(museum)
+        result = await site.submit("r-1", team="museum", key_hash="withdrawn")
+        assert (result.error.reason, result.error.ran) == (Reason.WRONG_KEY, Ran.NO)
+        assert backends[0].starts == 0
+        assert (await site.submit("r-2", team="museum", key_hash="granted")).is_ok()
+
+    await on_sites(1, use)
+
+
 async def test_submit_returns_the_whole_answer():
     async def use(sites, backends, tables):
         result = await sites[0].submit(body=b"abc")
--- a/fireflydeck/gateway/keys.py
+++ b/fireflydeck/gateway/keys.py
@@ -8,7 +8,7 @@
 
 from fireflydeck.core import Configuration, Failure, Queue, Reason, Team
 
-__all__ = ["KeyRing", "hash_key"]
+__all__ = ["KeyRing", "hash_key", "presented_key_hash"]
 
 _STEP = "gateway.key"
 _SCHEME = "bearer"
@@ -25,6 +25,12 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+def presented_key_hash(authorization: str | None) -> str:
+    """Return the hash of the key in an authorization header; empty without one."""
+    _, _, key = (authorization or "").partition(" ")
+    return hash_key(key.strip()) if key.strip() else ""
+
+
 @frozen
 class _GrantedKey:
     key_hash: str
--- a/fireflydeck/gateway/service.py
+++ b/fireflydeck/gateway/service.py
@@ -11,7 +11,7 @@
 from fireflydeck.core import Answer, Clock, Failure, Queue, Ran, Reason, Request
 from fireflydeck.gateway.admission import HeldLoad
 from fireflydeck.gateway.exchange import CallerGoneError, Exchange, Receive, Scope, Send
-from fireflydeck.gateway.keys import KeyRing
+from fireflydeck.gateway.keys import KeyRing, presented_key_hash
 from fireflydeck.gateway.options import GatewayOptions
 from fireflydeck.gateway.parsing import RequestHead, parse_head
 from fireflydeck.gateway.request_ids import RequestIds
@@ -245,6 +245,7 @@
             request_id=work.request_id,
             queue=head.queue,
             team=admitted.team,
+            key_hash=presented_key_hash(head.authorization),
             urgency=head.urgency,
             deadline_ms=head.deadline_ms - elapsed_ms,
             idempotent=head.idempotent,
