A submission that a peer may have stored is not refused

Now a forwarded request tells whether a peer without a final answer may have served it; then a POST gets 200 or 504, never a refusal. The same holds for an unknown outcome here and a refusal there. A store that is only overloaded here is no reason to pass a request on. Ruled out: the intake by itself; its calls settle as before.

--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -1,13 +1,13 @@
 """The job interface: submissions, states, cancellations and pending counts."""
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.routing import QueueIndex
-from fireflydeck.entry.state_source import RequestForwarder, StateSource
+from fireflydeck.entry.state_source import ForwardResult, RequestForwarder, StateSource
 from fireflydeck.kernel import Event, EventLog, Metrics
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper
@@ -92,33 +92,36 @@
         return answer
 
     async def _serve(self, request: CallerRequest, begun_ms: int) -> CallerAnswer:
-        if self._operators.is_lost:
-            if request.was_forwarded:
+        if request.was_forwarded:
+            if self._operators.is_lost:
                 return _no_store(Reason.STORE_UNAVAILABLE, "the store does not answer here either")
-            answer = await self._forward(request, begun_ms)
-            if answer is not None:
+            return await self._respond(request, begun_ms)
+        if self._operators.is_lost:
+            result = await self._forward(request, begun_ms)
+            answer = result.answer or await self._respond(request, begun_ms)
+        else:
+            answer = await self._respond(request, begun_ms)
+            if not answer.lacks_store:
                 return answer
-        answer = await self._respond(request, begun_ms)
-        if not answer.lacks_store or request.was_forwarded:
-            return answer
-        return await self._forward(request, begun_ms) or answer
+            result = await self._forward(request, begun_ms)
+            answer = _combine(answer, result)
+        return _without_false_refusal(request, answer, is_uncertain=result.is_uncertain)
 
-    async def _forward(self, request: CallerRequest, begun_ms: int) -> CallerAnswer | None:
-        """Let another process answer; `None` if none did."""
+    async def _forward(self, request: CallerRequest, begun_ms: int) -> ForwardResult:
+        """Let another process answer, if there is time for it."""
         left_ms = begun_ms + int(request.deadline_ms * _DEADLINE_SHARE) - self._clock.now_ms()
         if left_ms < _LEAST_FORWARD_MS:
-            return None
-        forwarded = await self._forwarder.forward(request, timeout_ms=left_ms)
+            return ForwardResult()
+        result = await self._forwarder.forward(request, timeout_ms=left_ms)
         self._log.emit(
             Event.REQUEST_FORWARDED,
             job=request.job,
-            peer=forwarded.peer if forwarded else "",
-            status=forwarded.answer.status if forwarded else 0,
+            peer=result.peer,
+            status=result.answer.status if result.answer else 0,
+            uncertain=result.is_uncertain,
             store_age_ms=self._operators.age_ms,
         )
-        if forwarded is None or forwarded.answer.lacks_store:
-            return None
-        return forwarded.answer
+        return result
 
     async def _respond(self, request: CallerRequest, begun_ms: int) -> CallerAnswer:
         configuration = self._operators.configuration
@@ -224,9 +227,10 @@
             detail=failure.detail,
         )
         if failure.ran == Ran.NO:
-            return _no_store(failure.reason, "the store took nothing")
-        body = encode_refusal(failure.reason, "the outcome is unknown")
-        return CallerAnswer(504, body, lacks_store=True)
+            refusal = _no_store(failure.reason, "the store took nothing")
+            is_overloaded = failure.reason == Reason.TOO_MANY_REQUESTS
+            return evolve(refusal, lacks_store=False) if is_overloaded else refusal
+        return _unknown_outcome(failure.reason)
 
 
 def _refusal(status: int, reason: Reason, detail: str) -> CallerAnswer:
@@ -236,3 +240,25 @@
 def _no_store(reason: Reason, detail: str) -> CallerAnswer:
     """Return the refusal of what is not done and can be tried again."""
     return CallerAnswer(503, encode_refusal(reason, detail), _RETRY_AFTER_S, lacks_store=True)
+
+
+def _unknown_outcome(reason: Reason) -> CallerAnswer:
+    return CallerAnswer(504, encode_refusal(reason, "the outcome is unknown"), lacks_store=True)
+
+
+def _combine(own: CallerAnswer, result: ForwardResult) -> CallerAnswer:
+    """Return the final answer to a request that this process could not settle."""
+    if result.answer is None:
+        return own
+    if own.status == 504 and result.answer.status != 200:
+        return own
+    return result.answer
+
+
+def _without_false_refusal(
+    request: CallerRequest, answer: CallerAnswer, *, is_uncertain: bool
+) -> CallerAnswer:
+    """Refuse no submission that a process without an answer may have stored."""
+    if is_uncertain and request.method == "POST" and answer.status != 200:
+        return _unknown_outcome(Reason.STORE_UNAVAILABLE)
+    return answer
--- a/fireflydeck/entry/peer_link.py
+++ b/fireflydeck/entry/peer_link.py
@@ -3,12 +3,21 @@
 from collections.abc import Awaitable, Callable
 
 import msgpack
-from aiohttp import ClientError, ClientSession, ClientTimeout, DummyCookieJar, TCPConnector, web
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+    DummyCookieJar,
+    TCPConnector,
+    web,
+)
 from anyio.abc import TaskGroup
+from expression import Error, Ok, Result
 
-from fireflydeck.core import Clock
+from fireflydeck.core import Clock, Ran
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
-from fireflydeck.entry.state_source import ForwardedAnswer, RequestForwarder, StateSource
+from fireflydeck.entry.state_source import ForwardResult, RequestForwarder, StateSource
 from fireflydeck.kernel import Registry, Service
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.scheduling.scheduler import Scheduler
@@ -21,6 +30,8 @@
 _FORWARD_PATH = "/forward"
 _CONNECTIONS = 8
 _TRIED_PEERS = 2
+_NOT_SERVED = 503
+"""Status of a peer's answer that tells that nothing was done."""
 _SEEN_MS = 30_000
 """How long a process that called counts as a peer to forward to."""
 _MS_PER_S = 1000
@@ -85,19 +96,22 @@
             return None
         content = msgpack.packb([job_id, self._address])
         received = await self._post(holder, _STATE_PATH, content, _STATE_TIMEOUT_MS)
-        return None if received is None else msgpack.unpackb(received)
+        return msgpack.unpackb(received.ok) if received.is_ok() else None
 
-    async def forward(self, request: CallerRequest, *, timeout_ms: int) -> ForwardedAnswer | None:
-        """Return the answer of the holder, or of another process that called lately."""
+    async def forward(self, request: CallerRequest, *, timeout_ms: int) -> ForwardResult:
+        """Let the holder answer, or another process that called lately."""
         bound_ms = min(_FORWARD_TIMEOUT_MS, timeout_ms // _TRIED_PEERS)
+        is_uncertain = False
         for peer in self._peers()[:_TRIED_PEERS]:
             received = await self._post(peer, _FORWARD_PATH, request.encode(), bound_ms)
-            if received is None:
-                continue
-            answer = _decode_answer(received)
-            if answer is not None and not answer.lacks_store:
-                return ForwardedAnswer(peer, answer)
-        return None
+            answer = received.bind(_decode_answer)
+            if answer.is_ok() and not answer.ok.lacks_store:
+                return ForwardResult(peer=peer, answer=answer.ok, is_uncertain=is_uncertain)
+            if answer.is_ok():
+                is_uncertain = is_uncertain or answer.ok.status != _NOT_SERVED
+            else:
+                is_uncertain = is_uncertain or answer.error != Ran.NO
+        return ForwardResult(is_uncertain=is_uncertain)
 
     def _holder_address(self) -> str | None:
         holder = self._lease.holder if self._lease else None
@@ -116,20 +130,25 @@
         first = [holder] if holder is not None else []
         return first + [peer for peer in seen if peer != holder]
 
-    async def _post(self, peer: str, path: str, content: bytes, timeout_ms: int) -> bytes | None:
-        """Return the body of a peer's answer, or `None` without one."""
+    async def _post(
+        self, peer: str, path: str, content: bytes, timeout_ms: int
+    ) -> Result[bytes, Ran]:
+        """Return the body of a peer's answer; without one whether the peer may have acted."""
         if self._session is None:
-            return None
+            return Error(Ran.NO)
         timeout = ClientTimeout(total=timeout_ms / _MS_PER_S)
         try:
             url = f"http://{peer}{path}"
             async with self._session.post(url, data=content, timeout=timeout) as response:
                 received = await response.read()
+        except ClientConnectorError:
+            self._seen_ms.pop(peer, None)
+            return Error(Ran.NO)
         except (ClientError, TimeoutError, OSError):
-            # Not an error: the caller of this method has another way, and logs what it does.
+            # The caller of this method has another way, and logs what it does.
             self._seen_ms.pop(peer, None)
-            return None
-        return received if response.status == 200 else None
+            return Error(Ran.UNKNOWN)
+        return Ok(received) if response.status == 200 else Error(Ran.UNKNOWN)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         content = await request.read()
@@ -143,9 +162,9 @@
         return web.Response(body=msgpack.packb(state))
 
 
-def _decode_answer(content: bytes) -> CallerAnswer | None:
+def _decode_answer(content: bytes) -> Result[CallerAnswer, Ran]:
     try:
-        return CallerAnswer.decode(content)
+        return Ok(CallerAnswer.decode(content))
     except ValueError:
-        # Not an error: a process of another version answers in its own way; the next peer is asked.
-        return None
+        # A process of another version answers in its own way; it may have served the request.
+        return Error(Ran.UNKNOWN)
--- a/fireflydeck/entry/state_source.py
+++ b/fireflydeck/entry/state_source.py
@@ -6,7 +6,7 @@
 
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 
-__all__ = ["ForwardedAnswer", "RequestForwarder", "StateSource"]
+__all__ = ["ForwardResult", "RequestForwarder", "StateSource"]
 
 
 class StateSource(ABC):
@@ -17,17 +17,28 @@
         """Return a job's state, or `None` if it is not known."""
 
 
-@frozen
-class ForwardedAnswer:
-    """The answer of another process, and its address."""
+@frozen(kw_only=True)
+class ForwardResult:
+    """What became of a request that was passed on.
 
-    peer: str
-    answer: CallerAnswer
+    Parameters
+    ----------
+    peer
+        Address of the process that answered; empty for none.
+    answer
+        Its answer; `None` if no process had the store.
+    is_uncertain
+        Whether a process that gave no final answer may have served the request, or may do so yet.
+    """
+
+    peer: str = ""
+    answer: CallerAnswer | None = None
+    is_uncertain: bool = False
 
 
 class RequestForwarder(ABC):
     """Passes callers' requests on to another entry process."""
 
     @abstractmethod
-    async def forward(self, request: CallerRequest, *, timeout_ms: int) -> ForwardedAnswer | None:
-        """Return another process's answer, or `None` if none answered in time."""
+    async def forward(self, request: CallerRequest, *, timeout_ms: int) -> ForwardResult:
+        """Let another process answer within the time."""
--- a/fireflydeck/entry/tests/test_caller_interface.py
+++ b/fireflydeck/entry/tests/test_caller_interface.py
@@ -12,7 +12,7 @@
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.server import CallerServer
-from fireflydeck.entry.state_source import ForwardedAnswer, RequestForwarder, StateSource
+from fireflydeck.entry.state_source import ForwardResult, RequestForwarder, StateSource
 from fireflydeck.kernel import EventLog, Metrics, Registry
 from fireflydeck.observation import OperatorDocuments
 from fireflydeck.ownership import LeaseKeeper
@@ -40,11 +40,13 @@
 class _Forwarder(RequestForwarder):
     def __init__(self):
         self.answer = None
+        self.is_uncertain = False
         self.forwarded = []
 
     async def forward(self, request, *, timeout_ms):
         self.forwarded.append(request)
-        return ForwardedAnswer("m2:1", self.answer) if self.answer else None
+        peer = "m2:1" if self.answer else ""
+        return ForwardResult(peer=peer, answer=self.answer, is_uncertain=self.is_uncertain)
 
 
 class _Callers:
@@ -185,6 +187,34 @@
         assert CallerRequest.decode(request.encode()).key == "key-1"
 
 
+@pytest.mark.parametrize("peer_status", [None, 401, 503])
+async def test_submission_that_a_peer_may_have_stored_is_not_refused(peer_status):
+    """One peer gave no answer in time, another had no store: 503 was said, and the job ran."""
+    async with _callers() as callers:
+        callers.store.outage = Ran.NO
+        callers.forwarder.is_uncertain = True
+        callers.forwarder.answer = CallerAnswer(peer_status, b"{}") if peer_status else None
+        status, _, headers = await callers.call("POST", f"/swatch/{JOB_ID}", _BODY)
+        assert status == 504
+        assert "Retry-After" not in headers
+
+
+@pytest.mark.parametrize("peer_status", [401, 503])
+async def test_submission_with_an_unknown_outcome_here_is_not_refused_by_a_peer(peer_status):
+    async with _callers() as callers:
+        callers.store.outage = Ran.UNKNOWN
+        callers.forwarder.answer = CallerAnswer(peer_status, b"{}")
+        status, _, _ = await callers.call("POST", f"/swatch/{JOB_ID}", _BODY)
+        assert status == 504
+
+
+async def test_submission_that_nobody_can_have_stored_is_refused():
+    async with _callers() as callers:
+        callers.store.outage = Ran.NO
+        status, _, headers = await callers.call("POST", f"/swatch/{JOB_ID}", _BODY)
+        assert (status, headers["Retry-After"]) == (503, "1")
+
+
 async def test_forwarded_request_is_not_passed_on_again():
     async with _callers() as callers:
         callers.store.outage = Ran.NO
--- /dev/null
+++ b/fireflydeck/entry/tests/test_peer_link.py
@@ -0,0 +1,74 @@
+"""Requests passed on to other processes, with each way in which a peer can fail."""
+
+from contextlib import AsyncExitStack
+
+import anyio
+import pytest
+from aiohttp import ClientSession, web
+
+from fireflydeck.core import SystemClock
+from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
+from fireflydeck.entry.peer_link import PeerLink
+from fireflydeck.kernel import EventLog
+from fireflydeck.ownership import LeaseKeeper
+from fireflydeck.ownership.records import LeaseRecord
+from fireflydeck.platform.tests.local_server import local_server
+from fireflydeck.testing.ports import free_address
+from fireflydeck.testing.rows import FakeRowStore
+
+pytestmark = pytest.mark.anyio
+
+_REQUEST = CallerRequest(method="POST", host="h", path="/swatch/a", key="k", deadline_ms=1000)
+_SERVED = CallerAnswer(200, b"{}")
+_NO_STORE = CallerAnswer(503, b"{}", 1, lacks_store=True)
+_UNKNOWN = CallerAnswer(504, b"{}", lacks_store=True)
+
+
+class _Lease(LeaseKeeper):
+    def __init__(self, address):
+        super().__init__(
+            FakeRowStore(SystemClock()), SystemClock(), EventLog(), name="m1", address="m1:1"
+        )
+        self._record = LeaseRecord(holder="m2", address=address, term=1, sequence=1, ttl_ms=1)
+
+
+def _answering(answer):
+    async def handle(_):
+        return web.Response(body=answer.encode())
+
+    return handle
+
+
+async def _silent(_):
+    await anyio.sleep(5)
+
+
+async def _unreadable(_):
+    return web.Response(body=b"\xc1")
+
+
+async def _forward(handler):
+    link = PeerLink(free_address(), SystemClock())
+    async with AsyncExitStack() as stack:
+        address = free_address()
+        if handler is not None:
+            address = await stack.enter_async_context(local_server(handler))
+        link._lease = _Lease(address)
+        link._session = await stack.enter_async_context(ClientSession())
+        return await link.forward(_REQUEST, timeout_ms=400)
+
+
+@pytest.mark.parametrize(
+    ("handler", "answer", "is_uncertain"),
+    [
+        (_answering(_SERVED), _SERVED, False),
+        (_answering(_NO_STORE), None, False),
+        (_answering(_UNKNOWN), None, True),
+        (_silent, None, True),
+        (_unreadable, None, True),
+        (None, None, False),
+    ],
+)
+async def test_what_a_peer_tells(handler, answer, is_uncertain):
+    result = await _forward(handler)
+    assert (result.answer, result.is_uncertain) == (answer, is_uncertain)
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -179,7 +179,7 @@
     6403: EventNote(
         written="This process lacks the store; another entry process answered, or none did.",
         action="Without a peer: no other process was known or had the store; see 1110.",
-        fields=("job", "peer", "status", "store_age_ms"),
+        fields=("job", "peer", "status", "uncertain", "store_age_ms"),
     ),
     6401: EventNote(
         written="A caller got an answer other than a plain state.",
