Processes on larger VMs take a free lease first

Ruled out: the store (the other processes read it at that time).

A process on a small VM leaves a lease that has become free to others for 500 ms, unless the last holder's VM was small too, so fleets of small VMs take over as fast as before.

--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -14,6 +14,7 @@
 from fireflydeck.kernel import Kernel, dump_state
 from fireflydeck.kernel.log_sink import configure_bounded_logging
 from fireflydeck.observation.operators import OperatorDocuments
+from fireflydeck.ownership.candidacy import candidate_delay_ms
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.platform.advisor_client import AdvisorClient
 from fireflydeck.platform.backend_server_client import BackendServerClient
@@ -61,7 +62,14 @@
     store = PlatformStore(settings.store_address)
     operators = OperatorDocuments(store, clock, log)
     link_address = f"{settings.ip}:{settings.internal_ports[0]}"
-    lease = LeaseKeeper(store, clock, log, name=settings.name, address=link_address)
+    lease = LeaseKeeper(
+        store,
+        clock,
+        log,
+        name=settings.name,
+        address=link_address,
+        candidate_delay_ms=candidate_delay_ms(settings.cores, settings.link_mbps),
+    )
     link = PeerLink(link_address, clock)
     interface = CallerInterface(
         operators=operators,
--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -60,21 +60,32 @@
         Name of this process.
     address
         Where other processes reach this one.
+    candidate_delay_ms
+        How long this process leaves a free lease to processes on larger VMs, unless the last
+        holder's VM was as small.
     """
 
     def __init__(
-        self, store: RowStore, clock: Clock, log: EventLog, *, name: str, address: str
+        self,
+        store: RowStore,
+        clock: Clock,
+        log: EventLog,
+        *,
+        name: str,
+        address: str,
+        candidate_delay_ms: int = 0,
     ) -> None:
         self._store = store
         self._clock = clock
         self._log = log
         self._name_of_process = name
         self._address = address
+        self._candidate_delay_ms = candidate_delay_ms
         self._record: LeaseRecord | None = None
         self._lease_version = ABSENT_VERSION
         self._commit_version = ABSENT_VERSION
         self._seen_version = 0
-        self._standing_since_ms = 0
+        self._standing_since_ms = clock.now_ms()
         self._renewal: tuple[int, int] | None = None
         self._commits = 0
         self._valid_until_ms = 0
@@ -273,21 +284,25 @@
             self._note_rows({row.id: row for row in changes.ok.rows})
 
     def _watch_wait_ms(self) -> int:
-        if self._record is None:
-            return _WATCH_WAIT_MS
-        free_at_ms = self._standing_since_ms + self._record.ttl_ms + _TAKE_OVER_SLACK_MS
-        return max(1, min(_WATCH_WAIT_MS, free_at_ms - self._clock.now_ms()))
+        return max(1, min(_WATCH_WAIT_MS, self._free_at_ms() - self._clock.now_ms()))
 
     def _is_free(self) -> bool:
-        """Whether the lease may be taken now.
+        """Whether the lease may be taken now."""
+        return self._clock.now_ms() >= self._free_at_ms()
+
+    def _free_at_ms(self) -> int:
+        """Return when this process may take the lease, unless its row changes before.
 
         A lease under this process's own name belongs to an earlier life of it, which is over.
         """
         record = self._record
-        if record is None or record.holder in ("", self._name_of_process):
-            return True
-        age_ms = self._clock.now_ms() - self._standing_since_ms
-        return age_ms > record.ttl_ms + _TAKE_OVER_SLACK_MS
+        if record is not None and record.holder == self._name_of_process:
+            return self._standing_since_ms
+        if record is None:
+            return self._standing_since_ms + self._candidate_delay_ms
+        delay_ms = max(0, self._candidate_delay_ms - record.candidate_delay_ms)
+        lapse_ms = record.ttl_ms + _TAKE_OVER_SLACK_MS + 1 if record.holder else 0
+        return self._standing_since_ms + lapse_ms + delay_ms
 
     async def _take_over(self) -> None:
         sent_ms = self._clock.now_ms()
@@ -299,6 +314,7 @@
             sequence=previous.sequence + 1 if previous else 1,
             ttl_ms=_TTL_MS,
             pending=previous.pending if previous else {},
+            candidate_delay_ms=self._candidate_delay_ms,
         )
         transaction = RowTransaction(
             conditions=(
--- a/fireflydeck/ownership/records.py
+++ b/fireflydeck/ownership/records.py
@@ -46,6 +46,8 @@
         Time without a renewal after which the lease may be taken.
     pending
         Jobs that have not begun, by queue.
+    candidate_delay_ms
+        How long the holder left the lease to processes on larger VMs; 0 if its own is large.
     """
 
     holder: str
@@ -54,6 +56,7 @@
     sequence: int
     ttl_ms: int
     pending: dict[str, int] = Factory(dict)
+    candidate_delay_ms: int = 0
 
     def encode(self) -> bytes:
         """Encode for the row."""
--- a/fireflydeck/ownership/tests/test_lease.py
+++ b/fireflydeck/ownership/tests/test_lease.py
@@ -17,18 +17,28 @@
 
 _ROW = RowKey("progress", "fleet", "job")
 _LONG_MS = 6000
+_SMALL_VM_DELAY_MS = 500
 
 
 class _Member:
-    def __init__(self, name, clock, rows):
+    def __init__(self, name, clock, rows, delay_ms=0):
         self.store = FakeRowStore(clock, rows)
-        self.lease = LeaseKeeper(self.store, clock, EventLog(), name=name, address=f"{name}:1")
+        self.lease = LeaseKeeper(
+            self.store,
+            clock,
+            EventLog(),
+            name=name,
+            address=f"{name}:1",
+            candidate_delay_ms=delay_ms,
+        )
 
 
 @asynccontextmanager
-async def _members(clock, *names):
+async def _members(clock, *names, small=()):
     rows = MemoryRows()
-    members = [_Member(name, clock, rows) for name in names]
+    members = [
+        _Member(name, clock, rows, _SMALL_VM_DELAY_MS if name in small else 0) for name in names
+    ]
     async with anyio.create_task_group() as tasks:
         for member in members:
             await member.lease.start(Registry(), tasks)
@@ -47,6 +57,43 @@
         assert len(_holders(members)) == 1
 
 
+async def test_process_on_a_large_vm_takes_a_free_lease_before_those_on_small_vms():
+    clock = FakeClock()
+    async with _members(clock, "a", "b", "c", "d", small="abc") as members:
+        await clock.advance_ms(2000)
+        assert [member.lease.is_valid() for member in members] == [False, False, False, True]
+
+
+async def test_large_vm_follows_a_lost_large_vm():
+    clock = FakeClock()
+    async with _members(clock, "a", "b", "c", "d", small="ab") as members:
+        await clock.advance_ms(2000)
+        first = _holders(members)[0]
+        first.store.outage = Ran.NO
+        await clock.advance_ms(3000)
+        second = _holders(members)[0]
+        assert {first, second} == set(members[2:])
+
+
+async def test_small_vm_follows_when_no_large_one_does():
+    clock = FakeClock()
+    async with _members(clock, "a", "b", "c", small="ab") as members:
+        await clock.advance_ms(2000)
+        members[2].store.outage = Ran.NO
+        await clock.advance_ms(4000)
+        assert _holders(members)[0] in members[:2]
+
+
+async def test_small_vm_does_not_wait_for_large_ones_after_a_small_one():
+    clock = FakeClock()
+    async with _members(clock, "a", "b", small="ab") as members:
+        await clock.advance_ms(2000)
+        first = _holders(members)[0]
+        first.store.outage = Ran.NO
+        await clock.advance_ms(2200)
+        assert _holders(members) == [member for member in members if member is not first]
+
+
 async def test_lease_stays_with_its_holder():
     clock = FakeClock()
     async with _members(clock, "a", "b") as members:
--- a/fireflydeck/platform/node_settings.py
+++ b/fireflydeck/platform/node_settings.py
@@ -20,6 +20,7 @@
 SETTINGS_VARIABLE = "FIREFLYDECK_BOOT"
 _DEFAULT_PATH = "/etc/fireflydeck/node.json"
 _MS_PER_S = 1000
+_UNLIMITED_MBPS = 1000.0
 
 
 @frozen
@@ -81,6 +82,10 @@
         First and last port for the processes of the system.
     transaction_ms
         Time that one transaction of the store takes.
+    cores
+        Processor time that the VM gives in a second, in seconds.
+    link_mbps
+        Bandwidth of the VM's network link, in Mbit/s.
     """
 
     name: str
@@ -96,6 +101,8 @@
     vm_api_address: str
     advisor_address: str
     memory_mb: int
+    cores: float
+    link_mbps: float
 
 
 def settings_path(environment: Mapping[str, str] | None = None) -> Path:
@@ -130,6 +137,7 @@
     first_port, last_port = document["internal_port_range"]
     store = document["platform"]
     vm_api = document.get("cloud_api") or {}
+    limits = document["limits"]
     return NodeSettings(
         name=_text(document, "node_name"),
         ip=_text(document, "ip"),
@@ -143,7 +151,9 @@
         transaction_ms=float(store.get("transaction_ms", 6.0)),
         vm_api_address=vm_api.get("address") or "",
         advisor_address=document.get("placement_advisor") or "",
-        memory_mb=int(document["limits"]["memory_mb"]),
+        memory_mb=int(limits["memory_mb"]),
+        cores=float(limits.get("cpu_share", 1.0)) * float(limits.get("cores", 1)),
+        link_mbps=float(limits.get("link_mbps", _UNLIMITED_MBPS)),
     )
 
 
