Rows of ended jobs keep only their outcomes; whole partitions are read as long as bytes come

The rows of all jobs of the last four minutes are read, ended ones with their whole content, sixteen partitions at once over 10 Mbit/s, each bounded by six times the latency of small calls.

Whole partitions may be read as long as bytes keep coming (a lost answer is still noticed as soon as before), four at a time. A state of an ended job takes one read instead of two.

Seen failing without the change: the slow link's test.

--- a/fireflydeck/entry/__init__.py
+++ b/fireflydeck/entry/__init__.py
@@ -1,7 +1,7 @@
 """The entry role: callers' interface, readiness and the process's assembly."""
 
 from fireflydeck.entry.caller_interface import CallerInterface
-from fireflydeck.entry.intake import Intake, StoredJob, Submission
+from fireflydeck.entry.intake import Intake, Submission
 from fireflydeck.entry.role import run_entry
 from fireflydeck.entry.routing import QueueIndex
 
@@ -9,7 +9,6 @@
     "CallerInterface",
     "Intake",
     "QueueIndex",
-    "StoredJob",
     "Submission",
     "run_entry",
 ]
--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -191,12 +191,12 @@
     async def _state(self, call: _Call) -> CallerAnswer:
         state = await self._states.job_state(call.job_id)
         if state is None:
-            found = await self._intake.find(call.job_id, deadline_ms=call.deadline_ms)
+            found = await self._intake.state(call.job_id, deadline_ms=call.deadline_ms)
             if found.is_error():
                 return self._store_failure(call, found.error)
             if found.ok is None:
                 return _refusal(410, Reason.UNKNOWN_JOB, "no such job")
-            state = found.ok.state
+            state = found.ok
         return CallerAnswer(200, encode_state(state))
 
     async def _cancel(self, call: _Call) -> CallerAnswer:
--- a/fireflydeck/entry/intake.py
+++ b/fireflydeck/entry/intake.py
@@ -2,7 +2,6 @@
 
 from enum import StrEnum
 
-from attrs import frozen
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
@@ -17,14 +16,15 @@
 )
 from fireflydeck.workload.records import (
     cancellation_key,
+    decode_ended_row,
     decode_outcome,
     job_key,
     outcome_key,
     progress_key,
 )
-from fireflydeck.workload.specification import JobSpec, decode_job_spec, encode_job_spec
+from fireflydeck.workload.specification import JobSpec, encode_job_spec
 
-__all__ = ["Intake", "StoredJob", "Submission"]
+__all__ = ["Intake", "Submission"]
 
 _CALL_TIMEOUT_MS = 1200
 _MIN_CALL_MS = 50
@@ -42,15 +42,6 @@
     KNOWN = "known"
 
 
-@frozen
-class StoredJob:
-    """A job as the store holds it; `state` is what callers see."""
-
-    organisation: str
-    queue: str
-    state: str
-
-
 class Intake:
     """Writes callers' jobs to the store.
 
@@ -107,8 +98,8 @@
             if result.error.reason != Reason.CONFLICT:
                 return Error(result.error)
 
-    async def find(self, job_id: str, *, deadline_ms: int) -> Result[StoredJob | None, Failure]:
-        """Read a job, or `None` if there is none."""
+    async def state(self, job_id: str, *, deadline_ms: int) -> Result[str | None, Failure]:
+        """Read the state of a job as callers see it, or `None` if there is no such job."""
         rows = await self._job_rows(job_id, deadline_ms)
         if rows.is_error():
             return Error(rows.error)
@@ -116,12 +107,11 @@
         row = by_key.get(job_key(job_id))
         if row is None:
             return Ok(None)
-        spec = decode_job_spec(row.value)
-        if cancellation_key(job_id) in by_key:
-            state = await self._ended_state(job_id, "cancelled", deadline_ms)
-        else:
-            state = await self._ended_state(job_id, "", deadline_ms)
-        return state.map(lambda text: StoredJob(spec.organisation, spec.queue, text))
+        ended = decode_ended_row(row.value)
+        if ended is not None:
+            return Ok(ended.value)
+        is_cancelled = cancellation_key(job_id) in by_key
+        return await self._ended_state(job_id, "cancelled" if is_cancelled else "", deadline_ms)
 
     async def _ended_state(
         self, job_id: str, otherwise: str, deadline_ms: int
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -102,6 +102,11 @@
         written="Ended jobs, of which callers may not ask any more, were removed from the store.",
         fields=("jobs",),
     ),
+    6205: EventNote(
+        written="Rows of ended jobs in one partition were replaced by their outcomes; with"
+        " `stored` false another process had changed one of them, and they stay as they are.",
+        fields=("jobs", "stored"),
+    ),
     6301: EventNote(
         written="The start of a run was ordered and answered, or got no answer.",
         action="For `no-room` and `busy`: the pool is full; see the backend server's 6105.",
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -94,6 +94,7 @@
     JOB_CANCELLED = _Entry(6202, "info", "job is cancelled, its runs are stopped")
     JOB_ENDED = _Entry(6203, "info", "outcome of a job is stored")
     JOBS_REMOVED = _Entry(6204, "info", "rows of jobs that ended long ago removed")
+    ROWS_SHORTENED = _Entry(6205, "info", "rows of ended jobs shortened to their outcomes")
     START_SENT = _Entry(6301, "info", "start of a run ordered")
     STOP_SENT = _Entry(6302, "info", "stop of a run ordered")
     RUN_ENDED = _Entry(6303, "info", "run ended")
--- a/fireflydeck/observation/table_follower.py
+++ b/fireflydeck/observation/table_follower.py
@@ -14,6 +14,8 @@
 _WAIT_MS = 1000
 _READ_TIMEOUT_MS = 2000
 _RETRY_MS = 100
+_PARTITIONS_AT_A_TIME = 4
+"""More would keep the process's other calls waiting on a slow link."""
 
 
 class TableFollower(Service, ABC):
@@ -88,9 +90,10 @@
     async def _read_all(self) -> int | None:
         sent_ms = self._clock.now_ms()
         pages: list[RowChanges] = []
+        limiter = anyio.CapacityLimiter(_PARTITIONS_AT_A_TIME)
         async with anyio.create_task_group() as tasks:
             for partition in self._partitions:
-                tasks.start_soon(self._read_partition, partition, pages)
+                tasks.start_soon(self._read_partition, partition, limiter, pages)
         if len(pages) < len(self._partitions):
             return None
         found = {row.id: row for page in pages for row in page.rows}
@@ -103,8 +106,11 @@
         self._loaded.set()
         return version
 
-    async def _read_partition(self, partition: str, pages: list[RowChanges]) -> None:
-        result = await self._store.read(self._table, partition, timeout_ms=_READ_TIMEOUT_MS)
+    async def _read_partition(
+        self, partition: str, limiter: anyio.CapacityLimiter, pages: list[RowChanges]
+    ) -> None:
+        async with limiter:
+            result = await self._store.read(self._table, partition, timeout_ms=_READ_TIMEOUT_MS)
         if result.is_error():
             self._health.note_failure(result.error)
             return
--- a/fireflydeck/platform/http_peer.py
+++ b/fireflydeck/platform/http_peer.py
@@ -79,17 +79,24 @@
         *,
         step: str,
         timeout_ms: int,
+        silence_ms: int | None = None,
         body: Any = None,
         params: Mapping[str, str] | None = None,
         headers: Mapping[str, str] | None = None,
     ) -> Result[HttpAnswer, Failure]:
         """Send one request and read the whole answer.
 
+        Parameters
+        ----------
+        timeout_ms
+            Bound of the whole exchange.
+        silence_ms
+            Longest time without a byte of the answer, for answers that may be long.
+
         Failures carry `Ran.NO` if the connection could not be made, `Ran.UNKNOWN` otherwise.
         """
         session = self._acquire()
-        timeout_s = timeout_ms / _MS_PER_S
-        timeout = ClientTimeout(total=timeout_s, sock_connect=timeout_s * _CONNECT_SHARE)
+        timeout = _client_timeout(timeout_ms, silence_ms)
         payload = None if body is None else orjson.dumps(body)
         try:
             async with session.request(
@@ -139,6 +146,15 @@
         return Failure(self._reason, step, peer=self._address, detail=detail, ran=ran)
 
 
+def _client_timeout(timeout_ms: int, silence_ms: int | None) -> ClientTimeout:
+    silence_s = (timeout_ms if silence_ms is None else silence_ms) / _MS_PER_S
+    return ClientTimeout(
+        total=timeout_ms / _MS_PER_S,
+        sock_connect=silence_s * _CONNECT_SHARE,
+        sock_read=silence_s,
+    )
+
+
 async def _read(response: ClientResponse) -> HttpAnswer:
     content = await response.read()
     try:
--- a/fireflydeck/platform/store.py
+++ b/fireflydeck/platform/store.py
@@ -40,7 +40,7 @@
     """Client of the platform's row calls.
 
     Calls wait no longer for an answer than the store's latency of late suggests, nor than their
-    caller allows.
+    caller allows. Reads of whole partitions may take longer, as long as bytes keep coming.
 
     Parameters
     ----------
@@ -84,7 +84,9 @@
                 params["from"] = first
             if before:
                 params["target"] = before
-            answer = await self._call("GET", "/-/rows-get", "read", timeout_ms, params=params)
+            answer = await self._call(
+                "GET", "/-/rows-get", "read", timeout_ms, is_long=not before, params=params
+            )
             if answer.is_error():
                 return Error(answer.error)
             page = answer.ok
@@ -109,18 +111,30 @@
         return version.map(lambda number: RowChanges(_decode_rows(answer.ok), number))
 
     async def _call(
-        self, method: str, path: str, step: str, timeout_ms: int, **options: Any
+        self,
+        method: str,
+        path: str,
+        step: str,
+        timeout_ms: int,
+        *,
+        is_long: bool = False,
+        **options: Any,
     ) -> Result[Mapping[str, Any], Failure]:
         step = f"store.{step}"
         sent_s = monotonic()
-        bounded_ms = min(timeout_ms, self._timeout.timeout_ms)
+        usual_ms = min(timeout_ms, self._timeout.timeout_ms)
         answer = await self._peer.exchange(
-            method, path, step=step, timeout_ms=bounded_ms, **options
+            method,
+            path,
+            step=step,
+            timeout_ms=timeout_ms if is_long else usual_ms,
+            silence_ms=usual_ms,
+            **options,
         )
-        if answer.is_ok():
-            self._timeout.note_answer((monotonic() - sent_s) * _MS_PER_S)
-        elif bounded_ms < timeout_ms:
+        if answer.is_error() and usual_ms < timeout_ms:
             self._timeout.note_timeout()
+        elif answer.is_ok() and not is_long:
+            self._timeout.note_answer((monotonic() - sent_s) * _MS_PER_S)
         return answer.bind(lambda received: self._outcome(received, step))
 
     def _outcome(self, answer: HttpAnswer, step: str) -> Result[Mapping[str, Any], Failure]:
--- a/fireflydeck/platform/tests/test_store.py
+++ b/fireflydeck/platform/tests/test_store.py
@@ -1,6 +1,10 @@
 """Contract of the store's client, with each fault of the store."""
 
+from time import monotonic
+
+import anyio
 import pytest
+from aiohttp import web
 
 from fireflydeck.core import Ran, Reason
 from fireflydeck.core.rows import RowCondition, RowKey, RowTransaction, RowWrite
@@ -15,6 +19,28 @@
 _TIMEOUT_MS = 300
 
 
+class _SlowLink:
+    """Hands long answers of a store on in parts with pauses, or stops after some of them."""
+
+    def __init__(self, app):
+        self.app = app
+        self.stops_after = None
+
+    async def handle(self, request):
+        answer = await self.app.handle(request)
+        if len(answer.body) < 4000:
+            return answer
+        response = web.StreamResponse(headers={"Content-Type": "application/json"})
+        response.content_length = len(answer.body)
+        await response.prepare(request)
+        for number, first in enumerate(range(0, len(answer.body), 4000)):
+            if number == self.stops_after:
+                await anyio.sleep(30)
+            await response.write(answer.body[first : first + 4000])
+            await anyio.sleep(0.1)
+        return response
+
+
 async def test_insert_read_and_conflict():
     app = StoreApp()
     async with local_server(app.handle) as address:
@@ -39,6 +65,36 @@
         await store.close()
 
 
+async def test_long_answer_over_a_slow_link_is_read_to_its_end():
+    app = StoreApp()
+    writes = tuple(RowWrite(RowKey("t", "p", f"{number:03}"), b"x" * 200) for number in range(60))
+    app.rows.commit(RowTransaction(writes=writes))
+    async with local_server(_SlowLink(app).handle) as address:
+        store = PlatformStore(address)
+        for _ in range(3):
+            await store.read("t", "p", first="000", before="001", timeout_ms=2000)
+        read = await store.read("t", "p", timeout_ms=2000)
+        assert len(read.ok.rows) == 60
+        await store.close()
+
+
+async def test_long_answer_that_stops_is_given_up_soon():
+    app = StoreApp()
+    writes = tuple(RowWrite(RowKey("t", "p", f"{number:03}"), b"x" * 200) for number in range(60))
+    app.rows.commit(RowTransaction(writes=writes))
+    link = _SlowLink(app)
+    async with local_server(link.handle) as address:
+        store = PlatformStore(address)
+        for _ in range(3):
+            await store.read("t", "p", first="000", before="001", timeout_ms=2000)
+        link.stops_after = 2
+        begun_s = monotonic()
+        read = await store.read("t", "p", timeout_ms=10_000)
+        assert read.error.ran == Ran.UNKNOWN
+        assert monotonic() - begun_s < 5
+        await store.close()
+
+
 async def test_changes_come_in_order_with_removals():
     app = StoreApp()
     async with local_server(app.handle) as address:
--- a/fireflydeck/scheduling/job_book.py
+++ b/fireflydeck/scheduling/job_book.py
@@ -6,6 +6,7 @@
 from fireflydeck.core.rows import RowStore, StoredRow
 from fireflydeck.kernel import Event, EventLog
 from fireflydeck.observation.table_follower import TableFollower
+from fireflydeck.scheduling.row_shortener import JobRowShortener
 from fireflydeck.workload.life import Job, JobOutcome, due_occurrences, restore_progress
 from fireflydeck.workload.records import (
     FLEET_PARTITION,
@@ -14,6 +15,7 @@
     OUTCOMES_TABLE,
     PROGRESS_TABLE,
     JobProgress,
+    decode_ended_row,
     decode_outcome,
     decode_progress,
     is_cancellation,
@@ -34,6 +36,8 @@
     ----------
     on_submitted, on_cancelled
         Called after a job became known or was cancelled.
+    shortener
+        Shortens the rows of closed jobs.
     """
 
     def __init__(
@@ -45,6 +49,7 @@
         on_submitted: Callable[[Job], None],
         on_cancelled: Callable[[Job], None],
         on_applied: Callable[[], None],
+        shortener: JobRowShortener,
     ) -> None:
         super().__init__(
             store, clock, log, table=JOBS_TABLE, partitions=JOB_PARTITIONS, pause_ms=_PAUSE_MS
@@ -52,6 +57,7 @@
         self._on_submitted = on_submitted
         self._on_cancelled = on_cancelled
         self._on_applied = on_applied
+        self._shortener = shortener
         self._jobs: dict[str, Job] = {}
         self._early_cancellations: set[str] = set()
         self._outcomes: dict[str, JobOutcome] = {}
@@ -80,6 +86,7 @@
         if job.outcome is not None and job.outcome_stored:
             self._outcomes[job.id] = job.outcome
             self._jobs.pop(job.id, None)
+            self._shortener.add(job.id, job.stored_version, job.outcome)
 
     async def load(self) -> Failure | None:
         """Read the outcomes and the progress that earlier holders of the lease stored."""
@@ -105,9 +112,10 @@
         if row.deleted:
             self._outcomes.pop(job_id, None)
             return
-        if job_id in self._outcomes:
-            return
-        if is_cancellation(row.id):
+        outcome = self._outcomes.get(job_id)
+        if outcome is not None:
+            self._shorten(job_id, row, outcome)
+        elif is_cancellation(row.id):
             self._cancel(job_id)
         elif job_id not in self._jobs:
             self._submit(job_id, row)
@@ -116,8 +124,17 @@
         """Tell that a batch of rows was taken over."""
         self._on_applied()
 
+    def _shorten(self, job_id: str, row: StoredRow, outcome: JobOutcome) -> None:
+        """Shorten a row that an earlier holder left with the whole job."""
+        if not is_cancellation(row.id) and decode_ended_row(row.value) is None:
+            self._shortener.add(job_id, row.version, outcome)
+
     def _submit(self, job_id: str, row: StoredRow) -> None:
         try:
+            ended = decode_ended_row(row.value)
+            if ended is not None:
+                self._outcomes[job_id] = ended
+                return
             spec = decode_job_spec(row.value)
         except ValueError as error:
             self._log.emit(
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -34,6 +34,7 @@
 from fireflydeck.scheduling.pacing import Pacer
 from fireflydeck.scheduling.retention import Retention
 from fireflydeck.scheduling.roster import Roster
+from fireflydeck.scheduling.row_shortener import JobRowShortener
 from fireflydeck.scheduling.runs import RunLedger
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import HOLD_MS, SessionOwner, SessionSet
@@ -100,6 +101,7 @@
         self._plan_wake = anyio.Event()
         self._roster = Roster(store=store, lease=lease, servers=self._servers, on_stored=self.wake)
         self._registrations = Registrations(store, clock, log, self._on_registration)
+        self._shortener = JobRowShortener(store, clock, log)
         self._book = JobBook(
             store,
             clock,
@@ -107,6 +109,7 @@
             on_submitted=self._on_submitted,
             on_cancelled=self._on_cancelled,
             on_applied=self.wake,
+            shortener=self._shortener,
         )
         self._journal = ProgressJournal(lease, clock, log, self._on_commit)
         self._runs = RunLedger(
@@ -229,6 +232,7 @@
             self._keep_running("plan", self._plan)
             self._keep_running("duties", self._duties.run)
             self._keep_running("retention", self._retention.run)
+            self._keep_running("row-shortener", self._shortener.run)
 
     def _keep_running(self, step: str, function: Callable[..., Awaitable[None]]) -> None:
         if self._tasks is not None:
--- /dev/null
+++ b/fireflydeck/scheduling/tests/test_row_shortener.py
@@ -0,0 +1,72 @@
+"""Rows of ended jobs are shortened, so that a take-over after much traffic reads little."""
+
+import pytest
+
+from fireflydeck.core import Ran
+from fireflydeck.core.rows import RowTransaction
+from fireflydeck.scheduling.tests.fleet import running_fleet
+from fireflydeck.testing.fleet_builders import accept_job, build_spec, build_step
+from fireflydeck.workload import JobOutcome, decode_ended_row, job_key
+
+pytestmark = pytest.mark.anyio
+
+_JOBS = 400
+_ROUNDS_MS = 8000
+
+
+def _job_ids():
+    return [f"{number:016x}" for number in range(1, _JOBS + 1)]
+
+
+def _accept_all(fleet):
+    for job_id in _job_ids():
+        accept_job(fleet.rows, build_spec(build_step(count=1), job_id=job_id, payload="x" * 300))
+
+
+def _row_bytes(fleet):
+    rows = [fleet.rows.get(job_key(job_id)) for job_id in _job_ids()]
+    return sum(len(row.value) for row in rows)
+
+
+def _shortened(fleet):
+    rows = [fleet.rows.get(job_key(job_id)) for job_id in _job_ids()]
+    return [row for row in rows if decode_ended_row(row.value) == JobOutcome.COMPLETED]
+
+
+async def test_ended_jobs_take_little_of_the_store():
+    async with running_fleet(prepare=_accept_all, servers=2) as fleet:
+        bytes_before = _row_bytes(fleet)
+        await fleet.advance_ms(_ROUNDS_MS, step_ms=100)
+        assert len(_shortened(fleet)) > _JOBS * 0.6
+        assert _row_bytes(fleet) < bytes_before * 0.4
+
+
+async def test_rows_stay_whole_while_the_store_refuses_and_are_shortened_afterwards():
+    async with running_fleet(servers=2) as fleet:
+        _accept_all(fleet)
+        await fleet.advance_ms(800)
+        fleet.members[0].store.outage = Ran.UNKNOWN
+        await fleet.advance_ms(1000)
+        assert not _shortened(fleet)
+        fleet.members[0].store.outage = None
+        await fleet.advance_ms(_ROUNDS_MS, step_ms=100)
+        assert len(_shortened(fleet)) > _JOBS * 0.6
+
+
+async def test_next_holder_does_not_run_shortened_jobs_and_shortens_the_rest():
+    async with running_fleet(prepare=_accept_all, servers=2, members=2) as fleet:
+        await fleet.advance_ms(1200)
+        await fleet.leader.lease.stop()
+        await fleet.advance_ms(_ROUNDS_MS, step_ms=100)
+        assert len(_shortened(fleet)) > _JOBS * 0.6
+        assert len(fleet.starts()) == _JOBS
+        assert {fleet.outcome(job_id) for job_id in _job_ids()} == {"completed"}
+
+
+async def test_removed_row_does_not_come_back():
+    async with running_fleet(prepare=_accept_all, servers=2) as fleet:
+        await fleet.advance_ms(500)
+        removed = job_key(_job_ids()[0])
+        fleet.rows.commit(RowTransaction(removals=(removed,)))
+        await fleet.advance_ms(_ROUNDS_MS, step_ms=100)
+        assert fleet.rows.get(removed) is None
--- a/fireflydeck/workload/records.py
+++ b/fireflydeck/workload/records.py
@@ -1,8 +1,8 @@
 """Rows of jobs in the store.
 
 Table ``jobs`` holds a row a job and a row a cancellation, in partitions by the job's id; every
-entry process writes there. Tables ``progress`` and ``outcomes`` belong to the lease's holder and
-share the lease's partition.
+entry process writes there. The row of a job that has ended keeps only its outcome. Tables
+``progress`` and ``outcomes`` belong to the lease's holder and share the lease's partition.
 """
 
 import zlib
@@ -21,9 +21,11 @@
     "PROGRESS_TABLE",
     "JobProgress",
     "cancellation_key",
+    "decode_ended_row",
     "decode_outcome",
     "decode_outcome_ms",
     "decode_progress",
+    "encode_ended_row",
     "encode_outcome",
     "encode_progress",
     "is_cancellation",
@@ -101,6 +103,23 @@
     )
 
 
+def encode_ended_row(outcome: JobOutcome) -> bytes:
+    """Encode the row of a job that has ended; it keeps the job's id from being used again."""
+    return msgpack.packb(outcome.value)
+
+
+def decode_ended_row(content: bytes) -> JobOutcome | None:
+    """Decode the outcome that the row of an ended job keeps.
+
+    Returns
+    -------
+    JobOutcome or None
+        `None` for the row of a job whose outcome was not stored when the row was written.
+    """
+    value = msgpack.unpackb(content)
+    return JobOutcome(value) if isinstance(value, str) else None
+
+
 def encode_outcome(outcome: JobOutcome, wall_ms: int) -> bytes:
     """Encode the outcome of a job and when it was reached."""
     return msgpack.packb([outcome.value, wall_ms])
