The holder is told of submissions by the process that stored them

Ruled out: the holder's processor time and the servers (starts of known jobs went on within 5 ms).

After its insert an entry process sends the row to the holder, which takes it over as if the changes had told of it; without an answer nothing is lost, the changes tell of it later. A full read no longer forgets rows that are newer than the read: an ended job would have been taken for a new one (seen failing in test_announced_job_outlasts_a_lost_history).

--- a/fireflydeck/entry/intake.py
+++ b/fireflydeck/entry/intake.py
@@ -14,6 +14,7 @@
     RowWrite,
     StoredRow,
 )
+from fireflydeck.entry.state_source import SubmissionAnnouncer
 from fireflydeck.workload.records import (
     cancellation_key,
     decode_ended_row,
@@ -48,9 +49,10 @@
     Failures carry `Ran.NO` if the job is certainly not stored and never will be.
     """
 
-    def __init__(self, store: RowStore, clock: Clock) -> None:
+    def __init__(self, store: RowStore, clock: Clock, announcer: SubmissionAnnouncer) -> None:
         self._store = store
         self._clock = clock
+        self._announcer = announcer
 
     async def submit(self, spec: JobSpec, *, deadline_ms: int) -> Result[Submission, Failure]:
         """Store a job; a job that is stored already is known, whatever path it came by.
@@ -61,12 +63,14 @@
             Time on the process's clock until when the outcome is sought.
         """
         key = job_key(spec.job_id)
+        content = encode_job_spec(spec)
         transaction = RowTransaction(
             conditions=(RowCondition(key, ABSENT_VERSION),),
-            writes=(RowWrite(key, encode_job_spec(spec)),),
+            writes=(RowWrite(key, content),),
         )
         result = await self._commit(transaction, deadline_ms)
         if result.is_ok():
+            self._announcer.announce(StoredRow(key, content, result.ok))
             return Ok(Submission.ACCEPTED)
         if result.error.reason == Reason.CONFLICT:
             return Ok(Submission.KNOWN)
--- a/fireflydeck/entry/peer_link.py
+++ b/fireflydeck/entry/peer_link.py
@@ -16,11 +16,18 @@
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Clock, Ran
+from fireflydeck.core.rows import StoredRow
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
-from fireflydeck.entry.state_source import ForwardResult, RequestForwarder, StateSource
+from fireflydeck.entry.state_source import (
+    ForwardResult,
+    RequestForwarder,
+    StateSource,
+    SubmissionAnnouncer,
+)
 from fireflydeck.kernel import Registry, Service
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.scheduling.scheduler import Scheduler
+from fireflydeck.workload.records import job_id_of, job_key
 
 __all__ = ["PeerLink"]
 
@@ -28,6 +35,9 @@
 _FORWARD_TIMEOUT_MS = 1500
 _STATE_PATH = "/job-state"
 _FORWARD_PATH = "/forward"
+_SUBMISSION_PATH = "/submission"
+_MOST_ANNOUNCEMENTS = 32
+"""Announcements on their way; beyond them the holder learns of jobs from the store alone."""
 _CONNECTIONS = 8
 _TRIED_PEERS = 2
 _NOT_SERVED = 503
@@ -37,7 +47,7 @@
 _MS_PER_S = 1000
 
 
-class PeerLink(Service, StateSource, RequestForwarder):
+class PeerLink(Service, StateSource, RequestForwarder, SubmissionAnnouncer):
     """Serves other entry processes, and asks them.
 
     The holder of the lease is known from its row; other processes from their calls.
@@ -56,6 +66,8 @@
         self._session: ClientSession | None = None
         self._runner: web.ServerRunner | None = None
         self._seen_ms: dict[str, int] = {}
+        self._tasks: TaskGroup | None = None
+        self._announcements = 0
         self._answer: Callable[[CallerRequest], Awaitable[CallerAnswer]] | None = None
 
     @property
@@ -69,6 +81,7 @@
 
     async def start(self, registry: Registry, tasks: TaskGroup) -> None:
         """Listen for other processes."""
+        self._tasks = tasks
         self._lease = registry.get("lease", LeaseKeeper)
         self._scheduler = registry.get("scheduler", Scheduler)
         self._session = ClientSession(
@@ -113,6 +126,26 @@
                 is_uncertain = is_uncertain or answer.error != Ran.NO
         return ForwardResult(is_uncertain=is_uncertain)
 
+    def announce(self, row: StoredRow) -> None:
+        """Tell the holder of the lease of a submission that is stored."""
+        run = self._scheduler.current if self._scheduler else None
+        if run is not None:
+            run.book.offer(row)
+            return
+        holder = self._holder_address()
+        if holder is None or self._tasks is None or self._announcements >= _MOST_ANNOUNCEMENTS:
+            return
+        self._announcements += 1
+        self._tasks.start_soon(self._send_announcement, holder, row)
+
+    async def _send_announcement(self, holder: str, row: StoredRow) -> None:
+        # Without an answer the holder reads the row from the store's changes.
+        try:
+            content = msgpack.packb([job_id_of(row.id), row.value, row.version])
+            await self._post(holder, _SUBMISSION_PATH, content, _STATE_TIMEOUT_MS)
+        finally:
+            self._announcements -= 1
+
     def _holder_address(self) -> str | None:
         holder = self._lease.holder if self._lease else None
         if holder is None or not holder.holder or holder.address == self._address:
@@ -155,12 +188,21 @@
         if request.path == _FORWARD_PATH and self._answer is not None:
             answer = await self._answer(CallerRequest.decode(content))
             return web.Response(body=answer.encode())
+        if request.path == _SUBMISSION_PATH:
+            return self._serve_submission(content)
         job_id, sender = msgpack.unpackb(content)
         self._seen_ms[sender] = self._clock.now_ms()
         run = self._scheduler.current if self._scheduler else None
         state = run.job_state(job_id) if run is not None else None
         return web.Response(body=msgpack.packb(state))
 
+    def _serve_submission(self, content: bytes) -> web.StreamResponse:
+        job_id, value, version = msgpack.unpackb(content)
+        run = self._scheduler.current if self._scheduler else None
+        if run is not None:
+            run.book.offer(StoredRow(job_key(job_id), value, version))
+        return web.Response()
+
 
 def _decode_answer(content: bytes) -> Result[CallerAnswer, Ran]:
     try:
--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -76,7 +76,7 @@
         lease=lease,
         states=link,
         forwarder=link,
-        intake=Intake(store, clock),
+        intake=Intake(store, clock, link),
         clock=clock,
         log=log,
         metrics=metrics,
--- a/fireflydeck/entry/state_source.py
+++ b/fireflydeck/entry/state_source.py
@@ -4,9 +4,10 @@
 
 from attrs import frozen
 
+from fireflydeck.core.rows import StoredRow
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 
-__all__ = ["ForwardResult", "RequestForwarder", "StateSource"]
+__all__ = ["ForwardResult", "RequestForwarder", "StateSource", "SubmissionAnnouncer"]
 
 
 class StateSource(ABC):
@@ -17,6 +18,14 @@
         """Return a job's state, or `None` if it is not known."""
 
 
+class SubmissionAnnouncer(ABC):
+    """Tells the holder of the lease of submissions before the store's changes do."""
+
+    @abstractmethod
+    def announce(self, row: StoredRow) -> None:
+        """Tell of a job's row that was stored; returns at once, and the news may get lost."""
+
+
 @frozen(kw_only=True)
 class ForwardResult:
     """What became of a request that was passed on.
--- a/fireflydeck/entry/tests/test_caller_interface.py
+++ b/fireflydeck/entry/tests/test_caller_interface.py
@@ -23,6 +23,7 @@
     configuration_document,
     put_operator_document,
 )
+from fireflydeck.testing.fleet_fakes import FakeAnnouncer
 from fireflydeck.testing.rows import FakeRowStore
 from fireflydeck.workload import job_key
 
@@ -78,7 +79,7 @@
         lease=lease,
         states=_NoStates(),
         forwarder=forwarder,
-        intake=Intake(store, clock),
+        intake=Intake(store, clock, FakeAnnouncer()),
         clock=clock,
         log=log,
         metrics=Metrics(),
--- a/fireflydeck/entry/tests/test_intake.py
+++ b/fireflydeck/entry/tests/test_intake.py
@@ -8,6 +8,7 @@
 from fireflydeck.entry.intake import Intake, Submission
 from fireflydeck.testing.clock import FakeClock
 from fireflydeck.testing.fleet_builders import JOB_ID, build_spec
+from fireflydeck.testing.fleet_fakes import FakeAnnouncer
 from fireflydeck.testing.rows import FakeRowStore, RowStoreFault
 from fireflydeck.workload import (
     JobOutcome,
@@ -46,17 +47,27 @@
 
 async def test_submission_is_stored_once():
     clock, store = _store()
-    intake = Intake(store, clock)
+    intake = Intake(store, clock, FakeAnnouncer())
     assert (await _result(clock, intake.submit, build_spec())).ok == Submission.ACCEPTED
     assert (await _result(clock, intake.submit, build_spec())).ok == Submission.KNOWN
     assert len(store.commits) == 1
 
 
+async def test_submission_is_announced_once_it_is_stored():
+    clock, store = _store()
+    announcer = FakeAnnouncer()
+    intake = Intake(store, clock, announcer)
+    store.next_commits = [RowStoreFault.REFUSED]
+    await _result(clock, intake.submit, build_spec())
+    await _result(clock, intake.submit, build_spec())
+    assert announcer.rows == [store.rows.get(job_key(JOB_ID))]
+
+
 @pytest.mark.parametrize("fault", [RowStoreFault.ANSWER_LOST, RowStoreFault.NO_EFFECT])
 async def test_submission_without_an_answer_is_settled(fault):
     clock, store = _store()
     store.next_commits = [fault]
-    result = await _result(clock, Intake(store, clock).submit, build_spec())
+    result = await _result(clock, Intake(store, clock, FakeAnnouncer()).submit, build_spec())
     assert result.is_ok()
     assert store.rows.get(job_key(JOB_ID)) is not None
 
@@ -64,7 +75,7 @@
 async def test_refusal_is_only_said_for_what_is_certainly_not_stored():
     clock, store = _store()
     store.outage = Ran.NO
-    result = await _result(clock, Intake(store, clock).submit, build_spec())
+    result = await _result(clock, Intake(store, clock, FakeAnnouncer()).submit, build_spec())
     assert result.error.ran == Ran.NO
 
 
@@ -72,7 +83,7 @@
     """The first call may still take effect, whatever the later ones say."""
     clock, store = _store()
     store.next_commits = [RowStoreFault.LATE, *[RowStoreFault.REFUSED] * 100]
-    result = await _result(clock, Intake(store, clock).submit, build_spec())
+    result = await _result(clock, Intake(store, clock, FakeAnnouncer()).submit, build_spec())
     assert result.error.ran == Ran.UNKNOWN
     assert store.deliver_late() == [True]
 
@@ -82,7 +93,7 @@
     clock, store = _store()
     store.outage = Ran.UNKNOWN
     begun_ms = clock.now_ms()
-    result = await _result(clock, Intake(store, clock).submit, build_spec())
+    result = await _result(clock, Intake(store, clock, FakeAnnouncer()).submit, build_spec())
     assert result.error.ran == Ran.UNKNOWN
     assert clock.now_ms() - begun_ms <= 1000
 
@@ -90,13 +101,13 @@
 async def test_refused_store_is_not_waited_for_until_the_deadline():
     clock, store = _store()
     store.outage = Ran.NO
-    await _result(clock, Intake(store, clock).submit, build_spec())
+    await _result(clock, Intake(store, clock, FakeAnnouncer()).submit, build_spec())
     assert clock.now_ms() < _DEADLINE_MS / 2
 
 
 async def test_cancellation_needs_a_job():
     clock, store = _store()
-    intake = Intake(store, clock)
+    intake = Intake(store, clock, FakeAnnouncer())
     assert (await _result(clock, intake.cancel, JOB_ID)).ok is False
     await _result(clock, intake.submit, build_spec())
     assert (await _result(clock, intake.cancel, JOB_ID)).ok
@@ -107,7 +118,7 @@
 
 async def test_states_from_the_store():
     clock, store = _store()
-    intake = Intake(store, clock)
+    intake = Intake(store, clock, FakeAnnouncer())
     assert (await _result(clock, intake.state, JOB_ID)).ok is None
     await _result(clock, intake.submit, build_spec())
     assert (await _result(clock, intake.state, JOB_ID)).ok == "queued"
@@ -120,7 +131,7 @@
 
 async def test_shortened_row_tells_the_outcome_and_keeps_the_id():
     clock, store = _store()
-    intake = Intake(store, clock)
+    intake = Intake(store, clock, FakeAnnouncer())
     row = RowWrite(job_key(JOB_ID), encode_ended_row(JobOutcome.FAILED))
     store.rows.commit(RowTransaction(writes=(row,)))
     assert (await _result(clock, intake.state, JOB_ID)).ok == "failed"
@@ -132,5 +143,5 @@
 async def test_unreachable_store_tells_no_state():
     clock, store = _store()
     store.outage = Ran.UNKNOWN
-    result = await _result(clock, Intake(store, clock).state, JOB_ID)
+    result = await _result(clock, Intake(store, clock, FakeAnnouncer()).state, JOB_ID)
     assert result.is_error()
--- a/fireflydeck/observation/table_follower.py
+++ b/fireflydeck/observation/table_follower.py
@@ -79,6 +79,12 @@
         """Begin to follow."""
         tasks.start_soon(keep_running, self._clock, self._log, self.name, self.follow)
 
+    def offer(self, row: StoredRow) -> None:
+        """Take over a row that another process stored, before the store's changes tell of it."""
+        if self._loaded.is_set():
+            self._take(row)
+            self.applied()
+
     async def follow(self) -> None:
         """Follow until cancelled."""
         while True:
@@ -98,8 +104,11 @@
             return None
         found = {row.id: row for page in pages for row in page.rows}
         version = min(page.version for page in pages)
-        for key in [key for key, known in self._versions.items() if key not in found]:
-            self._take(StoredRow(key, b"", max(version, self._versions[key]), deleted=True))
+        missing = [
+            key for key, known in self._versions.items() if key not in found and known <= version
+        ]
+        for key in missing:
+            self._take(StoredRow(key, b"", version, deleted=True))
         for row in found.values():
             self._take(row)
         self._confirm(sent_ms)
--- /dev/null
+++ b/fireflydeck/scheduling/tests/test_announced_jobs.py
@@ -0,0 +1,70 @@
+"""Submissions of a turn while the store tells of no changes, as during its compaction."""
+
+import pytest
+
+from fireflydeck.core.rows import RowTransaction, StoredRow
+from fireflydeck.scheduling.tests.fleet import never_twice, running_fleet
+from fireflydeck.testing.fleet_builders import JOB_ID, accept_job, build_spec
+from fireflydeck.workload import JOBS_TABLE, JobOutcome, job_key
+
+pytestmark = pytest.mark.anyio
+
+_SILENCE_MS = 1400
+
+
+def _announce(fleet):
+    fleet.leader.scheduler.current.book.offer(fleet.rows.get(job_key(JOB_ID)))
+
+
+async def test_announced_job_is_done_while_the_store_tells_of_no_changes():
+    async with running_fleet(servers=1) as fleet:
+        fleet.members[0].store.are_changes_silent = True
+        accept_job(fleet.rows, build_spec())
+        _announce(fleet)
+        await fleet.advance_ms(_SILENCE_MS)
+        assert fleet.outcome(JOB_ID) == "completed"
+
+
+async def test_announced_job_runs_once_when_the_store_tells_of_it_too():
+    async with running_fleet(servers=2) as fleet:
+        accept_job(fleet.rows, build_spec())
+        _announce(fleet)
+        _announce(fleet)
+        await fleet.advance_ms(3000, check=never_twice(fleet))
+        _announce(fleet)
+        await fleet.advance_ms(1000)
+        assert len(fleet.starts()) == 1
+
+
+async def test_announced_job_outlasts_a_lost_history():
+    """A full read that began before the submission does not have its row."""
+    async with running_fleet(servers=2) as fleet:
+        store = fleet.members[0].store
+        store.are_changes_silent = True
+        accept_job(fleet.rows, build_spec())
+        _announce(fleet)
+        await fleet.advance_ms(_SILENCE_MS)
+        store.stale_reads[JOBS_TABLE] = fleet.rows.get(job_key(JOB_ID)).version - 1
+        fleet.rows.forget_history()
+        store.are_changes_silent = False
+        await fleet.advance_ms(1500)
+        store.stale_reads.clear()
+        await fleet.advance_ms(100)
+        assert fleet.leader.scheduler.current.book.outcome(JOB_ID) == JobOutcome.COMPLETED
+        assert fleet.leader.scheduler.current.book.job(JOB_ID) is None
+
+
+async def test_announcement_before_the_first_full_read_is_left_to_it():
+    async with running_fleet(servers=1, members=2) as fleet:
+        await fleet.leader.lease.stop()
+        accept_job(fleet.rows, build_spec())
+        row: StoredRow = fleet.rows.get(job_key(JOB_ID))
+        for _ in range(100):
+            await fleet.advance_ms(20)
+            for member in fleet.members:
+                if member.scheduler.current is not None:
+                    member.scheduler.current.book.offer(row)
+        assert len(fleet.starts()) == 1
+        fleet.rows.commit(RowTransaction(removals=(job_key(JOB_ID),)))
+        await fleet.advance_ms(500)
+        assert len(fleet.starts()) == 1
--- a/fireflydeck/testing/fleet_fakes.py
+++ b/fireflydeck/testing/fleet_fakes.py
@@ -14,14 +14,27 @@
     StartOrder,
     StartOutcome,
 )
+from fireflydeck.core.rows import StoredRow
 from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmOrders
+from fireflydeck.entry.state_source import SubmissionAnnouncer
 from fireflydeck.standins.task_server import TaskServer
 
-__all__ = ["FakeAdvisor", "FakeOrders", "FakeVmOrders", "OrderFault"]
+__all__ = ["FakeAdvisor", "FakeAnnouncer", "FakeOrders", "FakeVmOrders", "OrderFault"]
 
 _POLL_MS = 20
 
 
+class FakeAnnouncer(SubmissionAnnouncer):
+    """Keeps what was announced."""
+
+    def __init__(self) -> None:
+        self.rows: list[StoredRow] = []
+
+    def announce(self, row: StoredRow) -> None:
+        """Note a submission."""
+        self.rows.append(row)
+
+
 class OrderFault(StrEnum):
     """Fault of one start.
 
--- a/fireflydeck/testing/rows.py
+++ b/fireflydeck/testing/rows.py
@@ -38,6 +38,10 @@
         While set, every call fails: `Ran.NO` for refusals, `Ran.UNKNOWN` for silence.
     next_commits
         Faults of the next commits, first one first.
+    are_changes_silent
+        While set, calls for changes answer that there are none.
+    stale_reads
+        Versions, by table, as of which reads of whole partitions answer.
     commits
         The transactions that took effect.
     on_commit
@@ -47,6 +51,8 @@
     def __init__(self, clock: Clock, rows: MemoryRows | None = None) -> None:
         self.rows = rows or MemoryRows()
         self.outage: Ran | None = None
+        self.are_changes_silent = False
+        self.stale_reads: dict[str, int] = {}
         self.next_commits: list[RowStoreFault | None] = []
         self.commits: list[RowTransaction] = []
         self.on_commit: Callable[[RowTransaction], None] | None = None
@@ -88,7 +94,11 @@
         await anyio.lowlevel.checkpoint()
         if self.outage is not None:
             return Error(_unavailable("store.read", self.outage))
-        return Ok(self.rows.read(table, partition, first, before))
+        found = self.rows.read(table, partition, first, before)
+        if table not in self.stale_reads or before:
+            return Ok(found)
+        version = self.stale_reads[table]
+        return Ok(RowChanges(tuple(row for row in found.rows if row.version <= version), version))
 
     async def changes(self, table: str, *, after: int, wait_ms: int) -> Result[RowChanges, Failure]:
         """Return what changed after a version."""
@@ -100,6 +110,8 @@
             changes = self.rows.changes(table, after)
             if changes is None:
                 return Error(Failure(Reason.NOT_FOUND, "store.changes", peer="store"))
+            if self.are_changes_silent:
+                changes = RowChanges((), after)
             if changes.rows or self._clock.now_ms() >= until_ms:
                 return Ok(changes)
             await self._clock.sleep_ms(_POLL_MS)
