--- a/fireflydeck/platform/backend_server_client.py
+++ b/fireflydeck/platform/backend_server_client.py
@@ -161,8 +161,8 @@
     return HoldReport(
         clock_ms=body["clock_ms"],
         born_ms=body.get("born", 0),
-        running=tuple(_decode_running(row) for row in body.get("running", ())),
-        ended=tuple(_decode_ended(row) for row in body.get("finished", ())),
+        running=tuple(_decode_running(row) for row in body["running"]),
+        ended=tuple(_decode_ended(row) for row in body["finished"]),
     )
 
 
--- a/fireflydeck/platform/store.py
+++ b/fireflydeck/platform/store.py
@@ -87,13 +87,13 @@
             answer = await self._call(
                 "GET", "/-/rows-get", "read", timeout_ms, is_long=not before, params=params
             )
-            if answer.is_error():
-                return Error(answer.error)
-            page = answer.ok
-            found = _decode_rows(page)
+            page = answer.bind(lambda body: self._decode_page(body, "read"))
+            if page.is_error():
+                return Error(page.error)
+            found = page.ok.rows
             rows.extend(found)
-            version = version or _int(page.get("row_version"))
-            if not page.get("has_more") or not found:
+            version = version or page.ok.version
+            if not answer.ok.get("has_more") or not found:
                 return Ok(RowChanges(tuple(rows), version))
             first = found[-1].id.key + "\0"
 
@@ -105,10 +105,7 @@
             "GET", "/-/rows-feed", step="store.changes", timeout_ms=timeout_ms, params=params
         )
         answer = received.bind(lambda page: self._outcome(page, "store.changes"))
-        if answer.is_error():
-            return Error(answer.error)
-        version = self._version(answer.ok, "changes")
-        return version.map(lambda number: RowChanges(_decode_rows(answer.ok), number))
+        return answer.bind(lambda body: self._decode_page(body, "changes"))
 
     async def _call(
         self,
@@ -151,17 +148,26 @@
 
     def _version(self, body: Mapping[str, Any], step: str) -> Result[int, Failure]:
         version = _int(body.get("row_version"))
-        if version > 0:
-            return Ok(version)
-        detail = "answer without a version"
-        failure = Failure(
+        return (
+            Ok(version) if version > 0 else Error(self._invalid(step, "answer without a version"))
+        )
+
+    def _decode_page(self, body: Mapping[str, Any], step: str) -> Result[RowChanges, Failure]:
+        """Decode rows; an answer without them says nothing, and not that there are none."""
+        try:
+            rows = tuple(_decode_row(row) for row in body["rows"])
+            return Ok(RowChanges(rows, int(body["row_version"])))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            return Error(self._invalid(step, f"rows can't be read: {error!r}"))
+
+    def _invalid(self, step: str, detail: str) -> Failure:
+        return Failure(
             Reason.ANSWER_INVALID,
             f"store.{step}",
             peer=self._peer.address,
             detail=detail,
             ran=Ran.UNKNOWN,
         )
-        return Error(failure)
 
 
 def _int(value: Any) -> int:
@@ -172,10 +178,6 @@
     return {"table": key.table, "part": key.partition, "key": key.key}
 
 
-def _decode_rows(body: Mapping[str, Any]) -> tuple[StoredRow, ...]:
-    return tuple(_decode_row(row) for row in body.get("rows", ()))
-
-
 def _decode_row(row: Mapping[str, Any]) -> StoredRow:
     key = RowKey(row["table"], row.get("part", ""), row["key"])
     deleted = bool(row.get("deleted"))
--- a/fireflydeck/platform/tests/test_store.py
+++ b/fireflydeck/platform/tests/test_store.py
@@ -95,6 +95,22 @@
         await store.close()
 
 
+@pytest.mark.parametrize("body", [b"\xff{", b"{}", b'{"row_version": 3}', b'{"rows": []}'])
+async def test_read_without_rows_or_version_is_no_empty_table(body):
+    """Jobs were told to be unknown after such an answer."""
+
+    async def handle(_):
+        return web.Response(body=body, content_type="application/json")
+
+    async with local_server(handle) as address:
+        store = PlatformStore(address)
+        read = await store.read("t", "p", timeout_ms=_TIMEOUT_MS)
+        assert read.error.reason == Reason.ANSWER_INVALID
+        changes = await store.changes("t", after=1, wait_ms=1)
+        assert changes.error.reason == Reason.ANSWER_INVALID
+        await store.close()
+
+
 async def test_changes_come_in_order_with_removals():
     app = StoreApp()
     async with local_server(app.handle) as address:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,7 @@
 _PLANS = {
     (7, 12_000): "",
     (1, 18_000): "clients of the platform were left open at a graceful stop",
-    (23, 30_000): "the soak stopped a process that was still starting",
+    (23, 30_000): "a store's answer without rows counted as an empty table: jobs were unknown",
     (32, 30_000): "the soak stopped a process that was still starting",
 }
 """Causes of failures by seed and length in milliseconds."""
@@ -31,4 +31,6 @@
 
     anyio.run(main)
     assert [report.seed for report in reports.values() if report.accepted == 0] == []
-    assert [str(report) for report in reports.values() if report.violations] == []
+    assert {
+        report.seed: report.violations for report in reports.values() if report.violations
+    } == {}
