Soak findings: the row shortener's rounds, clocks that jumped in the soak itself

The servers' clocks are set before the processes start now. Ruled out: the holder's reckoning of the lapse (2% slow clock and margin).

--- a/fireflydeck/scheduling/row_shortener.py
+++ b/fireflydeck/scheduling/row_shortener.py
@@ -56,7 +56,7 @@
         """Shorten rows in rounds until cancelled."""
         while True:
             await self._clock.sleep_ms(_ROUND_MS)
-            for rows in self._rows.values():
+            for rows in list(self._rows.values()):
                 while len(rows) >= _LEAST_JOBS and await self._shorten(rows[:_MAX_JOBS]):
                     del rows[:_MAX_JOBS]
 
--- a/fireflydeck/scheduling/tests/test_row_shortener.py
+++ b/fireflydeck/scheduling/tests/test_row_shortener.py
@@ -1,11 +1,16 @@
 """Rows of ended jobs are shortened, so that a take-over after much traffic reads little."""
 
+import anyio
 import pytest
 
 from fireflydeck.core import Ran
-from fireflydeck.core.rows import RowTransaction
+from fireflydeck.core.rows import RowTransaction, RowWrite
+from fireflydeck.kernel import EventLog
+from fireflydeck.scheduling.row_shortener import JobRowShortener
 from fireflydeck.scheduling.tests.fleet import running_fleet
+from fireflydeck.testing.clock import FakeClock
 from fireflydeck.testing.fleet_builders import accept_job, build_spec, build_step
+from fireflydeck.testing.rows import FakeRowStore
 from fireflydeck.workload import JobOutcome, decode_ended_row, job_key
 
 pytestmark = pytest.mark.anyio
@@ -63,6 +68,28 @@
         assert {fleet.outcome(job_id) for job_id in _job_ids()} == {"completed"}
 
 
+async def test_jobs_that_end_during_a_round_do_not_disturb_it():
+    """The soak's seed 15: the first job of a partition ended while another was stored."""
+    clock = FakeClock()
+    store = FakeRowStore(clock)
+    shortener = JobRowShortener(store, clock, EventLog())
+    by_partition = {}
+    for number in range(1, 500):
+        job_id = f"{number:016x}"
+        by_partition.setdefault(job_key(job_id).partition, []).append(job_id)
+    first, second = list(by_partition.values())[:2]
+    store.on_commit = lambda _: shortener.add(second[0], 1, JobOutcome.COMPLETED)
+    for job_id in first[:8]:
+        store.rows.commit(RowTransaction(writes=(RowWrite(job_key(job_id), b"\x80"),)))
+        shortener.add(job_id, store.rows.version, JobOutcome.COMPLETED)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(shortener.run)
+        await clock.advance_ms(4000)
+        tasks.cancel_scope.cancel()
+    rows = [store.rows.get(job_key(job_id)) for job_id in first[:8]]
+    assert {decode_ended_row(row.value) for row in rows} == {JobOutcome.COMPLETED}
+
+
 async def test_removed_row_does_not_come_back():
     async with running_fleet(prepare=_accept_all, servers=2) as fleet:
         await fleet.advance_ms(500)
--- a/fireflydeck/soak/run.py
+++ b/fireflydeck/soak/run.py
@@ -3,6 +3,7 @@
 import sys
 import tempfile
 import time
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -68,12 +69,15 @@
 
     async def run(self) -> SoakReport:
         """Run and return the report."""
+        random = Random(self.seed)
         fleet_context = running_platform_fleet(
-            self.directory, entries=_ENTRIES, servers=_SERVERS, link=self._add_link
+            self.directory,
+            entries=_ENTRIES,
+            servers=_SERVERS,
+            link=self._add_link,
+            prepare=partial(_vary_servers, random),
         )
         async with fleet_context as fleet:
-            random = Random(self.seed)
-            _vary_servers(fleet, random)
             report = SoakReport(self.seed, plan_faults(self.seed, self.length_ms))
             callers = Callers([entry.address for entry in fleet.entries], random, self.clock)
             async with anyio.create_task_group() as following:
@@ -131,7 +135,7 @@
         report.violations.extend(check_promises(callers.jobs, runs))
 
 
-def _vary_servers(fleet: PlatformFleet, random: Random) -> None:
+def _vary_servers(random: Random, fleet: PlatformFleet) -> None:
     for server in fleet.servers.values():
         server.duration_ms = random.randint(*_DURATION_MS)
         server.clock_offset_ms = random.randint(-_CLOCK_OFFSET_MS, _CLOCK_OFFSET_MS)
--- a/fireflydeck/testing/platform_fleet.py
+++ b/fireflydeck/testing/platform_fleet.py
@@ -87,7 +87,12 @@
 
 @asynccontextmanager
 async def running_platform_fleet(
-    directory: Path, *, entries: int = 2, servers: int = 2, link: Link | None = None
+    directory: Path,
+    *,
+    entries: int = 2,
+    servers: int = 2,
+    link: Link | None = None,
+    prepare: Callable[["PlatformFleet"], None] | None = None,
 ) -> AsyncIterator[PlatformFleet]:
     """Start everything and wait until it serves; the processes are ended with the block.
 
@@ -96,6 +101,8 @@
     link
         Makes the links ``store-N`` of each entry process to the store and ``server-N`` of all of
         them to a backend server; without it they are direct.
+    prepare
+        Called with the fleet before its entry processes start.
     """
     connect = link or _connect_directly
     fleet = PlatformFleet(directory)
@@ -110,6 +117,8 @@
             own_address = await _serve(stack, ServerApp(server_id, server).handle)
             address = await connect(f"server-{number}", own_address)
             put_registration(fleet.store.rows, server_id, address=address)
+        if prepare is not None:
+            prepare(fleet)
         for number in range(1, entries + 1):
             address = await connect(f"store-{number}", store_address)
             entry = _entry_process(directory, f"entry-{number}", address, vm_address)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,8 @@
     (1, 18_000): "clients of the platform were left open at a graceful stop",
     (23, 30_000): "a store's answer without rows counted as an empty table: jobs were unknown",
     (32, 30_000): "the soak stopped a process that was still starting",
+    (15, 30_000): "a job's end during a round of the row shortener ended the round",
+    (36, 30_000): "the soak moved servers' clocks after leases had been given by them",
 }
 """Causes of failures by seed and length in milliseconds."""
 
