Reports of backend servers in a module of their own; connections of the stand-in end with a server's life

Traced by printing the holds that the stand-in got: its connections outlived the restart, as those of a server that went down can't; so no answer was lost before.

--- a/fireflydeck/platform/standin/server_app.py
+++ b/fireflydeck/platform/standin/server_app.py
@@ -1,6 +1,8 @@
 """A backend server over HTTP, from a `TaskServer` in memory."""
 
+import asyncio
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import anyio
 import orjson
@@ -35,10 +37,17 @@
     def __init__(self, server_id: str, server: TaskServer) -> None:
         self._server_id = server_id
         self._server = server
+        self._lives: WeakKeyDictionary[asyncio.Transport, int] = WeakKeyDictionary()
         self.faults = HttpFaults()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one order."""
+        """Answer one order; connections do not outlive the server's life."""
+        transport = request.transport
+        if transport is None:
+            return web.Response(status=500)
+        life = self._lives.setdefault(transport, self._server.born_ms)
+        if life != self._server.born_ms:
+            return _broken_off(request)
         return await self.faults.serve(request, self._answer)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -6,9 +6,9 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from fireflydeck.core import Clock, Failure
+from fireflydeck.core import Clock
 from fireflydeck.core.advisor import PlacementAdvisor
-from fireflydeck.core.backend_orders import BackendServerOrders, HoldReport
+from fireflydeck.core.backend_orders import BackendServerOrders
 from fireflydeck.core.placement import Registration
 from fireflydeck.core.rows import RowStore
 from fireflydeck.core.vm_orders import VmOrders
@@ -36,28 +36,25 @@
 from fireflydeck.scheduling.roster import Roster
 from fireflydeck.scheduling.row_shortener import JobRowShortener
 from fireflydeck.scheduling.runs import RunLedger
+from fireflydeck.scheduling.server_reports import EXTENDED_HOLD_MS, ServerReports
 from fireflydeck.scheduling.servers import Server
-from fireflydeck.scheduling.session import HOLD_MS, SessionOwner, SessionSet
+from fireflydeck.scheduling.session import HOLD_MS, SessionSet
 from fireflydeck.scheduling.vm_fleet import DutyTimes, VmFleet
 from fireflydeck.workload.life import Attempt, Job, job_state
 
-__all__ = ["EXTENDED_HOLD_MS", "OrdersFactory", "TenureRun"]
+__all__ = ["OrdersFactory", "TenureRun"]
 
 OrdersFactory = Callable[[Registration], BackendServerOrders]
 
-EXTENDED_HOLD_MS = 4000
-"""How long after its last confirmation a holder goes on extending leases of what runs."""
 _CLOCK_RATE_MARGIN = 1.03
 """Over the 2% by which a backend server's clock may be slow."""
 _SETTLE_SLACK_MS = 200
-_LONGEST_LEASE_MS = 6000
-"""The longest lease that a backend server grants."""
 _CHECK_MS = 100
 _PLAN_PAUSE_MS = 4
 _LOAD_RETRY_MS = 100
 
 
-class TenureRun(SessionOwner):
+class TenureRun:
     """Schedules the fleet's work while this process holds the lease.
 
     Parameters
@@ -97,7 +94,15 @@
         self._metrics = metrics
         self._make_orders = make_orders
         self._servers: dict[str, Server] = {}
-        self._sessions = SessionSet(self, clock, log)
+        self._reports = ServerReports(
+            tenure=tenure,
+            lease=lease,
+            clock=clock,
+            log=log,
+            retire=self._retire_if_idle,
+            wake=self.wake,
+        )
+        self._sessions = SessionSet(self._reports, clock, log)
         self._usage = OrganisationUsage()
         self._tasks: TaskGroup | None = None
         self._plan_wake = anyio.Event()
@@ -137,11 +142,12 @@
             metrics=metrics,
             advice=advice,
             drop=self._runs.drop,
-            on_fenced=self.on_fenced,
-            on_other_instance=self.on_other_instance,
+            on_fenced=self._reports.on_fenced,
+            on_other_instance=self._reports.on_other_instance,
             check=self._sessions.check,
         )
-        self._pacer = Pacer(clock, partial(self._send, "pace", self._sender.send_pace))
+        self._reports.runs = self._runs
+        self._reports.pacer = Pacer(clock, partial(self._send, "pace", self._sender.send_pace))
         self._dispatch = Dispatch(
             term=tenure.term,
             operators=operators,
@@ -215,10 +221,6 @@
         """Plan again soon."""
         self._plan_wake.set()
 
-    def may_hold(self) -> bool:
-        """Whether leases may still be extended."""
-        return self._clock.now_ms() < self._lease.valid_until_ms + EXTENDED_HOLD_MS
-
     async def run(self) -> None:
         """Take the fleet over and schedule until cancelled."""
         await self._load()
@@ -303,30 +305,10 @@
         server.registration = registration
         server.is_registered = True
         if 0 < server.born_ms < registration.born_ms and server.is_held:
-            self._await_new_life(server)
+            self._reports.await_new_life(server)
+            self._sessions.check(server)
         self.wake()
 
-    def _await_new_life(self, server: Server) -> None:
-        """Ask a server that was started again what it runs; orders on their way may run there."""
-        server.is_held = False
-        server.lease_until_ms += _LONGEST_LEASE_MS
-        server.wake.set()
-        self._sessions.check(server)
-
-    def _begin_life(self, server: Server, report: HoldReport) -> None:
-        """Take over that a server was started again: its ends and its clock begin anew."""
-        self._log.emit(
-            Event.SERVER_REBORN,
-            server=server.id,
-            born_ms=report.born_ms,
-            running=len(server.attempts),
-        )
-        server.last_end = server.stored_end = server.acknowledged_end = 0
-        server.unstored.clear()
-        server.lease_until_ms = 0
-        server.clock_read_ms = None
-        server.read_clock(report, self._clock.now_ms())
-
     def _retire_if_idle(self, server: Server) -> None:
         """Forget a server that is no longer registered and runs nothing that matters."""
         if server.is_registered or server.attempts:
@@ -360,58 +342,6 @@
                 self._book.close_job(job)
                 self._dispatch.remove_job(job)
 
-    # Reports
-
-    def on_report(self, server: Server, report: HoldReport, sent_ms: int) -> None:
-        """Take over the answer to a hold."""
-        if 0 < report.born_ms < server.born_ms:
-            return
-        if 0 < server.born_ms < report.born_ms:
-            self._begin_life(server, report)
-        server.born_ms = report.born_ms
-        if not server.is_held:
-            self._log.emit(
-                Event.SERVER_HELD,
-                server=server.id,
-                term=self.term,
-                running=len(report.running),
-                ended=len(report.ended),
-            )
-        server.is_held = True
-        server.is_reachable = True
-        for ended in report.ended:
-            if ended.number > server.last_end:
-                self._runs.on_end(server, ended)
-        self._runs.reconcile(server, report, sent_ms)
-        self._pacer.on_report(server, report)
-        self._retire_if_idle(server)
-        self.wake()
-
-    def on_unreachable(self, server: Server, failure: Failure) -> None:
-        """Note that a server did not answer."""
-        if server.is_reachable:
-            self._log.emit(
-                Event.SERVER_UNREACHABLE,
-                server=server.id,
-                step=failure.step,
-                detail=failure.detail,
-                running=len(server.attempts),
-            )
-        server.is_reachable = False
-
-    def on_other_instance(self, server: Server) -> None:
-        """Note that the life that this record describes is over."""
-        self._log.emit(Event.SERVER_REPLACED, server=server.id, running=len(server.attempts))
-        server.is_registered = False
-        server.is_held = True
-        self._runs.forget_all(server, "other instance")
-        self._retire_if_idle(server)
-
-    def on_fenced(self, server: Server) -> None:
-        """Note a higher fencing token: another process holds the lease."""
-        self._log.emit(Event.ORDER_FENCED, server=server.id, term=self.term)
-        self._lease.resign(self._tenure, "a backend server has seen a higher term")
-
     async def _check_leases(self) -> None:
         while True:
             await self._clock.sleep_ms(_CHECK_MS)
--- a/fireflydeck/scheduling/tests/test_take_over.py
+++ b/fireflydeck/scheduling/tests/test_take_over.py
@@ -3,8 +3,8 @@
 import pytest
 
 from fireflydeck.core import Ran
+from fireflydeck.scheduling.server_reports import EXTENDED_HOLD_MS
 from fireflydeck.scheduling.session import HOLD_MS
-from fireflydeck.scheduling.tenure_run import EXTENDED_HOLD_MS
 from fireflydeck.scheduling.tests.fleet import never_twice, running_fleet
 from fireflydeck.testing.fleet_builders import JOB_ID, accept_job, build_spec, build_step
 from fireflydeck.testing.fleet_fakes import OrderFault
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
     (15, 30_000): "a job's end during a round of the row shortener ended the round",
     (141, 30_000): "a start on its way was carried out by the next life of its server",
     (201, 30_000): "ends of a server's next life were acknowledged by numbers of the earlier one",
+    (221, 30_000): "the stand-in's connections outlived the server's life",
     (142, 30_000): "SIGHUP ended a process that was still starting",
     (36, 30_000): "the soak moved servers' clocks after leases had been given by them; later, by"
     " chance, a library's error at a stop that was no structured line",
