--- a/fireflydeck/soak/callers.py
+++ b/fireflydeck/soak/callers.py
@@ -22,7 +22,10 @@
 _REFUSED = (429, 503)
 _UNCERTAIN = (500, 502, 504)
 _UNKNOWN_JOB = 410
-_COMPLETED = "completed"
+_ENDED = ("completed", "cancelled", "failed")
+_CANCELLED_SHARE = 0.15
+_CANCEL_AFTER_MS = 800
+_CANCEL_TRIES = 20
 
 
 @define(eq=False)
@@ -66,8 +69,8 @@
             await client.aclose()
 
     def open_jobs(self) -> list[JobRecord]:
-        """Return the accepted jobs that were not shown as completed yet."""
-        return [job for job in self.jobs if job.accepted_ms is not None and not job.completed_ms]
+        """Return the accepted jobs that were not shown as ended yet."""
+        return [job for job in self.jobs if job.accepted_ms is not None and not job.ended_ms]
 
     async def _submit_jobs(self, tasks: TaskGroup) -> None:
         while self._submits:
@@ -76,6 +79,8 @@
             await self._submit(job)
             if job.accepted_ms is not None:
                 tasks.start_soon(self._follow, job)
+                if self.random.random() < _CANCELLED_SHARE:
+                    tasks.start_soon(self._cancel, job)
             await self.clock.sleep_ms(self.random.randint(*_PAUSE_MS))
 
     def _new_job(self) -> JobRecord:
@@ -108,7 +113,7 @@
             job.rejections.append(status)
 
     async def _follow(self, job: JobRecord) -> None:
-        while job.completed_ms is None:
+        while job.ended_ms is None:
             await self.clock.sleep_ms(_POLL_MS)
             try:
                 answer = await self._client().get(f"/swatch/{job.job_id}")
@@ -116,11 +121,24 @@
                 continue
             self._note_state(job, answer)
 
+    async def _cancel(self, job: JobRecord) -> None:
+        """Ask for a cancellation until it is accepted."""
+        await self.clock.sleep_ms(self.random.randint(0, _CANCEL_AFTER_MS))
+        job.is_cancelled = True
+        for _ in range(_CANCEL_TRIES):
+            try:
+                answer = await self._client().delete(f"/swatch/{job.job_id}")
+            except httpx.HTTPError:
+                continue
+            if answer.status_code == httpx.codes.OK:
+                return
+            await self.clock.sleep_ms(_POLL_MS)
+
     def _note_state(self, job: JobRecord, answer: httpx.Response) -> None:
         if answer.status_code == httpx.codes.OK:
             job.last_state = answer.json()["state"]
-            if job.last_state == _COMPLETED:
-                job.completed_ms = self.clock.now_ms()
+            if job.last_state in _ENDED:
+                job.ended_ms = self.clock.now_ms()
         elif answer.status_code == _UNKNOWN_JOB:
             job.unknown_ms.append(self.clock.now_ms())
         elif answer.status_code not in (*_REFUSED, *_UNCERTAIN):
--- a/fireflydeck/soak/fault_plan.py
+++ b/fireflydeck/soak/fault_plan.py
@@ -5,9 +5,10 @@
 
 from attrs import frozen
 
-__all__ = ["FaultKind", "PlannedFault", "plan_faults"]
+__all__ = ["MEAN_PAUSE_MS", "FaultKind", "PlannedFault", "plan_faults"]
 
-_MEAN_PAUSE_MS = 1600
+MEAN_PAUSE_MS = 1600
+"""Time between the beginnings of two series of faults, on average."""
 _SERIES_SHARE = 0.25
 """Part of the faults that come as a series."""
 _MAX_SERIES = 4
@@ -67,9 +68,16 @@
         return self.at_ms + self.duration_ms
 
 
-def plan_faults(seed: int, length_ms: int) -> list[PlannedFault]:
+def plan_faults(
+    seed: int, length_ms: int, mean_pause_ms: int = MEAN_PAUSE_MS
+) -> list[PlannedFault]:
     """Return the faults of a run, by time; the same for the same arguments.
 
+    Parameters
+    ----------
+    mean_pause_ms
+        Time between the beginnings of two series of faults, on average.
+
     Examples
     --------
     >>> plan_faults(3, 60_000) == plan_faults(3, 60_000)
@@ -80,7 +88,7 @@
     at_ms = random.randint(200, 1500)
     while at_ms < length_ms:
         faults.extend(_plan_series(random, at_ms))
-        at_ms += int(random.expovariate(1 / _MEAN_PAUSE_MS)) + 1
+        at_ms += int(random.expovariate(1 / mean_pause_ms)) + 1
     return sorted(
         (fault for fault in faults if fault.end_ms <= length_ms), key=lambda fault: fault.at_ms
     )
--- a/fireflydeck/soak/observations.py
+++ b/fireflydeck/soak/observations.py
@@ -19,8 +19,10 @@
         Submissions that were refused as not stored.
     accepted_ms
         When a submission was accepted first.
-    completed_ms
-        When it was shown as completed first.
+    is_cancelled
+        Whether its caller asked for its cancellation.
+    ended_ms
+        When it was shown as completed, cancelled or failed first.
     unknown_ms
         Times at which a process said that there is no such job, after its acceptance.
     last_state
@@ -35,7 +37,8 @@
     uncertain_tries: int = 0
     refused_tries: int = 0
     accepted_ms: int | None = None
-    completed_ms: int | None = None
+    is_cancelled: bool = False
+    ended_ms: int | None = None
     unknown_ms: list[int] = field(factory=list)
     last_state: str = ""
     rejections: list[int] = field(factory=list)
--- a/fireflydeck/soak/promises.py
+++ b/fireflydeck/soak/promises.py
@@ -13,6 +13,8 @@
 
 _VISIBLE_MS = 3000
 """Every process knows an accepted job after this time."""
+_START_SLACK_MS = 1000
+"""A start that was on its way when a job was shown as ended may arrive for this long."""
 
 
 @frozen
@@ -78,16 +80,25 @@
         if runs and not job.uncertain_tries:
             yield Violation("what is refused has not run", f"{job} {runs[0]}")
         return
-    if job.completed_ms is None:
-        yield Violation("accepted jobs complete", f"{job}, {len(runs)} runs")
+    if job.ended_ms is None:
+        yield Violation("accepted jobs end", f"{job}, {len(runs)} runs")
         return
-    done = {run.task for run in runs if _is_done_by(run, job.completed_ms)}
-    if len(done) < job.tasks:
-        yield Violation("completed means that all tasks are done", f"{job}, done: {sorted(done)}")
+    yield from _end_violations(job, job.ended_ms, runs)
     late = [at_ms for at_ms in job.unknown_ms if at_ms > job.accepted_ms + _VISIBLE_MS]
     if late:
         yield Violation("accepted jobs are known", f"{job}")
 
 
+def _end_violations(job: JobRecord, ended_ms: int, runs: list[RunRecord]) -> Iterator[Violation]:
+    done = {run.task for run in runs if _is_done_by(run, ended_ms)}
+    if job.last_state == "completed" and len(done) < job.tasks:
+        yield Violation("completed means that all tasks are done", f"{job}, done: {sorted(done)}")
+    if job.last_state == "failed" or (job.last_state == "cancelled" and not job.is_cancelled):
+        yield Violation("jobs fail or are cancelled with a cause only", f"{job}")
+    late = [run for run in runs if run.started_ms > ended_ms + _START_SLACK_MS]
+    if late:
+        yield Violation("nothing starts once a job has ended", f"{job} {late[0]}")
+
+
 def _is_done_by(run: RunRecord, at_ms: int) -> bool:
     return run.end == RunEnd.DONE and run.ended_ms is not None and run.ended_ms <= at_ms
--- a/fireflydeck/soak/run.py
+++ b/fireflydeck/soak/run.py
@@ -16,7 +16,7 @@
 from fireflydeck.core import Clock, SystemClock
 from fireflydeck.kernel import Event, Registry
 from fireflydeck.soak.callers import Callers
-from fireflydeck.soak.fault_plan import PlannedFault, plan_faults
+from fireflydeck.soak.fault_plan import MEAN_PAUSE_MS, PlannedFault, plan_faults
 from fireflydeck.soak.injector import FaultInjector
 from fireflydeck.soak.promises import Violation, check_promises
 from fireflydeck.standins.fault_proxy import FaultProxy
@@ -62,6 +62,7 @@
 
     seed: int
     length_ms: int
+    mean_pause_ms: int
     directory: Path
     tasks: TaskGroup
     clock: Clock = field(factory=SystemClock)
@@ -78,7 +79,9 @@
             prepare=partial(_vary_servers, random),
         )
         async with fleet_context as fleet:
-            report = SoakReport(self.seed, plan_faults(self.seed, self.length_ms))
+            report = SoakReport(
+                self.seed, plan_faults(self.seed, self.length_ms, self.mean_pause_ms)
+            )
             callers = Callers([entry.address for entry in fleet.entries], random, self.clock)
             async with anyio.create_task_group() as following:
                 callers.start(following)
@@ -186,7 +189,9 @@
     return found
 
 
-async def run_soak(seed: int, length_ms: int, directory: Path) -> SoakReport:
+async def run_soak(
+    seed: int, length_ms: int, directory: Path, mean_pause_ms: int = MEAN_PAUSE_MS
+) -> SoakReport:
     """Run the soak once.
 
     Parameters
@@ -197,14 +202,21 @@
         Time with traffic and faults.
     directory
         For settings and logs of the processes.
+    mean_pause_ms
+        Time between the beginnings of two series of faults, on average.
     """
     async with anyio.create_task_group() as tasks:
-        report = await _Soak(seed, length_ms, directory, tasks).run()
+        report = await _Soak(seed, length_ms, mean_pause_ms, directory, tasks).run()
         tasks.cancel_scope.cancel()
     return report
 
 
-def _run_seeds(seed: int | None = None, minutes: float = 1.0, seeds: int = 1) -> None:
+def _run_seeds(
+    seed: int | None = None,
+    minutes: float = 1.0,
+    seeds: int = 1,
+    pause_ms: int = MEAN_PAUSE_MS,
+) -> None:
     """Run the soak with one seed or several that follow.
 
     Parameters
@@ -215,12 +227,14 @@
         Length of the traffic of each run.
     seeds
         Number of runs.
+    pause_ms
+        Time between the beginnings of two series of faults, on average.
     """
     first = int(time.time()) if seed is None else seed
     failed: list[int] = []
     for number in range(first, first + seeds):
         directory = Path(tempfile.mkdtemp(prefix=f"fireflydeck-soak-{number}-"))
-        report = anyio.run(run_soak, number, int(minutes * _MS_PER_MINUTE), directory)
+        report = anyio.run(run_soak, number, int(minutes * _MS_PER_MINUTE), directory, pause_ms)
         print(report, flush=True)
         for violation in report.violations:
             print(f"  {violation.promise}: {violation.detail}", flush=True)
