--- a/fireflydeck/__main__.py
+++ b/fireflydeck/__main__.py
@@ -1,10 +1,12 @@
 """Runs the command line by ``python -m fireflydeck``."""
 
 import signal
+import sys
 
-# A reload that is asked for before the process can do it must not end it.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+if sys.argv[1:2] == ["entry"]:
+    # A reload that is asked for before the process can do it must not end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from fireflydeck.cli.main import main  # noqa: E402
+from fireflydeck.cli.main import main
 
 main()
--- a/fireflydeck/cli/tests/test_reload_signal.py
+++ b/fireflydeck/cli/tests/test_reload_signal.py
@@ -1,19 +1,34 @@
-"""A reload asked for while a process starts does not end it."""
+"""A reload asked for while the entry role starts does not end it."""
 
+import os
+import signal
 import subprocess
 import sys
 
+import pytest
+
 _PROGRAM = """
 import runpy, signal, sys
-sys.argv = ["fireflydeck", "--version"]
-runpy.run_module("fireflydeck", run_name="__main__")
+sys.argv = ["fireflydeck", *sys.argv[1:]]
+try:
+    runpy.run_module("fireflydeck", run_name="__main__")
+except SystemExit:
+    pass
 print(signal.getsignal(signal.SIGHUP) == signal.SIG_IGN)
 """
 
 
-def test_reload_signal_is_ignored_until_it_is_handled():
+@pytest.mark.parametrize(
+    ("arguments", "is_ignored"), [(["entry", "--metrics_port=1"], True), (["--version"], False)]
+)
+def test_reload_signal_is_ignored_until_it_is_handled(arguments, is_ignored):
     """The soak's seed 142: SIGHUP came before the settings watch and ended the process."""
     done = subprocess.run(
-        [sys.executable, "-c", _PROGRAM], capture_output=True, text=True, check=True
+        [sys.executable, "-c", _PROGRAM, *arguments],
+        capture_output=True,
+        text=True,
+        check=True,
+        env={**os.environ, "FIREFLYDECK_BOOT": "/nonexistent/node.json"},
+        preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_DFL),
     )
-    assert done.stdout.splitlines()[-1] == "True"
+    assert done.stdout.splitlines()[-1] == str(is_ignored)
