--- a/tests/test_entry_role.py
+++ b/tests/test_entry_role.py
@@ -6,12 +6,18 @@
 
 from fireflydeck.ownership import LEASE_ROW, decode_lease
 from fireflydeck.standins.memory_rows import MemoryRows
-from fireflydeck.testing.fleet_builders import JOB_ID
+from fireflydeck.testing.fleet_builders import (
+    JOB_ID,
+    configuration_document,
+    put_operator_document,
+)
 from fireflydeck.testing.platform_fleet import running_platform_fleet
 from fireflydeck.testing.processes import wait_until
 
 pytestmark = pytest.mark.processes
 
+_FROZEN_S = 6.0
+"""Longer than a withdrawn key may go on working."""
 _HEADERS = {"Host": "paint.example", "Api-Key": "key-1"}
 _JOB = {"spec": "text", "steps": [{"count": 3, "cpu": 500, "estimated_ms": 600}]}
 
@@ -111,3 +117,32 @@
         assert _starts(fleet) == _tasks(JOB_ID, second)
 
     _run(tmp_path, scenario)
+
+
+def test_withdrawn_key_is_refused_by_a_process_that_was_frozen(tmp_path):
+    async def scenario(fleet):
+        frozen = fleet.entries[0]
+        await _submit(frozen)
+        frozen.process.pause()
+        document = configuration_document(version=4, tenants=[])
+        put_operator_document(fleet.store.rows, "config", document)
+        await anyio.sleep(_FROZEN_S)
+        frozen.process.resume()
+        statuses = []
+        for number in range(30):
+            answer = await _call("POST", frozen, f"{number + 100:016x}", _JOB)
+            statuses.append(answer.status_code)
+            await anyio.sleep(0.05)
+        assert 200 not in statuses
+        assert statuses[-1] == 401
+        await _wait_refused(fleet.entries[1])
+        assert {task.partition(".")[0] for task in _starts(fleet)} <= {JOB_ID}
+
+    _run(tmp_path, scenario)
+
+
+async def _wait_refused(entry):
+    async def refused():
+        return (await _call("POST", entry, "00000000000000ff", _JOB)).status_code == 401
+
+    await wait_until(refused, what="refusal of the withdrawn key")
