--- a/fireflydeck/entry/server.py
+++ b/fireflydeck/entry/server.py
@@ -19,6 +19,8 @@
 """Older knowledge of the operators' documents makes the process not ready."""
 _DRAIN_MS = 2600
 """Time after the stop began in which the balancer notices and callers finish."""
+_LAST_REQUESTS_MS = 300
+"""Time for the requests of connections that were accepted last."""
 _SHUTDOWN_S = 1.0
 _KEEP_ALIVE_S = 75.0
 _STATE_PATH = "/state"
@@ -41,6 +43,7 @@
         self._clock = clock
         self._is_stopping = False
         self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
 
     @property
     def name(self) -> str:
@@ -57,14 +60,18 @@
         )
         self._runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_S)
         await self._runner.setup()
-        await web.TCPSite(
+        self._site = web.TCPSite(
             self._runner, self._host, self._port, backlog=512, reuse_address=True
-        ).start()
+        )
+        await self._site.start()
 
     async def stop(self) -> None:
-        """Serve until the balancer has noticed, then close."""
+        """Serve until the balancer has noticed, then listen no more, then close."""
         self._is_stopping = True
         await self._clock.sleep_ms(_DRAIN_MS)
+        if self._site is not None:
+            await self._site.stop()
+        await self._clock.sleep_ms(_LAST_REQUESTS_MS)
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/tests/test_entry_role.py
+++ b/tests/test_entry_role.py
@@ -16,6 +16,7 @@
 
 pytestmark = pytest.mark.processes
 
+_CALLERS = 8
 _FROZEN_S = 6.0
 """Longer than a withdrawn key may go on working."""
 _HEADERS = {"Host": "paint.example", "Api-Key": "key-1"}
@@ -119,6 +120,36 @@
     _run(tmp_path, scenario)
 
 
+def test_planned_stop_cuts_no_request(tmp_path):
+    """Callers keep their connections and go on until nothing listens any more."""
+
+    async def scenario(fleet):
+        entry = fleet.entries[0]
+        await _submit(entry)
+        statuses = []
+
+        async def ask():
+            async with httpx.AsyncClient(headers=_HEADERS, timeout=4) as client:
+                while True:
+                    try:
+                        answer = await client.get(f"http://{entry.address}/swatch/{JOB_ID}")
+                    except httpx.ConnectError:
+                        return
+                    statuses.append(answer.status_code)
+                    await anyio.sleep(0.02)
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(_CALLERS):
+                tasks.start_soon(ask)
+            await anyio.sleep(0.5)
+            entry.process.terminate()
+            assert await entry.process.stopped() == 0
+        assert len(statuses) > _CALLERS
+        assert set(statuses) == {200}
+
+    _run(tmp_path, scenario)
+
+
 def test_withdrawn_key_is_refused_by_a_process_that_was_frozen(tmp_path):
     async def scenario(fleet):
         frozen = fleet.entries[0]
