--- a/fireflydeck/standins/memory_rows.py
+++ b/fireflydeck/standins/memory_rows.py
@@ -1,5 +1,7 @@
 """Rows in memory with the semantics of the platform's store."""
 
+from bisect import bisect_right
+
 from fireflydeck.core.rows import (
     ABSENT_VERSION,
     RowChanges,
@@ -74,7 +76,8 @@
         """Return what changed after a version; `None` if that history is forgotten."""
         if after < self._forgotten:
             return None
-        rows = [row for row in self._history if row.version > after and row.id.table == table]
+        first = bisect_right(self._history, after, key=lambda row: row.version)
+        rows = [row for row in self._history[first:] if row.id.table == table]
         return RowChanges(tuple(rows), self._version)
 
     def forget_history(self) -> None:
