--- a/fireflydeck/entry/tests/test_caller_interface.py
+++ b/fireflydeck/entry/tests/test_caller_interface.py
@@ -3,7 +3,6 @@
 from contextlib import asynccontextmanager
 
 import anyio
-import orjson
 import pytest
 from aiohttp import ClientSession
 
@@ -16,12 +15,15 @@
 from fireflydeck.kernel import EventLog, Metrics, Registry
 from fireflydeck.observation import OperatorDocuments
 from fireflydeck.ownership import LeaseKeeper
+from fireflydeck.platform.job_documents import DEADLINE_HEADER, KEY_HEADER
+from fireflydeck.platform.standin.documents import (
+    CALLER_HEADERS,
+    put_configuration,
+    submission_document,
+)
 from fireflydeck.platform.tests.local_server import local_server
 from fireflydeck.testing.fleet_builders import (
-    CONFIGURATION,
     JOB_ID,
-    configuration_document,
-    put_operator_document,
 )
 from fireflydeck.testing.fleet_fakes import FakeAnnouncer
 from fireflydeck.testing.rows import FakeRowStore
@@ -29,8 +31,7 @@
 
 pytestmark = pytest.mark.anyio
 
-_BODY = orjson.dumps({"spec": "text", "steps": [{"count": 1, "cpu": 500}]})
-_HEADERS = {"Host": "paint.example", "Api-Key": "key-1"}
+_BODY = submission_document("text", tasks=1)
 
 
 class _NoStates(StateSource):
@@ -60,7 +61,7 @@
     async def call(self, method, path, body=None, **headers):
         async with ClientSession() as session:
             url = f"http://{self._address}{path}"
-            sent = {**_HEADERS, **headers}
+            sent = {**CALLER_HEADERS, **headers}
             async with session.request(method, url, data=body, headers=sent) as response:
                 return response.status, await response.read(), response.headers
 
@@ -70,7 +71,7 @@
     clock, log = SystemClock(), EventLog()
     store = FakeRowStore(clock)
     if configured:
-        put_operator_document(store.rows, "config", configuration_document(**configuration))
+        put_configuration(store.rows, **configuration)
     operators = OperatorDocuments(store, clock, log)
     lease = LeaseKeeper(store, clock, log, name="m1", address="m1:1")
     forwarder = _Forwarder()
@@ -113,8 +114,8 @@
     [
         (f"/swatch/{JOB_ID}", {"Host": "other.example"}, 404),
         (f"/elsewhere/{JOB_ID}", {}, 404),
-        (f"/swatch/{JOB_ID}", {"Api-Key": "key-2"}, 401),
-        (f"/swatch/{JOB_ID}", {"Api-Key": ""}, 401),
+        (f"/swatch/{JOB_ID}", {KEY_HEADER: "key-2"}, 401),
+        (f"/swatch/{JOB_ID}", {KEY_HEADER: ""}, 401),
         ("/swatch/xyz", {}, 404),
         (f"/swatch/{JOB_ID}0", {}, 404),
         ("/swatch/", {}, 405),
@@ -137,9 +138,7 @@
 
 async def test_key_that_was_taken_away_is_refused():
     async with _callers() as callers:
-        organisation = {**CONFIGURATION["tenants"][0], "api_keys": []}
-        document = configuration_document(version=4, tenants=[organisation])
-        put_operator_document(callers.store.rows, "config", document)
+        put_configuration(callers.store.rows, version=4, keys=())
         with anyio.fail_after(5):
             while (await callers.call("GET", "/swatch/"))[0] != 401:
                 await anyio.sleep(0.02)
@@ -147,8 +146,7 @@
 
 async def test_older_configuration_does_not_come_back():
     async with _callers() as callers:
-        document = configuration_document(version=2, tenants=[])
-        put_operator_document(callers.store.rows, "config", document)
+        put_configuration(callers.store.rows, version=2, keys=())
         await anyio.sleep(0.2)
         assert (await callers.call("GET", "/swatch/"))[0] == 200
 
@@ -157,7 +155,7 @@
 async def test_store_outage(outage, status):
     async with _callers() as callers:
         callers.store.outage = outage
-        headers = {"X-Deadline-Ms": "900"}
+        headers = {DEADLINE_HEADER: "900"}
         answer = await callers.call("POST", f"/swatch/{JOB_ID}", _BODY, **headers)
         assert answer[0] == status
         assert ("Retry-After" in answer[2]) == (status == 503)
@@ -168,8 +166,7 @@
         yield _BODY[:10]
         await anyio.sleep(5)
 
-    limits = {**CONFIGURATION["limits"], "idle_timeout_ms": 200}
-    async with _callers(limits=limits) as callers:
+    async with _callers(idle_timeout_ms=200) as callers:
         status, _, _ = await callers.call("POST", f"/swatch/{JOB_ID}", slow_body())
         assert status == 408
         assert callers.store.rows.get(job_key(JOB_ID)) is None
--- /dev/null
+++ b/fireflydeck/platform/standin/documents.py
@@ -0,0 +1,203 @@
+"""Documents and requests as operators, backend servers, callers and the platform write them."""
+
+from typing import Any
+
+import orjson
+
+from fireflydeck.core.fleet_configuration import AdvisorTimes
+from fireflydeck.core.rows import RowKey, RowTransaction, RowWrite
+from fireflydeck.platform.documents import (
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    OPERATOR_TABLE,
+    REGISTRATION_TABLE,
+    WAVE_PREFIX,
+)
+from fireflydeck.standins.memory_rows import MemoryRows
+
+__all__ = [
+    "CALLER_HEADERS",
+    "JOB_PATH",
+    "MAX_ATTEMPTS",
+    "configuration_document",
+    "put_configuration",
+    "put_evacuation",
+    "put_registration",
+    "put_wave",
+    "registration_document",
+    "remove_evacuation",
+    "settings_document",
+    "submission_document",
+]
+
+_KEY = "key-1"
+_HOST = "paint.example"
+CALLER_HEADERS = {"Host": _HOST, "Api-Key": _KEY}
+"""What a caller of the one queue sends."""
+JOB_PATH = "/swatch/"
+"""Path of the one queue; a job's id follows."""
+MAX_ATTEMPTS = 2
+"""Failed runs of a task of the one queue after which its job has failed."""
+_DATA_CENTRE = "zvolen"
+_WAVE_DURATION_S = 20
+
+
+def configuration_document(
+    *,
+    version: int = 3,
+    keys: tuple[str, ...] = (_KEY,),
+    advisor: AdvisorTimes | None = None,
+    idle_timeout_ms: int | None = None,
+) -> bytes:
+    """Return a configuration with one queue, one organisation, a pool and a pool on standby.
+
+    Parameters
+    ----------
+    keys
+        Keys of the organisation.
+    advisor
+        Times of the placement advisor of the queue; `None` for a queue without one.
+    idle_timeout_ms
+        How long a request may arrive without a byte; `None` for the usual bound.
+    """
+    route: dict[str, Any] = {
+        "name": "swatches",
+        "host": _HOST,
+        "path_prefix": JOB_PATH,
+        "route_type": "non_idempotent",
+        "timeout_ms": 3000,
+        "target_latency_ms": 600,
+        "priority": 0,
+        "service": "paint",
+        "max_attempts": MAX_ATTEMPTS,
+        "slack_factor": 1.6,
+        "public": False,
+    }
+    if advisor is not None:
+        route["placement_advisor"] = {
+            "decision_ms": advisor.decision_ms,
+            "period_ms": advisor.per_server_ms,
+            "validity_ms": advisor.validity_ms,
+        }
+    limits = {"max_body_bytes": 2000}
+    if idle_timeout_ms is not None:
+        limits["idle_timeout_ms"] = idle_timeout_ms
+    organisation = {
+        "name": "museum",
+        "api_keys": list(keys),
+        "weight": 4,
+        "cap": {"cpu": 64_000, "mem_mb": 0, "gpus": 0},
+    }
+    services = [
+        {"name": "paint", "rejects_overload": True, "standby": False},
+        {"name": "spare", "rejects_overload": True, "standby": True},
+    ]
+    return orjson.dumps(
+        {
+            "version": version,
+            "routes": [route],
+            "services": services,
+            "limits": limits,
+            "tenants": [organisation],
+        }
+    )
+
+
+def registration_document(**fields: Any) -> bytes:
+    """Return a registration as a backend server writes it, with fields replaced."""
+    document = {
+        "service": "paint",
+        "address": "10.128.0.9:8080",
+        "zone": _DATA_CENTRE,
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "capacity": {"cpu": 32_000, "mem_mb": 65_536, "gpus": 0},
+        "labels": ["a", "r1-3"],
+        "clock_ms": 0,
+        "sequence": 4,
+        "born": 1,
+    }
+    return orjson.dumps({**document, **fields})
+
+
+def put_configuration(rows: MemoryRows, **options: Any) -> None:
+    """Write a configuration; options are those of `configuration_document`."""
+    _put(rows, OPERATOR_TABLE, CONFIGURATION_KEY, configuration_document(**options))
+
+
+def put_evacuation(rows: MemoryRows, data_centre: str = _DATA_CENTRE) -> None:
+    """Take a data centre out."""
+    _put(rows, OPERATOR_TABLE, EVACUATION_PREFIX + data_centre, b"{}")
+
+
+def remove_evacuation(rows: MemoryRows, data_centre: str = _DATA_CENTRE) -> None:
+    """Bring a data centre back."""
+    key = RowKey(OPERATOR_TABLE, "", EVACUATION_PREFIX + data_centre)
+    rows.commit(RowTransaction(removals=(key,)))
+
+
+def put_wave(rows: MemoryRows, number: int, vms: list[str], *, max_at_once: int) -> None:
+    """Ask for the maintenance of VMs."""
+    document = {
+        "maintenance_wave": number,
+        "machines": vms,
+        "duration_s": _WAVE_DURATION_S,
+        "cap": max_at_once,
+    }
+    _put(rows, OPERATOR_TABLE, f"{WAVE_PREFIX}{number}", orjson.dumps(document))
+
+
+def put_registration(
+    rows: MemoryRows, server_id: str, *, address: str, born_ms: int = 1, **fields: Any
+) -> None:
+    """Register a backend server."""
+    content = registration_document(address=address, born=born_ms, **fields)
+    _put(rows, REGISTRATION_TABLE, server_id, content)
+
+
+def submission_document(payload: str, *, tasks: int, estimated_ms: int = 600) -> bytes:
+    """Return a submission of a job of one step."""
+    step = {"count": tasks, "cpu": 500, "estimated_ms": estimated_ms}
+    return orjson.dumps({"spec": payload, "steps": [step]})
+
+
+def settings_document(
+    *,
+    name: str,
+    caller_address: str,
+    readiness_address: str,
+    internal_port: int,
+    store_address: str,
+    vm_address: str,
+) -> bytes:
+    """Return the settings file of an entry process."""
+    host = caller_address.rpartition(":")[0]
+    bounds = {
+        "max_hold_ms": 6000,
+        "stop_timeout_ms": 900,
+        "lease_ms": 3000,
+        "notice_ms": 4500,
+        "grace_s": 6,
+        "cancel_ms": 3000,
+        "status_s": 120,
+    }
+    return orjson.dumps(
+        {
+            "node_name": name,
+            "ip": host,
+            "zone": _DATA_CENTRE,
+            "listen_addresses": {"frontend": caller_address, "readiness": readiness_address},
+            "internal_port_range": [internal_port, internal_port],
+            "heartbeat_ms": 1500,
+            "limits": {"memory_mb": 300},
+            "bounds": bounds,
+            "platform": {"address": store_address, "transaction_ms": 6.0},
+            "cloud_api": {"address": vm_address},
+        }
+    )
+
+
+def _put(rows: MemoryRows, table: str, key: str, content: bytes) -> None:
+    rows.commit(RowTransaction(writes=(RowWrite(RowKey(table, "", key), content),)))
--- a/fireflydeck/platform/tests/test_documents.py
+++ b/fireflydeck/platform/tests/test_documents.py
@@ -12,7 +12,7 @@
 )
 from fireflydeck.platform.job_documents import JOB_ID, decode_submission
 from fireflydeck.platform.node_settings import NodeSettingsError, load_node_settings, settings_path
-from fireflydeck.testing.fleet_builders import configuration_document, registration_document
+from fireflydeck.platform.standin.documents import configuration_document, registration_document
 
 _SETTINGS = {
     "node_name": "edge-1",
--- a/fireflydeck/scheduling/tests/fleet.py
+++ b/fireflydeck/scheduling/tests/fleet.py
@@ -7,6 +7,7 @@
 from fireflydeck.kernel import EventLog, Metrics, Registry
 from fireflydeck.observation import OperatorDocuments
 from fireflydeck.ownership import LeaseKeeper
+from fireflydeck.platform.standin.documents import put_configuration, put_registration
 from fireflydeck.scheduling.scheduler import Scheduler
 from fireflydeck.scheduling.vm_fleet import DutyTimes
 from fireflydeck.standins.memory_rows import MemoryRows
@@ -14,9 +15,6 @@
 from fireflydeck.testing.clock import FakeClock
 from fireflydeck.testing.fleet_builders import (
     CORES,
-    configuration_document,
-    put_operator_document,
-    put_registration,
 )
 from fireflydeck.testing.fleet_fakes import FakeAdvisor, FakeOrders, FakeVmOrders
 from fireflydeck.testing.rows import FakeRowStore
@@ -79,7 +77,7 @@
         self.vm_orders = FakeVmOrders()
         self.advisor = FakeAdvisor()
         self.servers = {}
-        put_operator_document(self.rows, "config", configuration_document(**configuration))
+        put_configuration(self.rows, **configuration)
         for number in range(1, servers + 1):
             self.add_server(f"s{number}")
         self.members = [Member(f"m{number}", self) for number in range(1, members + 1)]
--- a/fireflydeck/scheduling/tests/test_advice.py
+++ b/fireflydeck/scheduling/tests/test_advice.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from fireflydeck.core.fleet_configuration import AdvisorTimes
 from fireflydeck.scheduling.tests.fleet import running_fleet
 from fireflydeck.testing.fleet_builders import (
-    CONFIGURATION,
     JOB_ID,
     accept_job,
     build_spec,
@@ -13,8 +13,7 @@
 
 pytestmark = pytest.mark.anyio
 
-_ADVISOR = {"decision_ms": 50, "period_ms": 5, "validity_ms": 3000}
-_ROUTES = [{**CONFIGURATION["routes"][0], "placement_advisor": _ADVISOR}]
+_ADVISOR = AdvisorTimes(decision_ms=50, per_server_ms=5, validity_ms=3000)
 
 
 def _advise(*good, **options):
@@ -27,7 +26,7 @@
 
 
 async def test_starts_go_where_a_ticket_allows_them():
-    async with running_fleet(prepare=_advise("s2"), servers=3, routes=_ROUTES) as fleet:
+    async with running_fleet(prepare=_advise("s2"), servers=3, advisor=_ADVISOR) as fleet:
         accept_job(fleet.rows, build_spec(build_step(count=4)))
         await fleet.advance_ms(1500)
         assert len(fleet.servers["s2"].starts) == 4
@@ -37,7 +36,7 @@
 
 async def test_refused_advice_is_asked_for_again():
     prepare = _advise("s1", failures=2)
-    async with running_fleet(prepare=prepare, servers=1, routes=_ROUTES) as fleet:
+    async with running_fleet(prepare=prepare, servers=1, advisor=_ADVISOR) as fleet:
         accept_job(fleet.rows, build_spec())
         await fleet.advance_ms(2000)
         assert len(fleet.advisor.calls) == 3
@@ -46,7 +45,7 @@
 
 async def test_ticket_that_ran_out_is_renewed_for_the_good_servers_only():
     prepare = _advise("s1", validity_ms=800)
-    async with running_fleet(prepare=prepare, servers=2, routes=_ROUTES) as fleet:
+    async with running_fleet(prepare=prepare, servers=2, advisor=_ADVISOR) as fleet:
         fleet.servers["s1"].duration_ms = 1500
         accept_job(fleet.rows, build_spec(build_step(count=32)))
         await fleet.advance_ms(4000)
@@ -56,7 +55,7 @@
 
 
 async def test_no_start_without_a_good_server():
-    async with running_fleet(prepare=_advise(), servers=2, routes=_ROUTES) as fleet:
+    async with running_fleet(prepare=_advise(), servers=2, advisor=_ADVISOR) as fleet:
         accept_job(fleet.rows, build_spec())
         await fleet.advance_ms(3000)
         assert fleet.starts() == []
--- a/fireflydeck/scheduling/tests/test_duties.py
+++ b/fireflydeck/scheduling/tests/test_duties.py
@@ -8,13 +8,13 @@
 from fireflydeck.core.rows import RowKey, RowTransaction, RowWrite
 from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState
 from fireflydeck.ownership import DUTIES_ROW
+from fireflydeck.platform.standin.documents import put_wave
 from fireflydeck.scheduling.tests.fleet import running_fleet
 from fireflydeck.testing.fleet_builders import (
     CORES,
     accept_job,
     build_spec,
     build_step,
-    put_operator_document,
 )
 
 pytestmark = pytest.mark.anyio
@@ -38,13 +38,8 @@
 
 
 def _request_wave(fleet, *server_ids, max_at_once=1, number=1):
-    document = {
-        "maintenance_wave": number,
-        "machines": [f"vm-{server_id}" for server_id in server_ids],
-        "duration_s": 20,
-        "cap": max_at_once,
-    }
-    put_operator_document(fleet.rows, f"wave/{number}", orjson.dumps(document))
+    vms = [f"vm-{server_id}" for server_id in server_ids]
+    put_wave(fleet.rows, number, vms, max_at_once=max_at_once)
 
 
 def _status(fleet):
--- a/fireflydeck/scheduling/tests/test_runs.py
+++ b/fireflydeck/scheduling/tests/test_runs.py
@@ -5,18 +5,20 @@
 from fireflydeck.core import Ran
 from fireflydeck.core.backend_orders import RunEnd
 from fireflydeck.core.placement import Resources
-from fireflydeck.core.rows import RowKey, RowTransaction
+from fireflydeck.platform.standin.documents import (
+    MAX_ATTEMPTS,
+    put_evacuation,
+    put_registration,
+    remove_evacuation,
+)
 from fireflydeck.scheduling.session import HOLD_MS
 from fireflydeck.scheduling.tests.fleet import never_twice, running_fleet
 from fireflydeck.testing.fleet_builders import (
-    CONFIGURATION,
     JOB_ID,
     accept_job,
     build_spec,
     build_step,
     cancel_job,
-    put_operator_document,
-    put_registration,
 )
 from fireflydeck.testing.fleet_fakes import OrderFault
 from fireflydeck.workload import outcome_key
@@ -79,10 +81,10 @@
         fleet.servers[name].crash()
         if is_registered_first:
             fleet.leader.orders[name].lost_holds = 5
-            put_registration(fleet.rows, name, address=f"{name}:1", born=2)
+            put_registration(fleet.rows, name, address=f"{name}:1", born_ms=2)
         fleet.leader.orders[name].deliver_late()
         await fleet.advance_ms(1000, check=never_twice(fleet))
-        put_registration(fleet.rows, name, address=f"{name}:1", born=2)
+        put_registration(fleet.rows, name, address=f"{name}:1", born_ms=2)
         await fleet.advance_ms(6000, check=never_twice(fleet))
         assert fleet.outcome(JOB_ID) == "completed"
 
@@ -145,7 +147,7 @@
         accept_job(fleet.rows, build_spec())
         await fleet.advance_ms(6000)
         assert fleet.outcome(JOB_ID) == "failed"
-        assert len(fleet.starts()) == CONFIGURATION["routes"][0]["max_attempts"]
+        assert len(fleet.starts()) == MAX_ATTEMPTS
 
 
 async def test_limit_of_an_organisation_holds():
@@ -157,12 +159,12 @@
 
 async def test_no_start_in_an_evacuated_data_centre():
     async with running_fleet(servers=1) as fleet:
-        put_operator_document(fleet.rows, "evacuate/zvolen", b"{}")
+        put_evacuation(fleet.rows)
         await fleet.advance_ms(1200)
         accept_job(fleet.rows, build_spec())
         await fleet.advance_ms(1000)
         assert fleet.starts() == []
-        fleet.rows.commit(RowTransaction(removals=(RowKey("op", "", "evacuate/zvolen"),)))
+        remove_evacuation(fleet.rows)
         await fleet.advance_ms(1000)
         assert len(fleet.starts()) == 1
 
--- a/fireflydeck/soak/callers.py
+++ b/fireflydeck/soak/callers.py
@@ -3,11 +3,11 @@
 from random import Random
 
 import httpx
-import orjson
 from anyio.abc import TaskGroup
 from attrs import define, field
 
 from fireflydeck.core import Clock
+from fireflydeck.platform.standin.documents import CALLER_HEADERS, JOB_PATH, submission_document
 from fireflydeck.soak.observations import JobRecord
 
 __all__ = ["Callers"]
@@ -18,7 +18,6 @@
 _TIMEOUT_S = 3.0
 _MAX_TRIES = 5
 _MAX_TASKS = 3
-_HEADERS = {"Host": "paint.example", "Api-Key": "key-1"}
 _REFUSED = (429, 503)
 _UNCERTAIN = (500, 502, 504)
 _UNKNOWN_JOB = 410
@@ -54,7 +53,7 @@
         """Begin to submit and to ask."""
         for address in self.addresses:
             url = f"http://{address}"
-            client = httpx.AsyncClient(base_url=url, headers=_HEADERS, timeout=_TIMEOUT_S)
+            client = httpx.AsyncClient(base_url=url, headers=CALLER_HEADERS, timeout=_TIMEOUT_S)
             self._clients.append(client)
         for _ in range(_CALLERS):
             tasks.start_soon(self._submit_jobs, tasks)
@@ -88,11 +87,10 @@
         return JobRecord(job_id, f"text of {job_id}", self.random.randint(1, _MAX_TASKS))
 
     async def _submit(self, job: JobRecord) -> None:
-        steps = [{"count": job.tasks, "cpu": 500, "estimated_ms": 400}]
-        body = orjson.dumps({"spec": job.payload, "steps": steps})
+        body = submission_document(job.payload, tasks=job.tasks, estimated_ms=400)
         for _ in range(self.random.randint(1, _MAX_TRIES)):
             try:
-                answer = await self._client().post(f"/swatch/{job.job_id}", content=body)
+                answer = await self._client().post(JOB_PATH + job.job_id, content=body)
             except httpx.ConnectError:
                 continue
             except httpx.HTTPError:
@@ -116,7 +114,7 @@
         while job.ended_ms is None:
             await self.clock.sleep_ms(_POLL_MS)
             try:
-                answer = await self._client().get(f"/swatch/{job.job_id}")
+                answer = await self._client().get(JOB_PATH + job.job_id)
             except httpx.HTTPError:
                 continue
             self._note_state(job, answer)
@@ -127,7 +125,7 @@
         job.is_cancelled = True
         for _ in range(_CANCEL_TRIES):
             try:
-                answer = await self._client().delete(f"/swatch/{job.job_id}")
+                answer = await self._client().delete(JOB_PATH + job.job_id)
             except httpx.HTTPError:
                 continue
             if answer.status_code == httpx.codes.OK:
--- a/fireflydeck/soak/injector.py
+++ b/fireflydeck/soak/injector.py
@@ -5,9 +5,9 @@
 
 from fireflydeck.core import Clock
 from fireflydeck.platform.standin import HttpFault
+from fireflydeck.platform.standin.documents import put_registration
 from fireflydeck.soak.fault_plan import FaultKind, PlannedFault
 from fireflydeck.standins.fault_proxy import Direction, FaultProxy, ProxyFault, ProxyMode
-from fireflydeck.testing.fleet_builders import put_registration
 from fireflydeck.testing.platform_fleet import EntryProcess, PlatformFleet
 
 __all__ = ["FaultInjector"]
@@ -106,4 +106,4 @@
         server_id, server = servers[number]
         server.crash()
         address = self.server_links[number].address
-        put_registration(self.fleet.store.rows, server_id, address=address, born=server.born_ms)
+        put_registration(self.fleet.store.rows, server_id, address=address, born_ms=server.born_ms)
--- a/fireflydeck/testing/platform_fleet.py
+++ b/fireflydeck/testing/platform_fleet.py
@@ -1,6 +1,5 @@
 """Entry processes in front of stand-ins of the users' platform, on loopback."""
 
-import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
@@ -11,12 +10,14 @@
 
 from fireflydeck.core import SystemClock
 from fireflydeck.platform.standin import ServerApp, StoreApp, VmApp
+from fireflydeck.platform.standin.documents import (
+    put_configuration,
+    put_registration,
+    settings_document,
+)
 from fireflydeck.standins.task_server import TaskServer
 from fireflydeck.testing.fleet_builders import (
     CORES,
-    configuration_document,
-    put_operator_document,
-    put_registration,
 )
 from fireflydeck.testing.ports import free_address
 from fireflydeck.testing.processes import ManagedProcess, wait_until
@@ -28,15 +29,6 @@
 
 _HOST = "127.0.0.1"
 _OK = 200
-_BOUNDS = {
-    "max_hold_ms": 6000,
-    "stop_timeout_ms": 900,
-    "lease_ms": 3000,
-    "notice_ms": 4500,
-    "grace_s": 6,
-    "cancel_ms": 3000,
-    "status_s": 120,
-}
 
 
 @define
@@ -109,7 +101,7 @@
     async with AsyncExitStack() as stack:
         store_address = await _serve(stack, fleet.store.handle)
         vm_address = await _serve(stack, fleet.vms.handle)
-        put_operator_document(fleet.store.rows, "config", configuration_document())
+        put_configuration(fleet.store.rows)
         for number in range(1, servers + 1):
             server_id = f"i-{number}"
             server = TaskServer(SystemClock(), CORES, name=server_id)
@@ -145,24 +137,16 @@
 
 def _entry_process(directory: Path, name: str, store_address: str, vm_address: str) -> EntryProcess:
     caller, readiness, internal, metrics = (free_address() for _ in range(4))
-    internal_port = _port(internal)
-    settings = {
-        "node_name": name,
-        "ip": _HOST,
-        "zone": "zvolen",
-        "listen_addresses": {
-            "frontend": caller,
-            "readiness": readiness,
-        },
-        "internal_port_range": [internal_port, internal_port],
-        "heartbeat_ms": 1500,
-        "limits": {"memory_mb": 300},
-        "bounds": _BOUNDS,
-        "platform": {"address": store_address, "transaction_ms": 6.0},
-        "cloud_api": {"address": vm_address},
-    }
+    settings = settings_document(
+        name=name,
+        caller_address=caller,
+        readiness_address=readiness,
+        internal_port=_port(internal),
+        store_address=store_address,
+        vm_address=vm_address,
+    )
     path = directory / f"{name}.json"
-    path.write_text(json.dumps(settings))
+    path.write_bytes(settings)
     process = ManagedProcess(
         name,
         ["entry", f"--metrics_port={_port(metrics)}"],
--- a/tests/test_entry_role.py
+++ b/tests/test_entry_role.py
@@ -5,11 +5,15 @@
 import pytest
 
 from fireflydeck.ownership import LEASE_ROW, decode_lease
+from fireflydeck.platform.standin.documents import (
+    CALLER_HEADERS,
+    JOB_PATH,
+    put_configuration,
+    submission_document,
+)
 from fireflydeck.standins.memory_rows import MemoryRows
 from fireflydeck.testing.fleet_builders import (
     JOB_ID,
-    configuration_document,
-    put_operator_document,
 )
 from fireflydeck.testing.platform_fleet import running_platform_fleet
 from fireflydeck.testing.processes import wait_until
@@ -19,8 +23,7 @@
 _CALLERS = 8
 _FROZEN_S = 6.0
 """Longer than a withdrawn key may go on working."""
-_HEADERS = {"Host": "paint.example", "Api-Key": "key-1"}
-_JOB = {"spec": "text", "steps": [{"count": 3, "cpu": 500, "estimated_ms": 600}]}
+_JOB = submission_document("text", tasks=3)
 
 
 def _holder(rows: MemoryRows) -> str:
@@ -28,10 +31,10 @@
     return decode_lease(row.value).holder if row else ""
 
 
-async def _call(method, entry, job_id=JOB_ID, json=None):
+async def _call(method, entry, job_id=JOB_ID, body=None):
     async with httpx.AsyncClient() as client:
-        url = f"http://{entry.address}/swatch/{job_id}"
-        return await client.request(method, url, json=json, headers=_HEADERS, timeout=4)
+        url = f"http://{entry.address}{JOB_PATH}{job_id}"
+        return await client.request(method, url, content=body, headers=CALLER_HEADERS, timeout=4)
 
 
 async def _submit(entry, job_id=JOB_ID):
@@ -129,10 +132,10 @@
         statuses = []
 
         async def ask():
-            async with httpx.AsyncClient(headers=_HEADERS, timeout=4) as client:
+            async with httpx.AsyncClient(headers=CALLER_HEADERS, timeout=4) as client:
                 while True:
                     try:
-                        answer = await client.get(f"http://{entry.address}/swatch/{JOB_ID}")
+                        answer = await client.get(f"http://{entry.address}{JOB_PATH}{JOB_ID}")
                     except httpx.ConnectError:
                         return
                     statuses.append(answer.status_code)
@@ -155,8 +158,7 @@
         frozen = fleet.entries[0]
         await _submit(frozen)
         frozen.process.pause()
-        document = configuration_document(version=4, tenants=[])
-        put_operator_document(fleet.store.rows, "config", document)
+        put_configuration(fleet.store.rows, version=4, keys=())
         await anyio.sleep(_FROZEN_S)
         frozen.process.resume()
         statuses = []
