--- a/fireflydeck/entry/peer_link.py
+++ b/fireflydeck/entry/peer_link.py
@@ -18,6 +18,7 @@
 from fireflydeck.core import Clock, Ran
 from fireflydeck.core.rows import StoredRow
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
+from fireflydeck.entry.peer_messages import StateQuery, SubmissionNotice
 from fireflydeck.entry.state_source import (
     ForwardResult,
     RequestForwarder,
@@ -27,7 +28,6 @@
 from fireflydeck.kernel import Registry, Service
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.scheduling.scheduler import Scheduler
-from fireflydeck.workload.records import job_id_of, job_key
 
 __all__ = ["PeerLink"]
 
@@ -108,7 +108,7 @@
         holder = self._holder_address()
         if holder is None:
             return None
-        content = msgpack.packb([job_id, self._address])
+        content = StateQuery(job_id, self._address).encode()
         received = await self._post(holder, _STATE_PATH, content, _STATE_TIMEOUT_MS)
         return msgpack.unpackb(received.ok) if received.is_ok() else None
 
@@ -142,7 +142,7 @@
     async def _send_announcement(self, holder: str, row: StoredRow) -> None:
         # Without an answer the holder reads the row from the store's changes.
         try:
-            content = msgpack.packb([job_id_of(row.id), row.value, row.version])
+            content = SubmissionNotice.of_row(row).encode()
             await self._post(holder, _SUBMISSION_PATH, content, _STATE_TIMEOUT_MS)
         finally:
             self._announcements -= 1
@@ -189,19 +189,23 @@
         if request.path == _FORWARD_PATH and self._answer is not None:
             answer = await self._answer(CallerRequest.decode(content))
             return web.Response(body=answer.encode())
-        if request.path == _SUBMISSION_PATH:
-            return self._serve_submission(content)
-        job_id, sender = msgpack.unpackb(content)
-        self._seen_ms[sender] = self._clock.now_ms()
+        try:
+            if request.path == _SUBMISSION_PATH:
+                return self._serve_submission(SubmissionNotice.decode(content))
+            return self._serve_state(StateQuery.decode(content))
+        except ValueError as error:
+            return web.Response(status=400, text=str(error))
+
+    def _serve_state(self, query: StateQuery) -> web.StreamResponse:
+        self._seen_ms[query.sender] = self._clock.now_ms()
         run = self._scheduler.current if self._scheduler else None
-        state = run.job_state(job_id) if run is not None else None
+        state = run.job_state(query.job_id) if run is not None else None
         return web.Response(body=msgpack.packb(state))
 
-    def _serve_submission(self, content: bytes) -> web.StreamResponse:
-        job_id, value, version = msgpack.unpackb(content)
+    def _serve_submission(self, notice: SubmissionNotice) -> web.StreamResponse:
         run = self._scheduler.current if self._scheduler else None
         if run is not None:
-            run.book.offer(StoredRow(job_key(job_id), value, version))
+            run.book.offer(notice.row())
         return web.Response()
 
 
--- a/fireflydeck/entry/tests/test_peer_link.py
+++ b/fireflydeck/entry/tests/test_peer_link.py
@@ -73,6 +73,18 @@
         return self._by_name[name]
 
 
+@pytest.mark.parametrize("path", ["/submission", "/job-state"])
+@pytest.mark.parametrize("content", [b"", b"\xc1", b"\x01", b"\x91\xa1a"])
+async def test_unreadable_messages_are_refused(path, content):
+    link = PeerLink(free_address(), SystemClock())
+    async with (
+        local_server(link._serve) as address,
+        ClientSession() as session,
+        session.post(f"http://{address}{path}", data=content) as response,
+    ):
+        assert response.status == 400
+
+
 async def test_announcements_at_the_stop_of_a_process_are_left_out():
     """The soak's seed 524: a request answered after the link's stop ended the process."""
     link = PeerLink(free_address(), SystemClock())
--- a/fireflydeck/testing/fleet_builders.py
+++ b/fireflydeck/testing/fleet_builders.py
@@ -4,6 +4,7 @@
 
 from attrs import evolve
 
+from fireflydeck.core.fleet_configuration import JobQueue
 from fireflydeck.core.placement import Resources
 from fireflydeck.core.rows import RowTransaction, RowWrite
 from fireflydeck.standins.memory_rows import MemoryRows
@@ -16,6 +17,7 @@
     "JOB_ID",
     "accept_job",
     "build_job",
+    "build_queue",
     "build_spec",
     "build_step",
     "cancel_job",
@@ -25,6 +27,19 @@
 CORES = Resources(32_000, 65_536, 0)
 
 
+def build_queue(**fields: Any) -> JobQueue:
+    """Return the queue of the jobs that are built here."""
+    known = JobQueue(
+        name="swatches",
+        host="paint.example",
+        path_prefix="/swatch/",
+        pool="paint",
+        slack_factor=1.6,
+        target_latency_ms=600,
+    )
+    return evolve(known, **fields)
+
+
 def build_step(**fields: Any) -> StepSpec:
     """Return a step of one quick task."""
     known = StepSpec(count=1, demand=Resources(2000, 1000), estimated_ms=600)
