Rows that a later version or an error wrote stop no process

Found by reading: a lease row with a field that this version does not know could not be read at all, which a rolling restart onto the next version would have brought about; and an unreadable row of a job that had ended made the holder's follower of jobs begin again and again.

--- a/fireflydeck/ownership/records.py
+++ b/fireflydeck/ownership/records.py
@@ -1,7 +1,7 @@
 """The row that tells who holds the fleet's lease."""
 
 import msgpack
-from attrs import Factory, asdict, frozen
+from attrs import Factory, asdict, fields_dict, frozen
 
 from fireflydeck.core.rows import RowKey
 from fireflydeck.workload.records import FLEET_PARTITION
@@ -64,7 +64,7 @@
 
 
 def decode_lease(content: bytes) -> LeaseRecord:
-    """Decode the row.
+    """Decode the row; fields that a later version of the program adds are left out.
 
     Raises
     ------
@@ -72,6 +72,8 @@
         If it is not a lease.
     """
     try:
-        return LeaseRecord(**msgpack.unpackb(content))
-    except TypeError as error:
+        document = msgpack.unpackb(content)
+        known = {name: document[name] for name in fields_dict(LeaseRecord) if name in document}
+        return LeaseRecord(**known)
+    except (TypeError, ValueError, msgpack.UnpackException) as error:
         raise ValueError(f"not a lease: {error}") from error
--- a/fireflydeck/ownership/tests/test_lease.py
+++ b/fireflydeck/ownership/tests/test_lease.py
@@ -3,12 +3,14 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import msgpack
 import pytest
 
 from fireflydeck.core import Ran, Reason
 from fireflydeck.core.rows import RowKey, RowWrite
 from fireflydeck.kernel import EventLog, Registry
 from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.ownership.records import LeaseRecord, decode_lease
 from fireflydeck.standins.memory_rows import MemoryRows
 from fireflydeck.testing.clock import FakeClock
 from fireflydeck.testing.rows import FakeRowStore, RowStoreFault
@@ -107,6 +109,18 @@
         assert _holders(members) == [member for member in members if member is not first]
 
 
+def test_lease_of_a_later_version_is_read():
+    record = LeaseRecord(holder="a", address="a:1", term=2, sequence=7, ttl_ms=1500)
+    document = {**msgpack.unpackb(record.encode()), "added_later": 1}
+    assert decode_lease(msgpack.packb(document)) == record
+
+
+@pytest.mark.parametrize("content", [b"", b"\xc1", b"\x01", b"\x80"])
+def test_unreadable_lease(content):
+    with pytest.raises(ValueError, match="not a lease"):
+        decode_lease(content)
+
+
 async def test_lease_stays_with_its_holder():
     clock = FakeClock()
     async with _members(clock, "a", "b") as members:
--- a/fireflydeck/scheduling/job_book.py
+++ b/fireflydeck/scheduling/job_book.py
@@ -140,9 +140,21 @@
 
     def _shorten(self, job_id: str, row: StoredRow, outcome: JobOutcome) -> None:
         """Shorten a row that an earlier holder left with the whole job."""
-        if not is_cancellation(row.id) and decode_ended_row(row.value) is None:
+        if is_cancellation(row.id):
+            return
+        try:
+            is_whole = decode_ended_row(row.value) is None
+        except ValueError as error:
+            self._note_unreadable(job_id, row, error)
+            return
+        if is_whole:
             self._shortener.add(job_id, row.version, outcome)
 
+    def _note_unreadable(self, job_id: str, row: StoredRow, error: ValueError) -> None:
+        self._log.emit(
+            Event.DOCUMENT_UNREADABLE, document=job_id, version=row.version, detail=str(error)
+        )
+
     def _submit(self, job_id: str, row: StoredRow) -> None:
         try:
             ended = decode_ended_row(row.value)
@@ -151,9 +163,7 @@
                 return
             spec = decode_job_spec(row.value)
         except ValueError as error:
-            self._log.emit(
-                Event.DOCUMENT_UNREADABLE, document=job_id, version=row.version, detail=str(error)
-            )
+            self._note_unreadable(job_id, row, error)
             return
         age_ms = max(0, self._clock.wall_ms() - spec.accepted_ms)
         job = Job(spec, row.version, self._clock.now_ms() - age_ms)
--- a/fireflydeck/scheduling/tests/test_row_shortener.py
+++ b/fireflydeck/scheduling/tests/test_row_shortener.py
@@ -90,6 +90,19 @@
     assert {decode_ended_row(row.value) for row in rows} == {JobOutcome.COMPLETED}
 
 
+@pytest.mark.parametrize("content", [b"", b"\xc1", b"\xa1x"])
+async def test_unreadable_row_of_an_ended_job_stops_nothing(content):
+    async with running_fleet(servers=1) as fleet:
+        job_id, other_id = _job_ids()[:2]
+        accept_job(fleet.rows, build_spec(job_id=job_id))
+        await fleet.advance_ms(2000)
+        fleet.rows.commit(RowTransaction(writes=(RowWrite(job_key(job_id), content),)))
+        await fleet.advance_ms(500)
+        accept_job(fleet.rows, build_spec(job_id=other_id))
+        await fleet.advance_ms(2000)
+        assert fleet.outcome(other_id) == "completed"
+
+
 async def test_removed_row_does_not_come_back():
     async with running_fleet(prepare=_accept_all, servers=2) as fleet:
         await fleet.advance_ms(500)
--- a/fireflydeck/workload/records.py
+++ b/fireflydeck/workload/records.py
@@ -115,8 +115,16 @@
     -------
     JobOutcome or None
         `None` for the row of a job whose outcome was not stored when the row was written.
+
+    Raises
+    ------
+    ValueError
+        If the row is not one of ours.
     """
-    value = msgpack.unpackb(content)
+    try:
+        value = msgpack.unpackb(content)
+    except msgpack.UnpackException as error:
+        raise ValueError(f"not a job's row: {error!r}") from error
     return JobOutcome(value) if isinstance(value, str) else None
 
 
