Bad requests: each is refused clearly and logged; numbers beyond any sense stop nothing

Seen failing, with causes: - a deadline of 5000 digits or of digits that are not ASCII: int() raised, 500; - a key that is no UTF-8, passed on for want of the store: msgpack can't encode lone surrogates, 500; - 408 and 413 were neither logged nor counted; - what is no HTTP was logged by the library with a stack trace, or, as a first request with an unknown method, not at all: now event 6404. Submissions: negative demands were taken (they would have given a server more room than it has), numbers beyond 64 bits raised while the row was encoded (six cases seen failing). A job with 10^12 occurrences that are due at once made the holder create tasks without end, and its successors too; now a job has 10,000 open tasks at most and the next occurrences follow as they end. Test doubles of the caller interface are in a module of their own.

--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -27,6 +27,8 @@
 _MAX_STORE_SILENCE_MS = 3000
 """Without an answer of the store for this long, submissions are refused at once."""
 _RETRY_AFTER_S = 1
+_MAX_LOGGED_JOB = 32
+"""Characters of a job's id in the log; what callers send there may be long."""
 _LEAST_FORWARD_MS = 100
 """With less time left, a request is not passed on."""
 
@@ -74,23 +76,35 @@
         """Answer one request."""
         begun_ms = self._clock.now_ms()
         answer = await self._serve(request, begun_ms)
-        took_ms = self._clock.now_ms() - begun_ms
-        self._metrics.observe_ms("request_ms", took_ms, method=request.method)
-        self._metrics.count("requests_total", method=request.method, status=str(answer.status))
-        if request.method != "GET" or answer.status != 200:
-            configuration = self._operators.configuration
-            self._log.emit(
-                Event.REQUEST_ANSWERED,
-                method=request.method,
-                job=request.job,
-                status=answer.status,
-                took_ms=took_ms,
-                forwarded=request.was_forwarded,
-                configuration=configuration.version if configuration else 0,
-                configuration_age_ms=self._operators.age_ms,
-            )
+        self.record(
+            method=request.method,
+            job=request.job,
+            status=answer.status,
+            took_ms=self._clock.now_ms() - begun_ms,
+            was_forwarded=request.was_forwarded,
+        )
         return answer
 
+    def record(
+        self, *, method: str, job: str, status: int, took_ms: int, was_forwarded: bool = False
+    ) -> None:
+        """Count an answer and log it; states that were told are only counted."""
+        self._metrics.observe_ms("request_ms", took_ms, method=method)
+        self._metrics.count("requests_total", method=method, status=str(status))
+        if method == "GET" and status == 200:
+            return
+        configuration = self._operators.configuration
+        self._log.emit(
+            Event.REQUEST_ANSWERED,
+            method=method,
+            job=job[:_MAX_LOGGED_JOB],
+            status=status,
+            took_ms=took_ms,
+            forwarded=was_forwarded,
+            configuration=configuration.version if configuration else 0,
+            configuration_age_ms=self._operators.age_ms,
+        )
+
     async def _serve(self, request: CallerRequest, begun_ms: int) -> CallerAnswer:
         if request.was_forwarded:
             if self._operators.is_lost:
--- a/fireflydeck/entry/caller_request.py
+++ b/fireflydeck/entry/caller_request.py
@@ -3,7 +3,12 @@
 import msgpack
 from attrs import astuple, frozen
 
-__all__ = ["CallerAnswer", "CallerRequest"]
+__all__ = ["CallerAnswer", "CallerRequest", "job_of_path"]
+
+
+def job_of_path(path: str) -> str:
+    """Return the last part of a path: the job's id, or empty."""
+    return path.rpartition("/")[2]
 
 
 @frozen(kw_only=True)
@@ -28,8 +33,8 @@
 
     @property
     def job(self) -> str:
-        """Last part of the path: the job's id, or empty."""
-        return self.path.rpartition("/")[2]
+        """The job's id, or empty."""
+        return job_of_path(self.path)
 
     def encode(self) -> bytes:
         """Encode for another entry process."""
--- a/fireflydeck/entry/http_requests.py
+++ b/fireflydeck/entry/http_requests.py
@@ -12,20 +12,22 @@
 __all__ = ["build_response", "receive_request"]
 
 _DEFAULT_DEADLINE_MS = 3000
+_MAX_DEADLINE_MS = 3_600_000
+_MAX_DEADLINE_DIGITS = 9
 _MS_PER_S = 1000
 
 
 async def receive_request(
     request: web.BaseRequest, limits: RequestLimits
-) -> Result[CallerRequest, web.Response]:
+) -> Result[CallerRequest, CallerAnswer]:
     """Read a request, or tell how it is refused."""
     body = await _receive_body(request, limits)
     return body.map(
         lambda content: CallerRequest(
             method=request.method,
-            host=request.headers.get("Host", ""),
+            host=_text(request.headers.get("Host", "")),
             path=request.path,
-            key=request.headers.get(KEY_HEADER, ""),
+            key=_text(request.headers.get(KEY_HEADER, "")),
             deadline_ms=_deadline_ms(request),
             body=content,
         )
@@ -47,7 +49,7 @@
 
 async def _receive_body(
     request: web.BaseRequest, limits: RequestLimits
-) -> Result[bytes, web.Response]:
+) -> Result[bytes, CallerAnswer]:
     limit = limits.max_body_bytes
     content: bytes | None = None
     if (request.content_length or 0) <= limit:
@@ -70,10 +72,19 @@
     return bytes(content)
 
 
-def _refusal(status: int, reason: Reason, detail: str) -> web.Response:
-    return build_response(CallerAnswer(status, encode_refusal(reason, detail)))
+def _refusal(status: int, reason: Reason, detail: str) -> CallerAnswer:
+    return CallerAnswer(status, encode_refusal(reason, detail))
+
+
+def _text(value: str) -> str:
+    """Return a header's value; bytes that are no UTF-8 come as lone surrogates."""
+    return value.encode(errors="surrogateescape").decode(errors="replace")
 
 
 def _deadline_ms(request: web.BaseRequest) -> int:
     value = request.headers.get(DEADLINE_HEADER, "")
-    return int(value) if value.isdigit() and int(value) > 0 else _DEFAULT_DEADLINE_MS
+    if not (value.isascii() and value.isdigit()):
+        return _DEFAULT_DEADLINE_MS
+    if len(value) > _MAX_DEADLINE_DIGITS:
+        return _MAX_DEADLINE_MS
+    return min(int(value), _MAX_DEADLINE_MS) or _DEFAULT_DEADLINE_MS
--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -135,7 +135,7 @@
             dump_state=lambda: dump_state(kernel),
         )
     )
-    kernel.add(CallerServer(settings.caller_address, interface, operators, clock))
+    kernel.add(CallerServer(settings.caller_address, interface, operators, clock, log))
     kernel.add(lease)
     return kernel
 
--- a/fireflydeck/entry/server.py
+++ b/fireflydeck/entry/server.py
@@ -11,8 +11,10 @@
 from fireflydeck.core import Clock
 from fireflydeck.core.fleet_configuration import RequestLimits
 from fireflydeck.entry.caller_interface import CallerInterface
+from fireflydeck.entry.caller_request import job_of_path
 from fireflydeck.entry.http_requests import build_response, receive_request
-from fireflydeck.kernel import Metrics, Registry, Service
+from fireflydeck.entry.protocol_log import protocol_logger
+from fireflydeck.kernel import EventLog, Metrics, Registry, Service
 from fireflydeck.kernel.accept_queue import accept_pending
 from fireflydeck.observation.operators import OperatorDocuments
 
@@ -39,12 +41,14 @@
         interface: CallerInterface,
         operators: OperatorDocuments,
         clock: Clock,
+        log: EventLog,
     ) -> None:
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._interface = interface
         self._operators = operators
         self._clock = clock
+        self._log = log
         self._is_stopping = False
         self._runner: web.ServerRunner | None = None
         self._site: web.SockSite | None = None
@@ -62,6 +66,7 @@
             keepalive_timeout=_KEEP_ALIVE_S,
             max_line_size=16384,
             max_field_size=16384,
+            logger=protocol_logger(self._log),
         )
         self._runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_S)
         await self._runner.setup()
@@ -91,11 +96,19 @@
         """Read one request whole and write the answer."""
         configuration = self._operators.configuration
         limits = configuration.limits if configuration else RequestLimits()
+        begun_ms = self._clock.now_ms()
         received = await receive_request(request, limits)
         if received.is_error():
-            response = received.error
+            answer = received.error
+            self._interface.record(
+                method=request.method,
+                job=job_of_path(request.path),
+                status=answer.status,
+                took_ms=self._clock.now_ms() - begun_ms,
+            )
         else:
-            response = build_response(await self._interface.answer(received.ok))
+            answer = await self._interface.answer(received.ok)
+        response = build_response(answer)
         if self._is_stopping:
             response.force_close()
         return response
--- a/fireflydeck/entry/tests/test_caller_interface.py
+++ b/fireflydeck/entry/tests/test_caller_interface.py
@@ -1,32 +1,19 @@
 """The job interface over HTTP: routing, keys, bad input, refusals and states."""
 
-from contextlib import asynccontextmanager
-
 import anyio
 import pytest
-from aiohttp import ClientSession
 
-from fireflydeck.core import Ran, SystemClock
-from fireflydeck.entry.caller_interface import CallerInterface
+from fireflydeck.core import Ran
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
-from fireflydeck.entry.intake import Intake
-from fireflydeck.entry.server import CallerServer
-from fireflydeck.entry.state_source import ForwardResult, RequestForwarder, StateSource
-from fireflydeck.kernel import EventLog, Metrics, Registry
-from fireflydeck.observation import OperatorDocuments
-from fireflydeck.ownership import LeaseKeeper
+from fireflydeck.entry.tests.callers import running_callers
 from fireflydeck.platform.job_documents import DEADLINE_HEADER, KEY_HEADER
 from fireflydeck.platform.standin.documents import (
-    CALLER_HEADERS,
     put_configuration,
     submission_document,
 )
-from fireflydeck.platform.tests.local_server import local_server
 from fireflydeck.testing.fleet_builders import (
     JOB_ID,
 )
-from fireflydeck.testing.fleet_fakes import FakeAnnouncer
-from fireflydeck.testing.rows import FakeRowStore
 from fireflydeck.workload import job_key
 
 pytestmark = pytest.mark.anyio
@@ -34,71 +21,8 @@
 _BODY = submission_document("text", tasks=1)
 
 
-class _NoStates(StateSource):
-    async def job_state(self, job_id):
-        return None
-
-
-class _Forwarder(RequestForwarder):
-    def __init__(self):
-        self.answer = None
-        self.is_uncertain = False
-        self.forwarded = []
-
-    async def forward(self, request, *, timeout_ms):
-        self.forwarded.append(request)
-        peer = "m2:1" if self.answer else ""
-        return ForwardResult(peer=peer, answer=self.answer, is_uncertain=self.is_uncertain)
-
-
-class _Callers:
-    def __init__(self, address, store, interface, forwarder):
-        self._address = address
-        self.store = store
-        self.interface = interface
-        self.forwarder = forwarder
-
-    async def call(self, method, path, body=None, **headers):
-        async with ClientSession() as session:
-            url = f"http://{self._address}{path}"
-            sent = {**CALLER_HEADERS, **headers}
-            async with session.request(method, url, data=body, headers=sent) as response:
-                return response.status, await response.read(), response.headers
-
-
-@asynccontextmanager
-async def _callers(*, configured=True, **configuration):
-    clock, log = SystemClock(), EventLog()
-    store = FakeRowStore(clock)
-    if configured:
-        put_configuration(store.rows, **configuration)
-    operators = OperatorDocuments(store, clock, log)
-    lease = LeaseKeeper(store, clock, log, name="m1", address="m1:1")
-    forwarder = _Forwarder()
-    interface = CallerInterface(
-        operators=operators,
-        lease=lease,
-        states=_NoStates(),
-        forwarder=forwarder,
-        intake=Intake(store, clock, FakeAnnouncer()),
-        clock=clock,
-        log=log,
-        metrics=Metrics(),
-    )
-    async with anyio.create_task_group() as tasks:
-        await operators.start(Registry(), tasks)
-        await lease.start(Registry(), tasks)
-        await operators.wait_loaded()
-        while lease.holder is None:
-            await anyio.sleep(0.01)
-        server = CallerServer("127.0.0.1:1", interface, operators, clock)
-        async with local_server(server.handle) as address:
-            yield _Callers(address, store, interface, forwarder)
-        tasks.cancel_scope.cancel()
-
-
 async def test_job_is_submitted_asked_for_and_cancelled():
-    async with _callers() as callers:
+    async with running_callers() as callers:
         path = f"/swatch/{JOB_ID}"
         assert (await callers.call("GET", path))[0] == 410
         assert (await callers.call("POST", path, _BODY))[0] == 200
@@ -122,7 +46,7 @@
     ],
 )
 async def test_refused_submissions(path, headers, status):
-    async with _callers() as callers:
+    async with running_callers() as callers:
         answer = await callers.call("POST", path, _BODY, **headers)
         assert answer[0] == status
         assert callers.store.rows.get(job_key(JOB_ID)) is None
@@ -132,12 +56,12 @@
     ("body", "status"), [(b"", 400), (b"{", 400), (b"[]", 400), (b"x" * 2001, 413)]
 )
 async def test_bad_bodies(body, status):
-    async with _callers() as callers:
+    async with running_callers() as callers:
         assert (await callers.call("POST", f"/swatch/{JOB_ID}", body))[0] == status
 
 
 async def test_key_that_was_taken_away_is_refused():
-    async with _callers() as callers:
+    async with running_callers() as callers:
         put_configuration(callers.store.rows, version=4, keys=())
         with anyio.fail_after(5):
             while (await callers.call("GET", "/swatch/"))[0] != 401:
@@ -145,7 +69,7 @@
 
 
 async def test_older_configuration_does_not_come_back():
-    async with _callers() as callers:
+    async with running_callers() as callers:
         put_configuration(callers.store.rows, version=2, keys=())
         await anyio.sleep(0.2)
         assert (await callers.call("GET", "/swatch/"))[0] == 200
@@ -153,7 +77,7 @@
 
 @pytest.mark.parametrize(("outage", "status"), [(Ran.NO, 503), (Ran.UNKNOWN, 504)])
 async def test_store_outage(outage, status):
-    async with _callers() as callers:
+    async with running_callers() as callers:
         callers.store.outage = outage
         headers = {DEADLINE_HEADER: "900"}
         answer = await callers.call("POST", f"/swatch/{JOB_ID}", _BODY, **headers)
@@ -166,7 +90,7 @@
         yield _BODY[:10]
         await anyio.sleep(5)
 
-    async with _callers(idle_timeout_ms=200) as callers:
+    async with running_callers(idle_timeout_ms=200) as callers:
         status, _, _ = await callers.call("POST", f"/swatch/{JOB_ID}", slow_body())
         assert status == 408
         assert callers.store.rows.get(job_key(JOB_ID)) is None
@@ -175,7 +99,7 @@
 @pytest.mark.parametrize("outage", list(Ran))
 async def test_request_is_passed_on_for_want_of_the_store(outage):
     """Part of the entry processes lost the store; their callers waited or came again."""
-    async with _callers() as callers:
+    async with running_callers() as callers:
         callers.store.outage = outage
         callers.forwarder.answer = CallerAnswer(200, b"{}")
         status, _, _ = await callers.call("POST", f"/swatch/{JOB_ID}", _BODY)
@@ -188,7 +112,7 @@
 @pytest.mark.parametrize("peer_status", [None, 401, 503])
 async def test_submission_that_a_peer_may_have_stored_is_not_refused(peer_status):
     """One peer gave no answer in time, another had no store: 503 was said, and the job ran."""
-    async with _callers() as callers:
+    async with running_callers() as callers:
         callers.store.outage = Ran.NO
         callers.forwarder.is_uncertain = True
         callers.forwarder.answer = CallerAnswer(peer_status, b"{}") if peer_status else None
@@ -199,7 +123,7 @@
 
 @pytest.mark.parametrize("peer_status", [401, 503])
 async def test_submission_with_an_unknown_outcome_here_is_not_refused_by_a_peer(peer_status):
-    async with _callers() as callers:
+    async with running_callers() as callers:
         callers.store.outage = Ran.UNKNOWN
         callers.forwarder.answer = CallerAnswer(peer_status, b"{}")
         status, _, _ = await callers.call("POST", f"/swatch/{JOB_ID}", _BODY)
@@ -207,14 +131,14 @@
 
 
 async def test_submission_that_nobody_can_have_stored_is_refused():
-    async with _callers() as callers:
+    async with running_callers() as callers:
         callers.store.outage = Ran.NO
         status, _, headers = await callers.call("POST", f"/swatch/{JOB_ID}", _BODY)
         assert (status, headers["Retry-After"]) == (503, "1")
 
 
 async def test_forwarded_request_is_not_passed_on_again():
-    async with _callers() as callers:
+    async with running_callers() as callers:
         callers.store.outage = Ran.NO
         request = CallerRequest(
             method="POST",
--- a/fireflydeck/entry/tests/test_server.py
+++ b/fireflydeck/entry/tests/test_server.py
@@ -10,6 +10,7 @@
 from fireflydeck.entry.server import CallerServer
 from fireflydeck.kernel import Registry
 from fireflydeck.testing.ports import free_address
+from fireflydeck.testing.recording_log import RecordingLog
 
 pytestmark = pytest.mark.anyio
 
@@ -44,7 +45,7 @@
 async def test_connection_that_was_not_accepted_yet_is_served_at_the_stop():
     address = free_address()
     clock = _BusyProcess(address)
-    server = CallerServer(address, _Interface(), _Operators(), clock)
+    server = CallerServer(address, _Interface(), _Operators(), clock, RecordingLog())
     async with anyio.create_task_group() as tasks:
         await server.start(Registry(), tasks)
         await server.stop()
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -204,6 +204,11 @@
             "configuration_age_ms",
         ),
     ),
+    6404: EventNote(
+        written="What came on a caller's connection is not proper HTTP; it was refused.",
+        action="Many of them: look for a client that speaks another protocol to this port.",
+        fields=("status", "detail"),
+    ),
     6402: EventNote(
         written="The store did not settle a caller's request in its time.",
         action=_STORE_DOWN,
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -112,6 +112,7 @@
     REQUEST_ANSWERED = _Entry(6401, "info", "caller's request answered")
     REQUEST_STORE_FAILED = _Entry(6402, "warning", "store did not settle a caller's request")
     REQUEST_FORWARDED = _Entry(6403, "warning", "caller's request passed on for want of the store")
+    REQUEST_UNREADABLE = _Entry(6404, "warning", "request is not proper HTTP")
     STANDIN_LISTENING = _Entry(5001, "info", "stand-in listens")
 
     @property
--- a/fireflydeck/platform/job_documents.py
+++ b/fireflydeck/platform/job_documents.py
@@ -5,7 +5,9 @@
 from typing import Any
 
 import orjson
+from attrs import astuple
 
+from fireflydeck.core.placement import Resources
 from fireflydeck.platform.documents import DocumentError, decode_resources
 from fireflydeck.workload.specification import JobSpec, StepSpec
 
@@ -26,6 +28,8 @@
 _MAX_PAYLOAD_BYTES = 4000
 _MAX_STEPS = 100
 _MAX_TASKS = 10_000
+_MAX_NUMBER = 10**15
+"""Far beyond any amount or time that makes sense; rows hold no more than 64 bits."""
 
 
 def decode_submission(
@@ -93,7 +97,7 @@
     may_miss = item.get("max_unavailable")
     return StepSpec(
         count=count,
-        demand=decode_resources(item),
+        demand=_demand(item),
         estimated_ms=_count(item, "estimated_ms"),
         depends_on=depends_on,
         checkpointing=bool(item.get("checkpointing")),
@@ -113,6 +117,15 @@
 
 def _count(item: Mapping[str, Any], name: str) -> int:
     value = item.get(name) or 0
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+    if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"{name} is not a number")
+    if not 0 <= value <= _MAX_NUMBER:
+        raise ValueError(f"{name} is out of range")
     return int(value)
+
+
+def _demand(item: Mapping[str, Any]) -> Resources:
+    demand = decode_resources(item)
+    if not all(0 <= amount <= _MAX_NUMBER for amount in astuple(demand)):
+        raise ValueError("a demand is out of range")
+    return demand
--- a/fireflydeck/platform/tests/test_documents.py
+++ b/fireflydeck/platform/tests/test_documents.py
@@ -108,6 +108,15 @@
         _submission(steps=[{"count": 20_000}]),
         _submission(steps=[{"count": 1, "cpu": "all"}]),
         _submission(steps=[{"count": 1}] * 101),
+        _submission(steps=[{"count": 1, "cpu": -500}]),
+        _submission(steps=[{"count": 1, "mem_mb": -1}]),
+        _submission(steps=[{"count": 1, "cpu": 2**62}]),
+        _submission(steps=[{"count": 1, "estimated_ms": 1e30}]),
+        _submission(steps=[{"count": 1, "anti_affinity": -1}]),
+        _submission(start_at_ms=1e300),
+        _submission(repeat_count=2**63, interval_ms=1),
+        _submission(steps={"count": 1}),
+        _submission(steps=[{"count": 1, "depends_on": 7}]),
     ],
 )
 def test_malformed_submission(content):
--- a/fireflydeck/workload/life.py
+++ b/fireflydeck/workload/life.py
@@ -30,6 +30,9 @@
     "restore_progress",
 ]
 
+_MAX_OPEN_TASKS = 10_000
+"""Occurrences that are due wait while a job has as many open tasks; memory is bounded so."""
+
 
 class JobOutcome(StrEnum):
     """Final state of a job."""
@@ -130,6 +133,8 @@
     ----------
     stored_version
         Version of the store that holds the job's row.
+    open_tasks
+        Number of tasks that are not done, by occurrence and step; `open_task_count` is their sum.
     """
 
     spec: JobSpec
@@ -137,6 +142,7 @@
     accepted_at_ms: int
     tasks: dict[str, Task] = Factory(dict)
     open_tasks: dict[tuple[int, int], int] = Factory(dict)
+    open_task_count: int = 0
     created_occurrences: int = 0
     cancelled: bool = False
     outcome: JobOutcome | None = None
@@ -155,10 +161,10 @@
 
 
 def due_occurrences(job: Job, wall_ms: int) -> None:
-    """Create the tasks of the occurrences that are due."""
+    """Create the tasks of the occurrences that are due, up to a number of open tasks."""
     spec = job.spec
     total = max(1, spec.occurrences)
-    while job.created_occurrences < total:
+    while job.created_occurrences < total and job.open_task_count < _MAX_OPEN_TASKS:
         number = job.created_occurrences
         if spec.occurrences > 0 and wall_ms < spec.first_due_ms + number * spec.interval_ms:
             return
@@ -181,6 +187,7 @@
             name = str(key)
             job.tasks[name] = Task(job, key, name)
         job.open_tasks[number, step_number] = step.count
+        job.open_task_count += step.count
     job.created_occurrences += 1
 
 
@@ -271,15 +278,14 @@
         return
     task.done = True
     job.open_tasks[task.key.occurrence, task.key.step] -= 1
+    job.open_task_count -= 1
     if is_finished(job):
         job.outcome = JobOutcome.COMPLETED
 
 
 def is_finished(job: Job) -> bool:
     """Whether all tasks of all occurrences are done."""
-    return job.created_occurrences >= max(1, job.spec.occurrences) and not any(
-        job.open_tasks.values()
-    )
+    return job.created_occurrences >= max(1, job.spec.occurrences) and not job.open_task_count
 
 
 def restore_progress(job: Job, done: list[str], failed_runs: dict[str, list[int]]) -> None:
--- a/fireflydeck/workload/tests/test_life.py
+++ b/fireflydeck/workload/tests/test_life.py
@@ -144,6 +144,17 @@
     assert job.outcome == JobOutcome.COMPLETED
 
 
+def test_occurrences_that_are_due_at_once_are_created_as_earlier_ones_end():
+    spec = build_spec(build_step(count=500), first_due_ms=0, interval_ms=0, occurrences=10**12)
+    job = Job(spec, 1, 0)
+    due_occurrences(job, 1000)
+    assert len(job.tasks) == 10_000
+    for task in list(job.tasks.values())[:500]:
+        _end(task, 1, RunEnd.DONE)
+    due_occurrences(job, 1000)
+    assert job.created_occurrences == 21
+
+
 def test_final_states_are_shown_only_once_they_are_stored():
     job = build_job()
     assert job_state(job) == "queued"
