Wrong types in documents and answers are refused where they are decoded

The checks of fields moved to platform/fields.py, one copy for all decoders, with the errors that decoding may raise.

--- a/fireflydeck/platform/backend_server_client.py
+++ b/fireflydeck/platform/backend_server_client.py
@@ -17,10 +17,12 @@
     StartOutcome,
 )
 from fireflydeck.core.call_timeout import CallTimeout
+from fireflydeck.platform.fields import FIELD_ERRORS, integer, string, whole
 from fireflydeck.platform.http_peer import HttpAnswer, HttpPeer
 
 __all__ = [
     "BackendServerClient",
+    "decode_report",
 ]
 
 _CONNECTIONS = 24
@@ -152,8 +154,8 @@
         if answer.status != _OK:
             return Error(self._refusal("hold", answer))
         try:
-            return Ok(_decode_report(answer.body))
-        except (TypeError, ValueError, IndexError, KeyError) as error:
+            return Ok(decode_report(answer.body))
+        except FIELD_ERRORS as error:
             detail = f"lists of runs can't be read: {error!r}"
             return Error(self._failure(Reason.ANSWER_INVALID, "hold", detail))
 
@@ -171,19 +173,32 @@
         )
 
 
-def _decode_report(body: Mapping[str, Any]) -> HoldReport:
+def decode_report(body: Mapping[str, Any]) -> HoldReport:
+    """Decode a server's lists of runs."""
     return HoldReport(
-        clock_ms=body["clock_ms"],
-        born_ms=body.get("born", 0),
+        clock_ms=integer(body["clock_ms"]),
+        born_ms=integer(body.get("born", 0)),
         running=tuple(_decode_running(row) for row in body["running"]),
         ended=tuple(_decode_ended(row) for row in body["finished"]),
     )
 
 
 def _decode_running(row: list[Any]) -> RunningTask:
-    gauge = row[4] if len(row) > 4 else None
-    return RunningTask(row[0], row[1], row[2] or "", row[3], gauge)
+    gauge = integer(row[4]) if len(row) > 4 and row[4] is not None else None
+    return RunningTask(
+        task=string(row[0]),
+        run=whole(row[1]),
+        checkpoint=string(row[2] or ""),
+        percent=integer(row[3]),
+        gauge=gauge,
+    )
 
 
 def _decode_ended(row: list[Any]) -> EndedRun:
-    return EndedRun(row[0], row[1], row[2], RunEnd(row[3]), row[4] or "")
+    return EndedRun(
+        number=whole(row[0]),
+        task=string(row[1]),
+        run=whole(row[2]),
+        end=RunEnd(row[3]),
+        checkpoint=string(row[4] or ""),
+    )
--- a/fireflydeck/platform/documents.py
+++ b/fireflydeck/platform/documents.py
@@ -17,6 +17,15 @@
 )
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
 from fireflydeck.core.rows import RowKey
+from fireflydeck.platform.fields import (
+    FIELD_ERRORS,
+    address,
+    integer,
+    number,
+    string,
+    strings,
+    whole,
+)
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -69,13 +78,13 @@
     document = _object("configuration", content)
     try:
         return FleetConfiguration(
-            version=document["version"],
+            version=whole(document["version"]),
             queues=tuple(_queue(item) for item in document.get("routes", ())),
             pools=tuple(_pool(item) for item in document.get("services", ())),
             organisations=tuple(_organisation(item) for item in document.get("tenants", ())),
             limits=_limits(document.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except FIELD_ERRORS as error:
         raise DocumentError("configuration", repr(error)) from error
 
 
@@ -90,31 +99,31 @@
     name = f"registration {server_id}"
     document = _object(name, content)
     try:
-        labels = _strings(document.get("labels", []))
+        labels = strings(document.get("labels", []))
         return Registration(
             server_id=server_id,
-            pool=_text(document["service"]),
-            address=_address(document["address"]),
-            data_centre=_text(document["zone"]),
+            pool=string(document["service"]),
+            address=address(document["address"]),
+            data_centre=string(document["zone"]),
             state=BackendServerState(document["state"]),
             capacity=decode_resources(document["capacity"]),
             labels=frozenset(labels),
             rack=rack_of(labels),
-            born_ms=_whole(document.get("born", 0)),
-            clock_ms=_whole(document.get("clock_ms", 0)),
-            remaining_ms=int(document.get("remaining_ms") or 0),
-            vm=_text(document.get("machine", "")),
+            born_ms=whole(document.get("born", 0)),
+            clock_ms=whole(document.get("clock_ms", 0)),
+            remaining_ms=integer(document.get("remaining_ms") or 0),
+            vm=string(document.get("machine", "")),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except FIELD_ERRORS as error:
         raise DocumentError(name, repr(error)) from error
 
 
 def decode_resources(document: Mapping[str, Any]) -> Resources:
     """Decode an amount of capacity."""
     return Resources(
-        _whole(document.get("cpu", 0)),
-        _whole(document.get("mem_mb", 0)),
-        _whole(document.get("gpus", 0)),
+        whole(document.get("cpu", 0)),
+        whole(document.get("mem_mb", 0)),
+        whole(document.get("gpus", 0)),
     )
 
 
@@ -129,12 +138,12 @@
     document = _object("wave", content)
     try:
         return MaintenanceWave(
-            number=_whole(document["maintenance_wave"]),
-            vms=tuple(_strings(document["machines"])),
-            duration_ms=int(document["duration_s"] * _MS_PER_S),
-            max_at_once=_whole(document["cap"]),
+            number=whole(document["maintenance_wave"]),
+            vms=tuple(strings(document["machines"])),
+            duration_ms=int(number(document["duration_s"]) * _MS_PER_S),
+            max_at_once=whole(document["cap"]),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except FIELD_ERRORS as error:
         raise DocumentError("wave", repr(error)) from error
 
 
@@ -175,15 +184,15 @@
 
 def _queue(item: Mapping[str, Any]) -> JobQueue:
     return JobQueue(
-        name=item["name"],
-        host=item["host"],
-        path_prefix=item["path_prefix"],
-        pool=item["service"],
-        priority=item.get("priority", 0),
-        max_attempts=item.get("max_attempts", 1),
-        slack_factor=item.get("slack_factor", 1.0),
-        target_latency_ms=item.get("target_latency_ms", 0),
-        timeout_ms=item.get("timeout_ms", 0),
+        name=string(item["name"]),
+        host=string(item["host"]),
+        path_prefix=string(item["path_prefix"]),
+        pool=string(item["service"]),
+        priority=integer(item.get("priority", 0)),
+        max_attempts=integer(item.get("max_attempts", 1)),
+        slack_factor=number(item.get("slack_factor", 1.0)),
+        target_latency_ms=integer(item.get("target_latency_ms", 0)),
+        timeout_ms=integer(item.get("timeout_ms", 0)),
         public=bool(item.get("public", False)),
         advisor=_advisor(item.get("placement_advisor")),
     )
@@ -192,12 +201,16 @@
 def _advisor(item: Mapping[str, Any] | None) -> AdvisorTimes | None:
     if not item:
         return None
-    return AdvisorTimes(item["decision_ms"], item["period_ms"], item["validity_ms"])
+    return AdvisorTimes(
+        decision_ms=integer(item["decision_ms"]),
+        per_server_ms=integer(item["period_ms"]),
+        validity_ms=integer(item["validity_ms"]),
+    )
 
 
 def _pool(item: Mapping[str, Any]) -> ServerPool:
     return ServerPool(
-        name=item["name"],
+        name=string(item["name"]),
         rejects_overload=bool(item.get("rejects_overload", False)),
         standby=bool(item.get("standby", False)),
     )
@@ -205,9 +218,9 @@
 
 def _organisation(item: Mapping[str, Any]) -> Organisation:
     return Organisation(
-        name=item["name"],
-        keys=frozenset(item.get("api_keys", ())),
-        weight=item.get("weight", 1.0),
+        name=string(item["name"]),
+        keys=frozenset(strings(item.get("api_keys", []))),
+        weight=number(item.get("weight", 1.0)),
         limit=decode_resources(item.get("cap") or {}),
     )
 
@@ -215,33 +228,8 @@
 def _limits(item: Mapping[str, Any]) -> RequestLimits:
     known = RequestLimits()
     return RequestLimits(
-        item.get("max_header_bytes", known.max_header_bytes),
-        item.get("max_body_bytes", known.max_body_bytes),
-        item.get("header_timeout_ms", known.header_timeout_ms),
-        item.get("idle_timeout_ms", known.idle_timeout_ms),
+        integer(item.get("max_header_bytes", known.max_header_bytes)),
+        integer(item.get("max_body_bytes", known.max_body_bytes)),
+        integer(item.get("header_timeout_ms", known.header_timeout_ms)),
+        integer(item.get("idle_timeout_ms", known.idle_timeout_ms)),
     )
-
-
-def _text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"{value!r:.40} is not a string")
-    return value
-
-
-def _address(value: Any) -> str:
-    host, colon, port = _text(value).rpartition(":")
-    if not (host and colon and port.isdigit()):
-        raise ValueError(f"{value!r:.40} is not an address")
-    return value
-
-
-def _whole(value: Any) -> int:
-    if type(value) is not int:
-        raise TypeError(f"{value!r:.40} is not a whole number")
-    return value
-
-
-def _strings(values: Any) -> list[str]:
-    if not isinstance(values, list):
-        raise TypeError(f"{values!r:.40} is not a list")
-    return [_text(value) for value in values]
--- a/fireflydeck/platform/job_documents.py
+++ b/fireflydeck/platform/job_documents.py
@@ -9,6 +9,7 @@
 
 from fireflydeck.core.placement import Resources
 from fireflydeck.platform.documents import DocumentError, decode_resources
+from fireflydeck.platform.fields import FIELD_ERRORS, number
 from fireflydeck.workload.specification import JobSpec, StepSpec
 
 __all__ = [
@@ -57,7 +58,7 @@
             interval_ms=_count(document, "interval_ms"),
             occurrences=_count(document, "repeat_count"),
         )
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
+    except FIELD_ERRORS as error:
         raise DocumentError("submission", repr(error)) from error
     _check(spec)
     return spec
@@ -116,9 +117,7 @@
 
 
 def _count(item: Mapping[str, Any], name: str) -> int:
-    value = item.get(name) or 0
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"{name} is not a number")
+    value = number(item.get(name) or 0)
     if not 0 <= value <= _MAX_NUMBER:
         raise ValueError(f"{name} is out of range")
     return int(value)
--- a/fireflydeck/platform/node_settings.py
+++ b/fireflydeck/platform/node_settings.py
@@ -8,6 +8,8 @@
 import orjson
 from attrs import frozen
 
+from fireflydeck.platform.fields import FIELD_ERRORS
+
 __all__ = [
     "SETTINGS_VARIABLE",
     "FleetBounds",
@@ -128,7 +130,7 @@
         raise NodeSettingsError(str(path), f"not JSON: {error}") from error
     except KeyError as error:
         raise NodeSettingsError(str(path), f"field {error} is missing") from error
-    except (TypeError, ValueError, AttributeError, IndexError) as error:
+    except FIELD_ERRORS as error:
         raise NodeSettingsError(str(path), f"wrong value: {error}") from error
 
 
--- a/fireflydeck/platform/store.py
+++ b/fireflydeck/platform/store.py
@@ -17,6 +17,7 @@
     RowTransaction,
     StoredRow,
 )
+from fireflydeck.platform.fields import FIELD_ERRORS
 from fireflydeck.platform.http_peer import HttpAnswer, HttpPeer
 
 __all__ = ["PlatformStore"]
@@ -157,7 +158,7 @@
         try:
             rows = tuple(_decode_row(row) for row in body["rows"])
             return Ok(RowChanges(rows, int(body["row_version"])))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except FIELD_ERRORS as error:
             return Error(self._invalid(step, f"rows can't be read: {error!r}"))
 
     def _invalid(self, step: str, detail: str) -> Failure:
--- a/fireflydeck/platform/vm_client.py
+++ b/fireflydeck/platform/vm_client.py
@@ -8,9 +8,10 @@
 from fireflydeck.core import Failure, Ran, Reason
 from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState, VmOrders
 from fireflydeck.platform.documents import decode_resources, rack_of
+from fireflydeck.platform.fields import FIELD_ERRORS, string, strings
 from fireflydeck.platform.http_peer import HttpPeer
 
-__all__ = ["VmClient"]
+__all__ = ["VmClient", "decode_vm"]
 
 _CONNECTIONS = 4
 _OK = 200
@@ -59,8 +60,8 @@
             if answer.ok.status != _OK:
                 return Error(self._failure("list", answer.ok.status))
             try:
-                vms.extend(_decode_vm(item) for item in answer.ok.body["machines"])
-            except (KeyError, TypeError, ValueError):
+                vms.extend(decode_vm(item) for item in answer.ok.body["machines"])
+            except FIELD_ERRORS:
                 return Error(self._failure("list", answer.ok.status))
             page = answer.ok.body.get("next_page_token") or ""
             if not page:
@@ -110,14 +111,16 @@
         )
 
 
-def _decode_vm(item: Mapping[str, Any]) -> ListedVm:
+def decode_vm(item: Mapping[str, Any]) -> ListedVm:
+    """Decode an entry of the list of VMs."""
+    labels = strings(item.get("labels", []))
     return ListedVm(
-        name=item["machine"],
-        pool=item["pool"],
+        name=string(item["machine"]),
+        pool=string(item["pool"]),
         state=VmListState(item["state"]),
-        data_centre=item["zone"],
-        rack=rack_of(item.get("labels", [])),
+        data_centre=string(item["zone"]),
+        rack=rack_of(labels),
         capacity=decode_resources(item["capacity"]),
-        server_id=item.get("id") or "",
-        labels=frozenset(item.get("labels", ())),
+        server_id=string(item.get("id") or ""),
+        labels=frozenset(labels),
     )
