Tests: operators' documents under troubles of the store; two troubles at once

The package observation had no tests of its own. New: versions only rise, a version and an evacuation that come while the history is forgotten and reads are stale, unreadable documents, an outage.

--- /dev/null
+++ b/fireflydeck/observation/tests/test_operators.py
@@ -0,0 +1,144 @@
+"""The operators' documents under troubles of the store."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from fireflydeck.core import Ran
+from fireflydeck.core.rows import RowKey, RowTransaction, RowWrite
+from fireflydeck.kernel import Event, Registry
+from fireflydeck.observation import OperatorDocuments
+from fireflydeck.platform.standin.documents import (
+    put_configuration,
+    put_evacuation,
+    put_wave,
+    remove_evacuation,
+)
+from fireflydeck.testing.clock import FakeClock
+from fireflydeck.testing.recording_log import RecordingLog
+from fireflydeck.testing.rows import FakeRowStore
+
+pytestmark = pytest.mark.anyio
+
+_KNOWN_WITHIN_MS = 2000
+
+
+class _Followed:
+    def __init__(self):
+        self.clock = FakeClock()
+        self.store = FakeRowStore(self.clock)
+        self.rows = self.store.rows
+        self.log = RecordingLog()
+        self.documents = OperatorDocuments(self.store, self.clock, self.log)
+
+    async def advance(self):
+        """Let the time pass within which a change is known."""
+        for _ in range(_KNOWN_WITHIN_MS // 20):
+            await self.clock.advance_ms(20)
+
+    @property
+    def version(self):
+        return self.documents.configuration.version
+
+
+@asynccontextmanager
+async def _followed():
+    followed = _Followed()
+    put_configuration(followed.rows, version=3)
+    async with anyio.create_task_group() as tasks:
+        await followed.documents.start(Registry(), tasks)
+        await followed.advance()
+        yield followed
+        tasks.cancel_scope.cancel()
+
+
+async def test_newer_configuration_comes_into_force():
+    async with _followed() as followed:
+        assert followed.version == 3
+        put_configuration(followed.rows, version=9, keys=())
+        await followed.advance()
+        assert followed.version == 9
+        assert followed.documents.configuration.organisation_of_key("key-1") is None
+
+
+async def test_older_configuration_and_its_removal_change_nothing():
+    async with _followed() as followed:
+        put_configuration(followed.rows, version=2)
+        await followed.advance()
+        assert followed.version == 3
+        followed.rows.commit(RowTransaction(removals=(RowKey("op", "", "config"),)))
+        await followed.advance()
+        assert followed.version == 3
+
+
+async def test_version_that_comes_while_the_history_is_forgotten():
+    """Changes are silent, then their history is dropped and reads are some time behind."""
+    async with _followed() as followed:
+        followed.store.are_changes_silent = True
+        put_configuration(followed.rows, version=7)
+        put_evacuation(followed.rows, "zvolen")
+        followed.store.stale_reads["op"] = 1
+        followed.rows.forget_history()
+        followed.store.are_changes_silent = False
+        await followed.advance()
+        followed.store.stale_reads.clear()
+        followed.rows.forget_history()
+        await followed.advance()
+        assert followed.version == 7
+        assert followed.documents.evacuated_data_centres == {"zvolen"}
+
+
+async def test_stale_read_brings_no_evacuated_data_centre_back():
+    async with _followed() as followed:
+        put_evacuation(followed.rows, "zvolen")
+        await followed.advance()
+        followed.store.stale_reads["op"] = 1
+        followed.rows.forget_history()
+        await followed.advance()
+        assert followed.documents.evacuated_data_centres == {"zvolen"}
+
+
+async def test_evacuation_and_return():
+    async with _followed() as followed:
+        put_evacuation(followed.rows, "zvolen")
+        await followed.advance()
+        assert followed.documents.evacuated_data_centres == {"zvolen"}
+        remove_evacuation(followed.rows, "zvolen")
+        await followed.advance()
+        assert followed.documents.evacuated_data_centres == set()
+
+
+async def test_return_during_an_outage_is_known_after_it():
+    async with _followed() as followed:
+        put_evacuation(followed.rows, "zvolen")
+        await followed.advance()
+        followed.store.outage = Ran.UNKNOWN
+        remove_evacuation(followed.rows, "zvolen")
+        followed.rows.forget_history()
+        await followed.advance()
+        assert followed.documents.is_lost
+        assert followed.documents.age_ms >= _KNOWN_WITHIN_MS / 2
+        followed.store.outage = None
+        await followed.advance()
+        assert not followed.documents.is_lost
+        assert followed.documents.evacuated_data_centres == set()
+        assert {Event.STORE_CALL_FAILED, Event.STORE_REGAINED} <= followed.log.kinds()
+
+
+@pytest.mark.parametrize("key", ["config", "wave/4"])
+async def test_unreadable_document_is_named_and_the_known_one_stays(key):
+    async with _followed() as followed:
+        put_wave(followed.rows, 4, ["vm-1"], max_at_once=1)
+        await followed.advance()
+        write = RowWrite(RowKey("op", "", key), b'{"version":"x"}')
+        followed.rows.commit(RowTransaction(writes=(write,)))
+        await followed.advance()
+        assert followed.version == 3
+        assert [wave.number for wave in followed.documents.waves] == [4]
+        unreadable = [
+            fields["document"]
+            for event, fields in followed.log.events
+            if event == Event.DOCUMENT_UNREADABLE
+        ]
+        assert unreadable == [key]
--- a/fireflydeck/platform/standin/documents.py
+++ b/fireflydeck/platform/standin/documents.py
@@ -48,6 +48,7 @@
     keys: tuple[str, ...] = (_KEY,),
     advisor: AdvisorTimes | None = None,
     idle_timeout_ms: int | None = None,
+    limit_cpu: int = 64_000,
 ) -> bytes:
     """Return a configuration with one queue, one organisation, a pool and a pool on standby.
 
@@ -59,6 +60,8 @@
         Times of the placement advisor of the queue; `None` for a queue without one.
     idle_timeout_ms
         How long a request may arrive without a byte; `None` for the usual bound.
+    limit_cpu
+        What the organisation may have running, in thousandths of a core.
     """
     route: dict[str, Any] = {
         "name": "swatches",
@@ -86,7 +89,7 @@
         "name": "museum",
         "api_keys": list(keys),
         "weight": 4,
-        "cap": {"cpu": 64_000, "mem_mb": 0, "gpus": 0},
+        "cap": {"cpu": limit_cpu, "mem_mb": 0, "gpus": 0},
     }
     services = [
         {"name": "paint", "rejects_overload": True, "standby": False},
--- a/fireflydeck/scheduling/tests/fleet.py
+++ b/fireflydeck/scheduling/tests/fleet.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from fireflydeck.core.vm_orders import ListedVm, VmListState
 from fireflydeck.kernel import Metrics, Registry
 from fireflydeck.observation import OperatorDocuments
 from fireflydeck.ownership import LeaseKeeper
@@ -89,6 +90,20 @@
         self.servers[server_id] = TaskServer(self.clock, CORES)
         put_registration(self.rows, server_id, **{"address": f"{server_id}:1", **fields})
 
+    def list_vms(self, *server_ids, pool="paint"):
+        """Put the VMs of backend servers on the platform's list."""
+        for server_id in server_ids:
+            name = f"vm-{server_id}"
+            self.vm_orders.vms[name] = ListedVm(
+                name=name,
+                pool=pool,
+                state=VmListState.UP,
+                data_centre="zvolen",
+                rack="r1-3",
+                capacity=CORES,
+                server_id=server_id,
+            )
+
     @property
     def leader(self):
         """The member that holds the lease."""
--- a/fireflydeck/scheduling/tests/test_duties.py
+++ b/fireflydeck/scheduling/tests/test_duties.py
@@ -6,12 +6,11 @@
 from attrs import evolve
 
 from fireflydeck.core.rows import RowKey, RowTransaction, RowWrite
-from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState
+from fireflydeck.core.vm_orders import DutyOutcome
 from fireflydeck.ownership import DUTIES_ROW
 from fireflydeck.platform.standin.documents import put_wave
 from fireflydeck.scheduling.tests.fleet import running_fleet
 from fireflydeck.testing.fleet_builders import (
-    CORES,
     accept_job,
     build_spec,
     build_step,
@@ -23,20 +22,6 @@
 """Time in which a holder orders what is due."""
 
 
-def _list(fleet, *server_ids, pool="paint"):
-    for server_id in server_ids:
-        name = f"vm-{server_id}"
-        fleet.vm_orders.vms[name] = ListedVm(
-            name=name,
-            pool=pool,
-            state=VmListState.UP,
-            data_centre="zvolen",
-            rack="r1-3",
-            capacity=CORES,
-            server_id=server_id,
-        )
-
-
 def _request_wave(fleet, *server_ids, max_at_once=1, number=1):
     vms = [f"vm-{server_id}" for server_id in server_ids]
     put_wave(fleet.rows, number, vms, max_at_once=max_at_once)
@@ -62,7 +47,7 @@
 
 async def test_wave_goes_through_within_its_bound():
     async with running_fleet(servers=2) as fleet:
-        _list(fleet, "s1", "s2")
+        fleet.list_vms("s1", "s2")
         _request_wave(fleet, "s1", "s2")
         await fleet.advance_ms(_READY_MS)
         assert _ordered(fleet) == [("upkeep", "vm-s1")]
@@ -91,7 +76,7 @@
 async def test_no_order_for_a_vm_within_the_lease_time_of_the_holder_that_ordered_it():
     """Two holders must not take turns at one VM; the others may be ordered at once."""
     async with running_fleet(prepare=_record(recent={"vm-s1": 0}), servers=2) as fleet:
-        _list(fleet, "s1", "s2")
+        fleet.list_vms("s1", "s2")
         _request_wave(fleet, "s1", "s2", max_at_once=2)
         await fleet.advance_ms(1900)
         assert _ordered(fleet) == [("upkeep", "vm-s2")]
@@ -101,7 +86,7 @@
 
 async def test_upkeep_that_the_holder_before_began_at_its_end_counts_as_down():
     async with running_fleet(prepare=_record(recent={"vm-s1": 1}), servers=2) as fleet:
-        _list(fleet, "s1", "s2")
+        fleet.list_vms("s1", "s2")
         _request_wave(fleet, "s1", "s2", max_at_once=1)
         await fleet.advance_ms(1900)
         assert _ordered(fleet) == []
@@ -109,7 +94,7 @@
 
 async def test_order_is_announced_before_it_is_sent():
     async with running_fleet(servers=1) as fleet:
-        _list(fleet, "s1")
+        fleet.list_vms("s1")
         _request_wave(fleet, "s1")
         stored = []
 
@@ -126,7 +111,7 @@
 async def test_next_holder_goes_on_with_a_wave():
     """Each take-over began the wave anew; VMs that were done stayed out of work for good."""
     async with running_fleet(servers=2, members=2) as fleet:
-        _list(fleet, "s1", "s2")
+        fleet.list_vms("s1", "s2")
         _request_wave(fleet, "s1")
         await fleet.advance_ms(_READY_MS + 3000)
         _bring_back(fleet, "s1", "s3")
@@ -140,7 +125,7 @@
 async def test_next_holder_leaves_a_completed_wave_alone_after_another():
     """The record of the first wave went when the second one was stored."""
     async with running_fleet(servers=3, members=2) as fleet:
-        _list(fleet, "s1", "s2", "s3")
+        fleet.list_vms("s1", "s2", "s3")
         _request_wave(fleet, "s1")
         await fleet.advance_ms(3000)
         _bring_back(fleet, "s1", "s4")
@@ -158,7 +143,7 @@
 async def test_upkeep_that_was_done_already_keeps_no_vm_out_of_work():
     """The holder before was killed between the order and its record."""
     async with running_fleet(servers=1) as fleet:
-        _list(fleet, "s1")
+        fleet.list_vms("s1")
         _request_wave(fleet, "s1")
         await fleet.advance_ms(_READY_MS + 8000)
         assert _ordered(fleet) == [("upkeep", "vm-s1")]
@@ -169,7 +154,7 @@
 
 async def test_order_without_an_answer_counts_as_down():
     async with running_fleet(servers=2) as fleet:
-        _list(fleet, "s1", "s2")
+        fleet.list_vms("s1", "s2")
         _request_wave(fleet, "s1", "s2")
         fleet.vm_orders.next_outcomes = [None]
         await fleet.advance_ms(_READY_MS + 4000)
@@ -179,7 +164,7 @@
 
 async def test_refused_upkeep_is_tried_again():
     async with running_fleet(servers=2) as fleet:
-        _list(fleet, "s1", "s2")
+        fleet.list_vms("s1", "s2")
         _request_wave(fleet, "s1")
         fleet.vm_orders.next_outcomes = [DutyOutcome.BUSY]
         await fleet.advance_ms(_READY_MS)
@@ -193,7 +178,7 @@
         long_running = build_step(count=2, long_running=True, max_unavailable=1, max_per_server=1)
         accept_job(fleet.rows, build_spec(long_running))
         await fleet.advance_ms(1000)
-        _list(fleet, "s1", "s2")
+        fleet.list_vms("s1", "s2")
         _request_wave(fleet, "s1", "s2", max_at_once=2)
         stopped = []
         for _ in range(300):
@@ -213,7 +198,7 @@
         )
         await fleet.advance_ms(1000)
         full = next(name for name, server in fleet.servers.items() if len(server.running()) == 4)
-        _list(fleet, "s1", "s2")
+        fleet.list_vms("s1", "s2")
         _request_wave(fleet, full)
         away = []
         for _ in range(400):
@@ -227,7 +212,7 @@
 async def test_vm_with_quick_work_is_emptied_first():
     async with running_fleet(servers=1) as fleet:
         fleet.servers["s1"].duration_ms = 2500
-        _list(fleet, "s1")
+        fleet.list_vms("s1")
         await fleet.advance_ms(_READY_MS)
         accept_job(fleet.rows, build_spec())
         await fleet.advance_ms(300)
@@ -242,8 +227,8 @@
 async def test_standby_vms_come_for_a_backlog():
     async with running_fleet(servers=1) as fleet:
         fleet.servers["s1"].duration_ms = 600
-        _list(fleet, "s1")
-        _list(fleet, "", pool="spare")
+        fleet.list_vms("s1")
+        fleet.list_vms("", pool="spare")
         await fleet.advance_ms(_READY_MS)
         for number in range(40):
             spec = build_spec(build_step(count=16, estimated_ms=2000), job_id=f"{number:016x}")
@@ -254,14 +239,14 @@
 
 async def test_vms_that_were_not_on_standby_stay():
     async with running_fleet(servers=2) as fleet:
-        _list(fleet, "s1", "s2")
+        fleet.list_vms("s1", "s2")
         await fleet.advance_ms(20_000)
         assert fleet.vm_orders.orders == []
 
 
 async def test_next_holder_knows_which_vms_came_from_standby():
     async with running_fleet(prepare=_record(borrowed=["vm-s2"]), servers=2) as fleet:
-        _list(fleet, "s1", "s2")
+        fleet.list_vms("s1", "s2")
         await fleet.advance_ms(_READY_MS + 4000)
         assert fleet.vm_orders.orders == [("move", "vm-s2", "spare", 1)]
 
@@ -269,8 +254,8 @@
 async def test_pool_that_refuses_a_vm_is_not_asked_again():
     async with running_fleet(servers=1) as fleet:
         fleet.servers["s1"].duration_ms = 600
-        _list(fleet, "s1")
-        _list(fleet, "", pool="spare")
+        fleet.list_vms("s1")
+        fleet.list_vms("", pool="spare")
         fleet.vm_orders.next_outcomes = [DutyOutcome.INVALID]
         await fleet.advance_ms(_READY_MS)
         for number in range(40):
@@ -283,8 +268,8 @@
 async def test_vm_that_came_back_to_standby_can_move_again():
     """Without a backend server it looked as if its upkeep never ended."""
     async with running_fleet(servers=1) as fleet:
-        _list(fleet, "s1")
-        _list(fleet, "", pool="spare")
+        fleet.list_vms("s1")
+        fleet.list_vms("", pool="spare")
         _request_wave(fleet, "")
         await fleet.advance_ms(_READY_MS + 4000)
         assert _ordered(fleet) == [("upkeep", "vm-")]
