The soak has operators: a key is withdrawn, data centres are taken out

They act by a plan of their own, so that the plans of faults of known seeds stay as they are. Checked: what was submitted with the withdrawn key more than 5 s after the store took the withdrawal is not accepted; nothing starts in a data centre that is out for more than 5 s, but for what a disturbed link may have held back. A third of the jobs come with that key; a 401 for it counts as a refusal.

--- a/fireflydeck/soak/callers.py
+++ b/fireflydeck/soak/callers.py
@@ -7,8 +7,10 @@
 from attrs import define, field
 
 from fireflydeck.core import Clock
+from fireflydeck.platform.job_documents import KEY_HEADER
 from fireflydeck.platform.standin.documents import CALLER_HEADERS, JOB_PATH, submission_document
 from fireflydeck.soak.observations import JobRecord
+from fireflydeck.soak.operator import LASTING_KEY, WITHDRAWN_KEY
 
 __all__ = ["Callers"]
 
@@ -21,8 +23,10 @@
 _REFUSED = (429, 503)
 _UNCERTAIN = (500, 502, 504)
 _UNKNOWN_JOB = 410
+_WRONG_KEY = 401
 _ENDED = ("completed", "cancelled", "failed")
 _CANCELLED_SHARE = 0.15
+_WITHDRAWN_KEY_SHARE = 0.3
 _CANCEL_AFTER_MS = 800
 _CANCEL_TRIES = 20
 
@@ -84,13 +88,20 @@
 
     def _new_job(self) -> JobRecord:
         job_id = f"{self.random.getrandbits(64):016x}"
-        return JobRecord(job_id, f"text of {job_id}", self.random.randint(1, _MAX_TASKS))
+        tasks = self.random.randint(1, _MAX_TASKS)
+        is_lasting = self.random.random() >= _WITHDRAWN_KEY_SHARE
+        key = LASTING_KEY if is_lasting else WITHDRAWN_KEY
+        return JobRecord(job_id, f"text of {job_id}", tasks, key=key)
 
     async def _submit(self, job: JobRecord) -> None:
         body = submission_document(job.payload, tasks=job.tasks, estimated_ms=400)
+        path = JOB_PATH + job.job_id
         for _ in range(self.random.randint(1, _MAX_TRIES)):
+            sent_ms = self.clock.now_ms()
             try:
-                answer = await self._client().post(JOB_PATH + job.job_id, content=body)
+                answer = await self._client().post(
+                    path, content=body, headers={KEY_HEADER: job.key}
+                )
             except httpx.ConnectError:
                 continue
             except httpx.HTTPError:
@@ -98,6 +109,7 @@
                 continue
             self._note_submission(job, answer.status_code)
             if job.accepted_ms is not None:
+                job.accepted_try_ms = sent_ms
                 return
 
     def _note_submission(self, job: JobRecord, status: int) -> None:
@@ -107,6 +119,8 @@
             job.refused_tries += 1
         elif status in _UNCERTAIN:
             job.uncertain_tries += 1
+        elif status == _WRONG_KEY and job.key == WITHDRAWN_KEY:
+            job.refused_tries += 1
         else:
             job.rejections.append(status)
 
--- a/fireflydeck/soak/injector.py
+++ b/fireflydeck/soak/injector.py
@@ -7,6 +7,7 @@
 from fireflydeck.platform.standin import HttpFault
 from fireflydeck.platform.standin.documents import put_registration
 from fireflydeck.soak.fault_plan import FaultKind, PlannedFault
+from fireflydeck.soak.operator_promises import LinkFault
 from fireflydeck.standins.fault_proxy import Direction, FaultProxy, ProxyFault, ProxyMode
 from fireflydeck.testing.platform_fleet import EntryProcess, PlatformFleet
 
@@ -38,12 +39,15 @@
     ----------
     store_links, server_links
         The proxies between entry processes and the store, and to backend servers.
+    server_link_faults
+        When links to backend servers were disturbed.
     """
 
     fleet: PlatformFleet
     store_links: list[FaultProxy]
     server_links: list[FaultProxy]
     clock: Clock
+    server_link_faults: list[LinkFault] = field(factory=list)
     _link_faults: dict[FaultProxy, PlannedFault] = field(factory=dict)
     _locks: dict[str, anyio.Lock] = field(factory=dict)
 
@@ -59,7 +63,7 @@
         elif kind.startswith("store-link-"):
             await self._disturb_link(self.store_links, fault, kind.removeprefix("store-link-"))
         elif kind.startswith("server-link-"):
-            await self._disturb_link(self.server_links, fault, kind.removeprefix("server-link-"))
+            await self._disturb_server(fault)
         elif kind == FaultKind.STORE_HISTORY_LOST:
             self.fleet.store.rows.forget_history()
         elif kind == FaultKind.SERVER_REBORN:
@@ -100,10 +104,24 @@
         if self._link_faults.get(link) is fault:
             await link.set_mode(ProxyFault())
 
+    async def _disturb_server(self, fault: PlannedFault) -> None:
+        effect = fault.kind.removeprefix("server-link-")
+        from_ms = self.clock.now_ms()
+        await self._disturb_link(self.server_links, fault, effect)
+        servers = list(self.fleet.servers)
+        server_id = servers[fault.target % len(servers)]
+        self.server_link_faults.append(LinkFault(server_id, from_ms, self.clock.now_ms()))
+
     def _crash_server(self, fault: PlannedFault) -> None:
         servers = list(self.fleet.servers.items())
         number = fault.target % len(servers)
         server_id, server = servers[number]
         server.crash()
         address = self.server_links[number].address
-        put_registration(self.fleet.store.rows, server_id, address=address, born_ms=server.born_ms)
+        put_registration(
+            self.fleet.store.rows,
+            server_id,
+            address=address,
+            born_ms=server.born_ms,
+            zone=self.fleet.data_centres[server_id],
+        )
--- a/fireflydeck/soak/observations.py
+++ b/fireflydeck/soak/observations.py
@@ -19,6 +19,10 @@
         Submissions that were refused as not stored.
     accepted_ms
         When a submission was accepted first.
+    key
+        With which it was submitted.
+    accepted_try_ms
+        When the submission was sent that was accepted first.
     is_cancelled
         Whether its caller asked for its cancellation.
     ended_ms
@@ -42,3 +46,5 @@
     unknown_ms: list[int] = field(factory=list)
     last_state: str = ""
     rejections: list[int] = field(factory=list)
+    key: str = ""
+    accepted_try_ms: int | None = None
--- a/fireflydeck/soak/run.py
+++ b/fireflydeck/soak/run.py
@@ -18,8 +18,11 @@
 from fireflydeck.soak.callers import Callers
 from fireflydeck.soak.fault_plan import MEAN_PAUSE_MS, PlannedFault, plan_faults
 from fireflydeck.soak.injector import FaultInjector
+from fireflydeck.soak.operator import DATA_CENTRES, Operation, Operator
+from fireflydeck.soak.operator_promises import check_operations
 from fireflydeck.soak.promises import Violation, check_promises
 from fireflydeck.standins.fault_proxy import FaultProxy
+from fireflydeck.standins.run_record import RunRecord
 from fireflydeck.testing.platform_fleet import EntryProcess, PlatformFleet, running_platform_fleet
 from fireflydeck.testing.processes import wait_until
 
@@ -46,13 +49,14 @@
     jobs: int = 0
     accepted: int = 0
     runs: int = 0
+    operations: list[Operation] = field(factory=list)
     violations: list[Violation] = field(factory=list)
 
     def __str__(self) -> str:
         verdict = "kept" if not self.violations else f"{len(self.violations)} violations"
         return (
-            f"seed {self.seed}: {len(self.faults)} faults, {self.jobs} jobs, "
-            f"{self.accepted} accepted, {self.runs} runs: {verdict}"
+            f"seed {self.seed}: {len(self.faults)} faults, {len(self.operations)} operations, "
+            f"{self.jobs} jobs, {self.accepted} accepted, {self.runs} runs: {verdict}"
         )
 
 
@@ -75,6 +79,7 @@
             self.directory,
             entries=_ENTRIES,
             servers=_SERVERS,
+            data_centres=DATA_CENTRES,
             link=self._add_link,
             prepare=partial(_vary_servers, random),
         )
@@ -83,14 +88,28 @@
                 self.seed, plan_faults(self.seed, self.length_ms, self.mean_pause_ms)
             )
             callers = Callers([entry.address for entry in fleet.entries], random, self.clock)
+            operator = Operator(fleet.store.rows, self.clock, self.seed, self.length_ms)
+            operator.begin()
+            injector = self._injector(fleet)
             async with anyio.create_task_group() as following:
                 callers.start(following)
-                await self._inject(fleet, report.faults)
+                following.start_soon(operator.run)
+                await self._inject(injector, report.faults)
                 callers.stop_submitting()
                 await self._settle(callers)
                 following.cancel_scope.cancel()
             await callers.close()
             self._check(report, fleet, callers)
+            report.operations = operator.operations
+            report.violations.extend(
+                check_operations(
+                    operator.operations,
+                    callers.jobs,
+                    _runs(fleet),
+                    data_centres=fleet.data_centres,
+                    link_faults=injector.server_link_faults,
+                )
+            )
             report.violations.extend(await _check_readiness(fleet.entries))
             report.violations.extend(await _stop_all(fleet.entries))
             report.violations.extend(_log_violations(fleet.entries))
@@ -104,20 +123,22 @@
         self.links[name] = link
         return link.address
 
-    async def _inject(self, fleet: PlatformFleet, faults: list[PlannedFault]) -> None:
-        injector = FaultInjector(
+    def _injector(self, fleet: PlatformFleet) -> FaultInjector:
+        return FaultInjector(
             fleet,
             [link for name, link in self.links.items() if name.startswith("store-")],
             [link for name, link in self.links.items() if name.startswith("server-")],
             self.clock,
         )
+
+    async def _inject(self, injector: FaultInjector, faults: list[PlannedFault]) -> None:
         started_ms = self.clock.now_ms()
         async with anyio.create_task_group() as tasks:
             for fault in faults:
                 await self.clock.sleep_ms(started_ms + fault.at_ms - self.clock.now_ms())
                 tasks.start_soon(injector.inject, fault)
             await self.clock.sleep_ms(started_ms + self.length_ms - self.clock.now_ms())
-        fleet.store.faults.next.clear()
+        injector.fleet.store.faults.next.clear()
 
     async def _settle(self, callers: Callers) -> None:
         async def all_completed() -> bool:
@@ -129,15 +150,20 @@
             print(f"seed {self.seed}: {error}", file=sys.stderr)
 
     def _check(self, report: SoakReport, fleet: PlatformFleet, callers: Callers) -> None:
-        for server in fleet.servers.values():
-            server.running()
-        runs = [record for server in fleet.servers.values() for record in server.records]
+        runs = _runs(fleet)
         report.jobs = len(callers.jobs)
         report.accepted = sum(job.accepted_ms is not None for job in callers.jobs)
         report.runs = len(runs)
         report.violations.extend(check_promises(callers.jobs, runs))
 
 
+def _runs(fleet: PlatformFleet) -> list[RunRecord]:
+    """Return what the backend servers saw."""
+    for server in fleet.servers.values():
+        server.running()
+    return [record for server in fleet.servers.values() for record in server.records]
+
+
 def _vary_servers(random: Random, fleet: PlatformFleet) -> None:
     for server in fleet.servers.values():
         server.duration_ms = random.randint(*_DURATION_MS)
--- a/fireflydeck/testing/platform_fleet.py
+++ b/fireflydeck/testing/platform_fleet.py
@@ -68,12 +68,15 @@
         The platform's store; its rows can be read and written directly.
     servers
         Backend servers by id.
+    data_centres
+        The data centre of each backend server.
     """
 
     directory: Path
     store: StoreApp = field(factory=StoreApp)
     vms: VmApp = field(factory=VmApp)
     servers: dict[str, TaskServer] = field(factory=dict)
+    data_centres: dict[str, str] = field(factory=dict)
     entries: list[EntryProcess] = field(factory=list)
 
 
@@ -83,6 +86,7 @@
     *,
     entries: int = 2,
     servers: int = 2,
+    data_centres: tuple[str, ...] = ("zvolen",),
     link: Link | None = None,
     prepare: Callable[["PlatformFleet"], None] | None = None,
 ) -> AsyncIterator[PlatformFleet]:
@@ -90,6 +94,8 @@
 
     Parameters
     ----------
+    data_centres
+        Where the backend servers are, in turn.
     link
         Makes the links ``store-N`` of each entry process to the store and ``server-N`` of all of
         them to a backend server; without it they are direct.
@@ -108,7 +114,9 @@
             fleet.servers[server_id] = server
             own_address = await _serve(stack, ServerApp(server_id, server).handle)
             address = await connect(f"server-{number}", own_address)
-            put_registration(fleet.store.rows, server_id, address=address)
+            data_centre = data_centres[(number - 1) % len(data_centres)]
+            fleet.data_centres[server_id] = data_centre
+            put_registration(fleet.store.rows, server_id, address=address, zone=data_centre)
         if prepare is not None:
             prepare(fleet)
         for number in range(1, entries + 1):
