--- a/fireflydeck/testing/gateway.py
+++ b/fireflydeck/testing/gateway.py
@@ -15,9 +15,31 @@
 from fireflydeck.testing.peers import FakeView, PeerBench, run_peers
 from fireflydeck.web import HttpServer, HttpServerOptions
 
-__all__ = ["KEY", "GatewayBench", "run_gateway"]
+__all__ = [
+    "AUTHORIZED",
+    "KEY",
+    "MAX_BODY_BYTES",
+    "GatewayBench",
+    "chunks",
+    "keyed",
+    "run_gateway",
+]
 
 KEY = "key-of-the-museum"
+AUTHORIZED = {"authorization": f"Bearer {KEY}"}
+MAX_BODY_BYTES = 1_000
+"""Longest body that the requests of the tests are allowed."""
+
+
+def keyed(**headers: str) -> dict[str, str]:
+    """Return headers with the key; underscores in names stand for hyphens."""
+    return {**AUTHORIZED, **{name.replace("_", "-"): value for name, value in headers.items()}}
+
+
+async def chunks(size: int, count: int) -> AsyncIterator[bytes]:
+    """Yield a body in chunks."""
+    for _ in range(count):
+        yield bytes(size)
 
 
 @define(kw_only=True)
