--- a/fireflydeck/__init__.py
+++ b/fireflydeck/__init__.py
@@ -1,4 +1,4 @@
-"""Fleet capacity and maintenance manager for small operations teams."""
+"""Fleet capacity and maintenance manager for small operations organisations."""
 
 __version__ = "0.1.0"
 
--- a/fireflydeck/cli/ctl.py
+++ b/fireflydeck/cli/ctl.py
@@ -37,16 +37,16 @@
 fireflydeck ctl [--controllers=ADDRESSES] [--json] COMMAND
 
   state [--process=ADDRESS]                 the fleet at a glance; or a process's state dump
-  explain SUBJECT NAME                      decisions on a request, vm, pool, team or
+  explain SUBJECT NAME                      decisions on a request, vm, pool, organisation or
                                             maintenance_window
   sheet check|plan|apply FILE               the day's sheet ('-' reads standard input)
   sheet export [FILE]                       write the configuration as a sheet
-  pool|team|queue|maintenance-window list | show NAME | set NAME --FIELD=VALUE | remove NAME
+  pool|organisation|queue|maintenance-window list | show NAME | set NAME --FIELD=VALUE | remove NAME
   vm list | show | set | remove | drain NAME [--wait] | return NAME | fail NAME | move NAME POOL
   data-centre list | show | set | remove | out NAME | in NAME
   member list | show NAME
   maintenance status                        due and maintained VMs by pool
-  key grant TEAM | withdraw TEAM KEY_ID
+  key grant ORGANISATION | withdraw ORGANISATION KEY_ID
 
 'set' and 'remove' take --if-version=N: only if the entity is at that version (0: does not exist).
 The operator key comes from FIREFLYDECK_OPERATOR_KEY, the addresses from --controllers or
@@ -143,7 +143,7 @@
         super().__init__(client, as_json)
         self.sheet = SheetCommands(client, as_json)
         self.pool = EntityCommands(client, "pool", as_json)
-        self.team = EntityCommands(client, "team", as_json)
+        self.organisation = EntityCommands(client, "organisation", as_json)
         self.queue = EntityCommands(client, "queue", as_json)
         self.vm = VmCommands(client, "vm", as_json)
         self.data_centre = DataCentreCommands(client, "data_centre", as_json)
@@ -162,7 +162,7 @@
 
     @SetParseFn(str)
     def explain(self, subject: str, name: str) -> None:
-        """Show the decisions on a request, vm, pool, team or maintenance_window."""
+        """Show the decisions on a request, vm, pool, organisation or maintenance_window."""
         self._run(self._explain, subject, name)
 
     async def _state(self) -> None:
--- a/fireflydeck/cli/ctl_commands.py
+++ b/fireflydeck/cli/ctl_commands.py
@@ -20,7 +20,7 @@
 )
 from fireflydeck.cli.ctl_tables import render_table
 from fireflydeck.cli.ctl_values import format_entity, is_set, parse_fields, parse_version
-from fireflydeck.core import DataCentre, EntityKey, Team, Vm, VmState
+from fireflydeck.core import DataCentre, EntityKey, Organisation, Vm, VmState
 
 __all__ = [
     "CommandGroup",
@@ -38,7 +38,7 @@
 
 _COLUMNS = {
     "pool": ("name", "max_unavailable", "spare", "entity_version"),
-    "team": ("name", "share", "limit", "key_ids", "entity_version"),
+    "organisation": ("name", "share", "limit", "key_ids", "entity_version"),
     "queue": ("name", "pool", "open_to_all", "max_waiting", "entity_version"),
     "vm": ("name", "pool", "data_centre", "rack", "address", "state", "slots", "entity_version"),
     "data_centre": ("name", "region", "in_service", "entity_version"),
@@ -260,25 +260,25 @@
 
 
 class KeyCommands(CommandGroup):
-    """Grants and withdraws the keys of teams."""
+    """Grants and withdraws the keys of organisations."""
 
     @SetParseFn(str)
-    def grant(self, team: str) -> None:
-        """Grant the team a new key; it is shown once."""
-        self._run(self._grant, team)
+    def grant(self, organisation: str) -> None:
+        """Grant the organisation a new key; it is shown once."""
+        self._run(self._grant, organisation)
 
     @SetParseFn(str)
-    def withdraw(self, team: str, key_id: str) -> None:
-        """Withdraw a key by its id, as `team show` prints it."""
-        self._run(self._withdraw, team, key_id)
+    def withdraw(self, organisation: str, key_id: str) -> None:
+        """Withdraw a key by its id, as `organisation show` prints it."""
+        self._run(self._withdraw, organisation, key_id)
 
-    async def _grant(self, team: str) -> None:
-        key = EntityKey(Team.kind, team)
+    async def _grant(self, organisation: str) -> None:
+        key = EntityKey(Organisation.kind, organisation)
         before = await self._client.entity(key)
         known = set(before["key_ids"]) if before else set()
         change = Change(
             method="POST",
-            path=f"/teams/{team}/keys",
+            path=f"/organisations/{organisation}/keys",
             key=key,
             is_done=lambda found: bool(_key_ids(found) - known),
         )
@@ -296,19 +296,19 @@
         )
         raise CtlError(ExitCode.UNKNOWN, message, {"key_ids": added})
 
-    async def _withdraw(self, team: str, key_id: str) -> None:
-        key = EntityKey(Team.kind, team)
+    async def _withdraw(self, organisation: str, key_id: str) -> None:
+        key = EntityKey(Organisation.kind, organisation)
         change = Change(
             method="DELETE",
-            path=f"/teams/{team}/keys/{key_id}",
+            path=f"/organisations/{organisation}/keys/{key_id}",
             key=key,
             is_done=lambda found: key_id not in _key_ids(found),
         )
         self._print_change(await self._client.change(change), f"{key} key {key_id}")
 
 
-def _key_ids(team: Mapping[str, Any] | None) -> set[str]:
-    return set(team["key_ids"]) if team else set()
+def _key_ids(organisation: Mapping[str, Any] | None) -> set[str]:
+    return set(organisation["key_ids"]) if organisation else set()
 
 
 class MaintenanceCommands(CommandGroup):
--- a/fireflydeck/cli/tests/test_ctl.py
+++ b/fireflydeck/cli/tests/test_ctl.py
@@ -10,7 +10,7 @@
 from fireflydeck.cli.ctl_client import ExitCode
 from fireflydeck.cli.ctl_tables import TABLE_WIDTH
 from fireflydeck.cli.tests.controllers import Fault, make_site
-from fireflydeck.core import DataCentre, Pool, Team, Vm, VmState
+from fireflydeck.core import DataCentre, Organisation, Pool, Vm, VmState
 
 
 def run(site, line, **options):
@@ -30,7 +30,10 @@
     ("pool set paint --max-unavailable=2 --spare", lambda c: c.get(Pool, "paint").spare),
     ("pool set 2024 --spare=no", lambda c: not c.get(Pool, "2024").spare),
     ("pool remove spare", lambda c: c.get(Pool, "spare") is None),
-    ("team set museum --limit=7 --if-version=2", lambda c: c.get(Team, "museum").limit == 7),
+    (
+        "organisation set museum --limit=7 --if-version=2",
+        lambda c: c.get(Organisation, "museum").limit == 7,
+    ),
     ("vm set vm-1 --rack=7", lambda c: c.get(Vm, "vm-1").rack == "7"),
     ("vm drain vm-1", lambda c: c.get(Vm, "vm-1").state is VmState.DRAINING),
     ("vm fail vm-1", lambda c: c.get(Vm, "vm-1").state is VmState.FAILED),
@@ -170,7 +173,7 @@
     key_id = json.loads(capsys.readouterr().out)["key_id"]
     site.first.next_changes = [Fault.LOST_AFTER_EFFECT]
     assert run(site, f"key withdraw museum {key_id}") == ExitCode.OK
-    assert loaded(site).get(Team, "museum").key_hashes == ()
+    assert loaded(site).get(Organisation, "museum").key_hashes == ()
 
 
 @pytest.mark.parametrize("fault", [Fault.LOST_AFTER_EFFECT, Fault.LATE_EFFECT])
@@ -178,7 +181,7 @@
     site = make_site()
     site.first.next_changes = [fault]
     assert run(site, "key grant museum") == ExitCode.UNKNOWN
-    (key_hash,) = loaded(site).get(Team, "museum").key_hashes
+    (key_hash,) = loaded(site).get(Organisation, "museum").key_hashes
     assert key_hash[:12] in capsys.readouterr().err
 
 
@@ -190,15 +193,19 @@
     site = make_site()
     file = tmp_path / "day.csv"
     assert run(site, f"sheet export {file}") == ExitCode.OK
-    file.write_text(file.read_text().replace("team,museum,,,,,,,,2,10", "team,museum,,,,,,,,3,9"))
+    file.write_text(
+        file.read_text().replace(
+            "organisation,museum,,,,,,,,2,10", "organisation,museum,,,,,,,,3,9"
+        )
+    )
     assert run(site, f"sheet check {file}") == ExitCode.OK
     assert run(site, f"sheet plan {file}") == ExitCode.OK
     assert "share, limit" in capsys.readouterr().out
     before = loaded(site).version
     site.first.next_changes = list(faults)
     assert run(site, f"sheet apply {file}") == ExitCode.OK
-    team = loaded(site).get(Team, "museum")
-    assert (team.share, team.limit) == (3, 9)
+    organisation = loaded(site).get(Organisation, "museum")
+    assert (organisation.share, organisation.limit) == (3, 9)
     assert loaded(site).version == before + 1
     assert site.sends == sends
 
@@ -206,7 +213,10 @@
 def test_bad_rows_of_a_sheet_are_shown(tmp_path, capsys):
     site = make_site()
     file = tmp_path / "day.csv"
-    file.write_text("# fireflydeck sheet, configuration 2\nkind,name,share\nteam,a,0\nteam,b,x\n")
+    file.write_text(
+        "# fireflydeck sheet, configuration 2\n"
+        "kind,name,share\norganisation,a,0\norganisation,b,x\n"
+    )
     assert run(site, f"sheet check {file}") == ExitCode.REFUSED
     assert run(site, f"sheet apply {file}") == ExitCode.REFUSED
     assert "a whole number" in capsys.readouterr().err
@@ -217,7 +227,14 @@
 
 @pytest.mark.parametrize(
     "line",
-    ["state", "vm list", "vm show vm-1", "team list", "data-centre list", "explain vm vm-1"],
+    [
+        "state",
+        "vm list",
+        "vm show vm-1",
+        "organisation list",
+        "data-centre list",
+        "explain vm vm-1",
+    ],
 )
 def test_output_fits_the_terminal_and_json_is_json(line, capsys):
     site = make_site()
--- a/fireflydeck/configuration/rules.py
+++ b/fireflydeck/configuration/rules.py
@@ -18,9 +18,9 @@
     EntityKey,
     MaintenanceWindow,
     Member,
+    Organisation,
     Pool,
     Queue,
-    Team,
     Vm,
     VmState,
 )
@@ -191,7 +191,7 @@
             "maintained_ms": _at_least(0),
         },
         Queue.kind: {"max_waiting": _at_least(1)},
-        Team.kind: {
+        Organisation.kind: {
             "share": _at_least(1),
             "limit": _at_least(0),
             "key_hashes": (_is_hash, "SHA-256 hashes in hexadecimal"),
--- a/fireflydeck/configuration/tests/test_rules.py
+++ b/fireflydeck/configuration/tests/test_rules.py
@@ -6,9 +6,9 @@
     DataCentre,
     EntityKey,
     MaintenanceWindow,
+    Organisation,
     Pool,
     Queue,
-    Team,
     VmState,
 )
 from fireflydeck.testing import build_configuration, build_vm
@@ -36,8 +36,12 @@
         ([Pool(name="a", max_unavailable=-1)], [], [("pool:a", "max_unavailable")]),
         ([Queue(name="a", pool="none")], [], [("queue:a", "pool")]),
         ([Queue(name="a", pool="records", max_waiting=0)], [], [("queue:a", "max_waiting")]),
-        ([Team(name="a", share=0, limit=-1)], [], [("team:a", "share"), ("team:a", "limit")]),
-        ([Team(name="a", key_hashes=("x",))], [], [("team:a", "key_hashes")]),
+        (
+            [Organisation(name="a", share=0, limit=-1)],
+            [],
+            [("organisation:a", "share"), ("organisation:a", "limit")],
+        ),
+        ([Organisation(name="a", key_hashes=("x",))], [], [("organisation:a", "key_hashes")]),
         ([build_vm(slots=0, cores=0)], [], [("vm:vm-1", "cores"), ("vm:vm-1", "slots")]),
         ([build_vm("b", address="127.0.0.1:9")], [], [("vm:b", "address")]),
         ([build_vm("b", address="h:1")], [], [("vm:b", "address")]),
--- a/fireflydeck/controller/app.py
+++ b/fireflydeck/controller/app.py
@@ -49,7 +49,7 @@
 __all__ = ["Explain", "Progress", "operator_app"]
 
 _CSV = "text/csv; charset=utf-8"
-_SUBJECTS = ("request", "vm", "pool", "team", "maintenance_window")
+_SUBJECTS = ("request", "vm", "pool", "organisation", "maintenance_window")
 
 Explain = Callable[[str, str], Awaitable[Result[list[dict[str, Any]], Failure]]]
 """Returns the decision records of a subject and a name, oldest first, as plain data."""
@@ -124,8 +124,8 @@
             ("GET", entity, self._show_one),
             ("PUT", entity, self._put),
             ("DELETE", entity, self._remove),
-            ("POST", "/teams/{team}/keys", self._grant),
-            ("DELETE", "/teams/{team}/keys/{key_id}", self._withdraw),
+            ("POST", "/organisations/{organisation}/keys", self._grant),
+            ("DELETE", "/organisations/{organisation}/keys/{key_id}", self._withdraw),
             ("POST", "/data-centres/{name}/out", self._take_out),
             ("POST", "/data-centres/{name}/in", self._bring_in),
             ("POST", "/vms/{name}/drain", self._drain),
@@ -198,14 +198,14 @@
     # Keys.
 
     async def _grant(self, request: Request) -> Response:
-        team = request.path_params["team"]
-        granted = _unwrap(await grant_key(self._changes, team, if_version(request)))
+        organisation = request.path_params["organisation"]
+        granted = _unwrap(await grant_key(self._changes, organisation, if_version(request)))
         plain = {"key": granted.key, "key_id": granted.key_id, "version": granted.version}
         return JSONResponse(plain, 201, headers={"cache-control": "no-store"})
 
     async def _withdraw(self, request: Request) -> Response:
-        team, key_id = request.path_params["team"], request.path_params["key_id"]
-        result = await withdraw_key_of(self._changes, team, key_id, if_version(request))
+        organisation, key_id = request.path_params["organisation"], request.path_params["key_id"]
+        result = await withdraw_key_of(self._changes, organisation, key_id, if_version(request))
         return JSONResponse({"version": _unwrap(result)})
 
     # Data centres and VMs.
--- a/fireflydeck/controller/edits.py
+++ b/fireflydeck/controller/edits.py
@@ -16,8 +16,8 @@
     EntityKey,
     Failure,
     Member,
+    Organisation,
     Reason,
-    Team,
     Vm,
     VmState,
 )
@@ -43,7 +43,7 @@
 
 _STEP = "controller.edit"
 _NOT_BY_PUT: Mapping[type[Entity], Mapping[str, str]] = {
-    Team: {"key_hashes": "no value; keys are granted and withdrawn"},
+    Organisation: {"key_hashes": "no value; keys are granted and withdrawn"},
     Vm: {
         "state": "no value; VMs are drained, failed, returned and moved",
         "maintained_ms": "no value; it is set when a maintenance ends",
@@ -225,24 +225,24 @@
 # Keys.
 
 
-def add_key(base: Configuration, team: str, key_hash: str) -> Result[Edit, Refusal]:
-    """Add a key's hash to the team."""
-    old = base.get(Team, team)
+def add_key(base: Configuration, organisation: str, key_hash: str) -> Result[Edit, Refusal]:
+    """Add a key's hash to the organisation."""
+    old = base.get(Organisation, organisation)
     if old is None:
-        return _not_found(EntityKey(Team.kind, team))
+        return _not_found(EntityKey(Organisation.kind, organisation))
     if key_hash in old.key_hashes:
         return Ok(Edit())
     return _put(old, evolve(old, key_hashes=(*old.key_hashes, key_hash)), "key-grant")
 
 
-def withdraw_key(base: Configuration, team: str, key_id: str) -> Result[Edit, Refusal]:
+def withdraw_key(base: Configuration, organisation: str, key_id: str) -> Result[Edit, Refusal]:
     """Remove the key that the first digits of its hash name."""
-    old = base.get(Team, team)
+    old = base.get(Organisation, organisation)
     if old is None:
-        return _not_found(EntityKey(Team.kind, team))
+        return _not_found(EntityKey(Organisation.kind, organisation))
     left = tuple(item for item in old.key_hashes if item[:KEY_ID_LENGTH] != key_id)
     if left == old.key_hashes:
-        return refuse(Reason.NOT_FOUND, f"team:{team} has no key {key_id}")
+        return refuse(Reason.NOT_FOUND, f"organisation:{organisation} has no key {key_id}")
     return _put(old, evolve(old, key_hashes=left), "key-withdrawal")
 
 
--- a/fireflydeck/controller/keys.py
+++ b/fireflydeck/controller/keys.py
@@ -1,4 +1,4 @@
-"""Keys of teams: made here, shown once, kept as hashes."""
+"""Keys of organisations: made here, shown once, kept as hashes."""
 
 import secrets
 from hashlib import sha256
@@ -9,7 +9,7 @@
 from fireflydeck.controller.changes import ConfigurationService
 from fireflydeck.controller.edit import Refusal
 from fireflydeck.controller.edits import KEY_ID_LENGTH, add_key, expecting, withdraw_key
-from fireflydeck.core import EntityKey, Team
+from fireflydeck.core import EntityKey, Organisation
 
 __all__ = ["GrantedKey", "grant_key", "hash_key", "withdraw_key_of"]
 
@@ -47,14 +47,16 @@
 
 
 async def grant_key(
-    service: ConfigurationService, team: str, if_version: int | None = None
+    service: ConfigurationService, organisation: str, if_version: int | None = None
 ) -> Result[GrantedKey, Refusal]:
-    """Grant the team, which must be at the version if one is given, a new key."""
+    """Grant the organisation, which must be at the version if one is given, a new key."""
     key = secrets.token_urlsafe(_KEY_BYTES)
     key_hash = hash_key(key)
     result = await service.apply(
         expecting(
-            EntityKey(Team.kind, team), if_version, lambda base: add_key(base, team, key_hash)
+            EntityKey(Organisation.kind, organisation),
+            if_version,
+            lambda base: add_key(base, organisation, key_hash),
         )
     )
     return result.map(
@@ -65,12 +67,14 @@
 
 
 async def withdraw_key_of(
-    service: ConfigurationService, team: str, key_id: str, if_version: int | None = None
+    service: ConfigurationService, organisation: str, key_id: str, if_version: int | None = None
 ) -> Result[int, Refusal]:
     """Withdraw a key and return the version of the configuration without it."""
     result = await service.apply(
         expecting(
-            EntityKey(Team.kind, team), if_version, lambda base: withdraw_key(base, team, key_id)
+            EntityKey(Organisation.kind, organisation),
+            if_version,
+            lambda base: withdraw_key(base, organisation, key_id),
         )
     )
     return result.map(lambda committed: committed.version)
--- a/fireflydeck/controller/limits.py
+++ b/fireflydeck/controller/limits.py
@@ -1,4 +1,4 @@
-"""Writes changed limits of teams to their allotment rows, in the configuration's transaction."""
+"""Writes changed limits of organisations to their allotment rows, in the same transaction."""
 
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -7,7 +7,7 @@
 from expression import Error, Ok, Result
 
 from fireflydeck.controller.edit import Edit
-from fireflydeck.core import Configuration, EntityKey, Failure, Team
+from fireflydeck.core import Configuration, EntityKey, Failure, Organisation
 from fireflydeck.tables import ABSENT, Check, Put, TableService, Transaction
 
 __all__ = ["ALLOTMENTS_TABLE", "limit_transaction"]
@@ -22,7 +22,7 @@
     """Return the writes that bring the allotment rows to the edit's limits.
 
     Each row keeps its grants and is written only if nothing else wrote it in between. A removed
-    team keeps its row with limit 0 until its tasks have ended.
+    organisation keeps its row with limit 0 until its tasks have ended.
 
     Parameters
     ----------
@@ -33,28 +33,28 @@
     """
     checks: list[Check] = []
     puts: list[Put] = []
-    for team, limit in _changed_limits(base, edit).items():
-        read = await tables.get(ALLOTMENTS_TABLE, team)
+    for organisation, limit in _changed_limits(base, edit).items():
+        read = await tables.get(ALLOTMENTS_TABLE, organisation)
         if read.is_error():
             return Error(read.error)
         row = read.ok
-        checks.append(Check(ALLOTMENTS_TABLE, team, row.version if row else ABSENT))
+        checks.append(Check(ALLOTMENTS_TABLE, organisation, row.version if row else ABSENT))
         value = row.value if row else _NEW_ROW
-        puts.append(Put(ALLOTMENTS_TABLE, team, {**value, "limit": limit}))
+        puts.append(Put(ALLOTMENTS_TABLE, organisation, {**value, "limit": limit}))
     return Ok(Transaction(checks=tuple(checks), puts=tuple(puts)))
 
 
 def _changed_limits(base: Configuration, edit: Edit) -> dict[str, int]:
     limits = {}
     for entity in edit.puts:
-        if isinstance(entity, Team) and _limit_in(base, entity.key) != entity.limit:
+        if isinstance(entity, Organisation) and _limit_in(base, entity.key) != entity.limit:
             limits[entity.name] = entity.limit
     for key in edit.removes:
-        if key.kind == Team.kind:
+        if key.kind == Organisation.kind:
             limits[key.name] = 0
     return limits
 
 
 def _limit_in(base: Configuration, key: EntityKey) -> int | None:
-    team = base.find(key)
-    return team.limit if isinstance(team, Team) else None
+    organisation = base.find(key)
+    return organisation.limit if isinstance(organisation, Organisation) else None
--- a/fireflydeck/controller/rendering.py
+++ b/fireflydeck/controller/rendering.py
@@ -4,7 +4,7 @@
 
 from fireflydeck.controller.edit import Refusal
 from fireflydeck.controller.edits import KEY_ID_LENGTH
-from fireflydeck.core import Configuration, Entity, EntityKey, Ran, Reason, Team
+from fireflydeck.core import Configuration, Entity, EntityKey, Organisation, Ran, Reason
 from fireflydeck.core.converter import to_plain
 from fireflydeck.sheet import Plan, Step
 
@@ -110,7 +110,7 @@
 
 def _render_entity(entity: Entity, version: int) -> dict[str, Any]:
     plain = to_plain(entity, Entity)
-    if isinstance(entity, Team):
+    if isinstance(entity, Organisation):
         del plain["key_hashes"]
         plain["key_ids"] = [item[:KEY_ID_LENGTH] for item in entity.key_hashes]
     return {**plain, "entity_version": version}
--- a/fireflydeck/controller/tests/operator.py
+++ b/fireflydeck/controller/tests/operator.py
@@ -8,7 +8,14 @@
 
 from fireflydeck.configuration import ConfigurationStore
 from fireflydeck.controller import ConfigurationService, OperatorOptions, operator_app
-from fireflydeck.core import Configuration, ConfigurationChange, DataCentre, Pool, Queue, Team
+from fireflydeck.core import (
+    Configuration,
+    ConfigurationChange,
+    DataCentre,
+    Organisation,
+    Pool,
+    Queue,
+)
 from fireflydeck.testing import FakeTableService, build_vm
 
 KEY = "operators-key-of-the-tests"
@@ -63,7 +70,7 @@
             Pool(name="records", max_unavailable=1),
             Pool(name="spare", spare=True),
             Queue(name="records", pool="records"),
-            Team(name="museum", share=2, limit=8),
+            Organisation(name="museum", share=2, limit=8),
             *(
                 build_vm(f"vm-{n}", address=f"127.0.0.1:{n}", data_centre=f"dc-{1 + n % 2}")
                 for n in range(1, 5)
@@ -71,8 +78,8 @@
         ]
         result = await self.store.commit(Configuration(), puts=entities)
         assert result.is_ok()
-        # The limit's row as the change of the team would have written it.
-        answer = await self.client.put("/configuration/team/museum", json={"limit": 10})
+        # The limit's row as the change of the organisation would have written it.
+        answer = await self.client.put("/configuration/organisation/museum", json={"limit": 10})
         assert answer.status_code == 200
 
 
--- a/fireflydeck/controller/tests/test_app.py
+++ b/fireflydeck/controller/tests/test_app.py
@@ -9,12 +9,12 @@
 from fireflydeck.controller.edits import finish_drain
 from fireflydeck.controller.keys import hash_key
 from fireflydeck.controller.tests.operator import KEY, MAX_BODY, on_site
-from fireflydeck.core import ENTITY_TYPES, DataCentre, Team, Vm, VmState
+from fireflydeck.core import ENTITY_TYPES, DataCentre, Organisation, Vm, VmState
 
 ACCEPTED = [
     ("PUT", "/configuration/pool/paint", {"max_unavailable": 2}),
     ("PUT", "/configuration/queue/paint", {"pool": "records", "open_to_all": True}),
-    ("PUT", "/configuration/team/school", {"share": 1, "limit": 4}),
+    ("PUT", "/configuration/organisation/school", {"share": 1, "limit": 4}),
     (
         "PUT",
         "/configuration/maintenance_window/night",
@@ -26,7 +26,7 @@
         {"pool": "records", "data_centre": "dc-1", "address": "127.0.0.1:9"},
     ),
     ("DELETE", "/configuration/queue/records", None),
-    ("DELETE", "/configuration/team/museum", None),
+    ("DELETE", "/configuration/organisation/museum", None),
     ("DELETE", "/configuration/pool/spare", None),
     ("POST", "/vms/vm-1/drain", None),
     ("POST", "/vms/vm-1/fail", None),
@@ -65,10 +65,10 @@
     ("PUT", "/configuration/pool/x", {"name": "y"}, 422, "invalid-change"),
     ("PUT", "/configuration/queue/x", {}, 422, "invalid-change"),
     ("PUT", "/configuration/queue/x", {"pool": "none"}, 422, "invalid-change"),
-    ("PUT", "/configuration/team/x", {"share": 0}, 422, "invalid-change"),
-    ("PUT", "/configuration/team/x", {"limit": -1}, 422, "invalid-change"),
-    ("PUT", "/configuration/team/x", {"limit": 10**30}, 422, "invalid-change"),
-    ("PUT", "/configuration/team/museum", {"key_hashes": []}, 422, "invalid-change"),
+    ("PUT", "/configuration/organisation/x", {"share": 0}, 422, "invalid-change"),
+    ("PUT", "/configuration/organisation/x", {"limit": -1}, 422, "invalid-change"),
+    ("PUT", "/configuration/organisation/x", {"limit": 10**30}, 422, "invalid-change"),
+    ("PUT", "/configuration/organisation/museum", {"key_hashes": []}, 422, "invalid-change"),
     ("PUT", "/configuration/vm/vm-1", {"state": "maintenance"}, 422, "invalid-change"),
     ("PUT", "/configuration/vm/vm-1", {"pool": "spare"}, 422, "invalid-change"),
     ("PUT", "/configuration/vm/x", {**VM, "address": "127.0.0.1:1"}, 422, "invalid-change"),
@@ -91,8 +91,8 @@
     ("DELETE", "/configuration/pool/records", None, 422, "invalid-change"),
     ("DELETE", "/configuration/vm/vm-1", None, 422, "invalid-change"),
     ("DELETE", "/configuration/pool/none", None, 404, "not-found"),
-    ("DELETE", "/teams/museum/keys/0123456789ab", None, 404, "not-found"),
-    ("POST", "/teams/none/keys", None, 404, "not-found"),
+    ("DELETE", "/organisations/museum/keys/0123456789ab", None, 404, "not-found"),
+    ("POST", "/organisations/none/keys", None, 404, "not-found"),
     ("POST", "/data-centres/none/out", None, 404, "not-found"),
     ("POST", "/vms/none/drain", None, 404, "not-found"),
     ("POST", "/vms/vm-1/move", {"pool": "spare"}, 422, "invalid-change"),
@@ -154,7 +154,7 @@
         calls = [
             ("/vms/vm-1/drain", "vm:vm-1"),
             ("/data-centres/dc-1/out", "data_centre:dc-1"),
-            ("/teams/museum/keys", "team:museum"),
+            ("/organisations/museum/keys", "organisation:museum"),
         ]
         for path, entity in calls:
             answer = await site.client.post(path, headers={"if-version": "99"})
@@ -165,9 +165,9 @@
 
 def test_one_entity_is_shown_with_its_version():
     async def case(site):
-        shown = (await site.client.get("/configuration/team/museum")).json()
+        shown = (await site.client.get("/configuration/organisation/museum")).json()
         assert shown["entity"]["entity_version"] == 2
-        missing = await site.client.get("/configuration/team/none")
+        missing = await site.client.get("/configuration/organisation/none")
         assert missing.status_code == 404
 
     on_site(case)
@@ -175,10 +175,10 @@
 
 def test_put_keeps_fields_that_are_not_given():
     async def case(site):
-        await site.client.put("/configuration/team/museum", json={"share": 5})
-        team = (await site.load()).get(Team, "museum")
-        assert (team.share, team.limit) == (5, 10)
-        again = await site.client.put("/configuration/team/museum", json={"share": 5})
+        await site.client.put("/configuration/organisation/museum", json={"share": 5})
+        organisation = (await site.load()).get(Organisation, "museum")
+        assert (organisation.share, organisation.limit) == (5, 10)
+        again = await site.client.put("/configuration/organisation/museum", json={"share": 5})
         assert not again.json()["changed"]
 
     on_site(case)
@@ -190,9 +190,9 @@
         assert row.value == {"limit": 10, "grants": {}, "wanted": {}}
         grants = {"limit": 10, "grants": {"d-1": 6}, "wanted": {"d-2": 3}}
         row.value.update(grants)
-        await site.client.put("/configuration/team/museum", json={"limit": 4})
+        await site.client.put("/configuration/organisation/museum", json={"limit": 4})
         assert site.tables.tables.get("allotments", "museum").value == {**grants, "limit": 4}
-        await site.client.delete("/configuration/team/museum")
+        await site.client.delete("/configuration/organisation/museum")
         assert site.tables.tables.get("allotments", "museum").value == {**grants, "limit": 0}
 
     on_site(case)
@@ -200,17 +200,17 @@
 
 def test_key_is_shown_once_and_kept_as_a_hash():
     async def case(site):
-        granted = (await site.client.post("/teams/museum/keys")).json()
-        team = (await site.load()).get(Team, "museum")
-        assert team.key_hashes == (hash_key(granted["key"]),)
+        granted = (await site.client.post("/organisations/museum/keys")).json()
+        organisation = (await site.load()).get(Organisation, "museum")
+        assert organisation.key_hashes == (hash_key(granted["key"]),)
         shown = (await site.client.get("/configuration")).text
-        assert granted["key"] not in shown and team.key_hashes[0] not in shown
+        assert granted["key"] not in shown and organisation.key_hashes[0] not in shown
         assert granted["key_id"] in shown
         stored = repr(site.tables.tables.scan("configuration"))
         assert granted["key"] not in stored
-        path = f"/teams/museum/keys/{granted['key_id']}"
+        path = f"/organisations/museum/keys/{granted['key_id']}"
         assert (await site.client.delete(path)).status_code == 200
-        assert (await site.load()).get(Team, "museum").key_hashes == ()
+        assert (await site.load()).get(Organisation, "museum").key_hashes == ()
         assert (await site.client.delete(path)).status_code == 404
 
     on_site(case)
--- a/fireflydeck/controller/tests/test_races.py
+++ b/fireflydeck/controller/tests/test_races.py
@@ -15,7 +15,7 @@
     set_data_centre,
 )
 from fireflydeck.controller.tests.operator import OperatorSite
-from fireflydeck.core import Configuration, EntityKey, Pool, Team, Vm, VmState
+from fireflydeck.core import Configuration, EntityKey, Organisation, Pool, Vm, VmState
 from fireflydeck.testing import FakeTableService, StoreFault
 
 BY_PLAN = (VmState.DRAINING, VmState.MAINTENANCE)
@@ -45,7 +45,7 @@
             key = EntityKey("pool", "records")
             return put_entity(base, key, {"max_unavailable": self.number})
         if self.name == "limit":
-            return put_entity(base, EntityKey("team", "museum"), {"limit": self.number})
+            return put_entity(base, EntityKey("organisation", "museum"), {"limit": self.number})
         return set_data_centre(base, "dc-1", self.name == "in")
 
 
@@ -107,7 +107,7 @@
             check_version(before, configuration)
         assert configuration == await site.load()
         row = site.tables.tables.get("allotments", "museum")
-        assert row.value["limit"] == configuration.get(Team, "museum").limit
+        assert row.value["limit"] == configuration.get(Organisation, "museum").limit
 
     anyio.run(case)
 
--- a/fireflydeck/controller/tests/test_store_faults.py
+++ b/fireflydeck/controller/tests/test_store_faults.py
@@ -98,7 +98,7 @@
 
         async def change(limit, client):
             headers = {"if-version": "2"}
-            path = "/configuration/team/museum"
+            path = "/configuration/organisation/museum"
             answers.append(await client.put(path, json={"limit": limit}, headers=headers))
 
         async with anyio.create_task_group() as tasks:
@@ -106,7 +106,7 @@
                 tasks.start_soon(change, limit, site.connect(site.controller()))
         assert sorted(answer.status_code for answer in answers) == [200, 409]
         conflict = next(answer for answer in answers if answer.status_code == 409).json()
-        assert (conflict["entity"], conflict["entity_version"]) == ("team:museum", 3)
+        assert (conflict["entity"], conflict["entity_version"]) == ("organisation:museum", 3)
 
     on_site(case)
 
@@ -123,7 +123,7 @@
             return await commit(transaction)
 
         tables.commit = commit_after_other_writer
-        answer = await site.client.put("/configuration/team/museum", json={"limit": 4})
+        answer = await site.client.put("/configuration/organisation/museum", json={"limit": 4})
         assert answer.status_code == 200
         value = tables.tables.get("allotments", "museum").value
         assert value == {"limit": 4, "grants": {"d-1": 2}, "wanted": {}}
--- a/fireflydeck/core/configuration.py
+++ b/fireflydeck/core/configuration.py
@@ -12,9 +12,9 @@
     EntityKey,
     MaintenanceWindow,
     Member,
+    Organisation,
     Pool,
     Queue,
-    Team,
     Vm,
     VmState,
 )
@@ -22,7 +22,10 @@
 __all__ = ["ENTITY_TYPES", "Configuration", "ConfigurationChange", "VersionGapError"]
 
 ENTITY_TYPES: Mapping[str, type[Entity]] = MappingProxyType(
-    {cls.kind: cls for cls in (DataCentre, MaintenanceWindow, Member, Pool, Queue, Team, Vm)}
+    {
+        cls.kind: cls
+        for cls in (DataCentre, MaintenanceWindow, Member, Pool, Queue, Organisation, Vm)
+    }
 )
 
 E = TypeVar("E", bound=Entity)
--- a/fireflydeck/core/entities.py
+++ b/fireflydeck/core/entities.py
@@ -1,4 +1,4 @@
-"""Value objects of the configuration: pools, VMs, teams, queues, data centres, windows, members."""
+"""Value objects of the configuration: pools, VMs, organisations, queues, data centres, members."""
 
 from enum import StrEnum
 from typing import ClassVar
@@ -14,7 +14,7 @@
     "MemberRole",
     "Pool",
     "Queue",
-    "Team",
+    "Organisation",
     "Urgency",
     "Vm",
     "VmState",
@@ -127,7 +127,7 @@
     Parameters
     ----------
     open_to_all
-        Whether requests need no team key.
+        Whether requests need no organisation key.
     max_waiting
         Requests that may wait at the same time.
     """
@@ -139,20 +139,20 @@
 
 
 @frozen(kw_only=True)
-class Team(Entity):
-    """A team of submitters.
+class Organisation(Entity):
+    """An organisation of submitters.
 
     Parameters
     ----------
     share
-        Weight of the team when everything is full.
+        Weight of the organisation when everything is full.
     limit
-        The most tasks that the team runs at once over the whole fleet.
+        The most tasks that the organisation runs at once over the whole fleet.
     key_hashes
-        SHA-256 hashes (hexadecimal) of the team's granted keys.
+        SHA-256 hashes (hexadecimal) of the organisation's granted keys.
     """
 
-    kind: ClassVar[str] = "team"
+    kind: ClassVar[str] = "organisation"
     share: int = 1
     limit: int = 1
     key_hashes: tuple[str, ...] = field(default=(), converter=tuple)
--- a/fireflydeck/core/requests.py
+++ b/fireflydeck/core/requests.py
@@ -70,10 +70,10 @@
     ----------
     request_id
         Unique identity from end to end.
-    team
-        Name of the team; empty on a queue open to all.
+    organisation
+        Name of the organisation; empty on a queue open to all.
     key_hash
-        Hash of the key by which the gateway knew the team; empty for none.
+        Hash of the key by which the gateway knew the organisation; empty for none.
     deadline_ms
         Time that remains until the caller gives up, in milliseconds, when the message was sent.
     idempotent
@@ -84,7 +84,7 @@
 
     request_id: str
     queue: str
-    team: str = ""
+    organisation: str = ""
     key_hash: str = ""
     urgency: Urgency = Urgency.NORMAL
     deadline_ms: int = 30_000
--- a/fireflydeck/core/slots.py
+++ b/fireflydeck/core/slots.py
@@ -23,7 +23,7 @@
 
     request_id: str
     queue: str
-    team: str
+    organisation: str
     deadline_ms: int
     urgency: Urgency = Urgency.NORMAL
     cores: int = 0
--- a/fireflydeck/core/tests/test_converter.py
+++ b/fireflydeck/core/tests/test_converter.py
@@ -2,14 +2,22 @@
 
 import pytest
 
-from fireflydeck.core import ConfigurationChange, EntityKey, Member, MemberRole, Team, Vm, VmState
+from fireflydeck.core import (
+    ConfigurationChange,
+    EntityKey,
+    Member,
+    MemberRole,
+    Organisation,
+    Vm,
+    VmState,
+)
 from fireflydeck.core.converter import ConversionError, from_plain, to_plain
 from fireflydeck.testing import build_vm
 
 ENTITIES = [
     build_vm(state=VmState.DRAINING),
     Member(name="gw-1", role=MemberRole.GATEWAY, address="127.0.0.1:1"),
-    Team(name="museum", key_hashes=("a", "b")),
+    Organisation(name="museum", key_hashes=("a", "b")),
 ]
 
 
--- a/fireflydeck/dispatcher/allotments.py
+++ b/fireflydeck/dispatcher/allotments.py
@@ -1,37 +1,37 @@
-"""Upper limits of teams over the fleet: this dispatcher's part of each limit."""
+"""Upper limits of organisations over the fleet: this dispatcher's part of each limit."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 from fireflydeck.configuration import ConfigurationView
-from fireflydeck.core import Team
+from fireflydeck.core import Organisation
 from fireflydeck.kernel import Service
 
 __all__ = ["Allotments", "WholeLimitAllotments"]
 
 
 class Allotments(ABC):
-    """How many tasks of a team this dispatcher may run."""
+    """How many tasks of an organisation this dispatcher may run."""
 
     @abstractmethod
-    def can_start(self, team: str) -> bool:
-        """Tell whether a task of the team may start now."""
+    def can_start(self, organisation: str) -> bool:
+        """Tell whether a task of the organisation may start now."""
 
     @abstractmethod
-    def try_start(self, team: str) -> bool:
+    def try_start(self, organisation: str) -> bool:
         """Count a starting task; `False` if the allotment is used up."""
 
     @abstractmethod
-    def finish(self, team: str) -> None:
+    def finish(self, organisation: str) -> None:
         """Count a finished task."""
 
     @abstractmethod
-    def set_waiting(self, team: str, waiting: int) -> None:
-        """Tell how many requests of the team wait here for a slot."""
+    def set_waiting(self, organisation: str, waiting: int) -> None:
+        """Tell how many requests of the organisation wait here for a slot."""
 
     @abstractmethod
     def on_raise(self, listener: Callable[[], None]) -> None:
-        """Call the listener after more tasks of some team may run."""
+        """Call the listener after more tasks of some organisation may run."""
 
 
 class WholeLimitAllotments(Allotments, Service):
@@ -40,7 +40,7 @@
     Parameters
     ----------
     view
-        The configuration with the teams' limits.
+        The configuration with the organisations' limits.
     """
 
     def __init__(self, view: ConfigurationView) -> None:
@@ -52,30 +52,34 @@
         """Name of the service."""
         return "allotments"
 
-    def can_start(self, team: str) -> bool:
-        """Tell whether a task of the team may start now."""
-        if not team:
+    def can_start(self, organisation: str) -> bool:
+        """Tell whether a task of the organisation may start now."""
+        if not organisation:
             return True
-        entity = self._view.current.get(Team, team)
-        return entity is not None and self._running.get(team, 0) < entity.limit
+        entity = self._view.current.get(Organisation, organisation)
+        return entity is not None and self._running.get(organisation, 0) < entity.limit
 
-    def try_start(self, team: str) -> bool:
+    def try_start(self, organisation: str) -> bool:
         """Count a starting task."""
-        if not self.can_start(team):
+        if not self.can_start(organisation):
             return False
-        self._running[team] = self._running.get(team, 0) + 1
+        self._running[organisation] = self._running.get(organisation, 0) + 1
         return True
 
-    def finish(self, team: str) -> None:
+    def finish(self, organisation: str) -> None:
         """Count a finished task."""
-        self._running[team] -= 1
+        self._running[organisation] -= 1
 
-    def set_waiting(self, team: str, waiting: int) -> None:
+    def set_waiting(self, organisation: str, waiting: int) -> None:
         """Do nothing: there is nobody to share the limit with."""
 
     def on_raise(self, listener: Callable[[], None]) -> None:
         """Do nothing: the limit follows the configuration, which has its own listeners."""
 
     def state(self) -> dict[str, dict[str, int]]:
-        """Return running tasks by team."""
-        return {"running": {team: count for team, count in self._running.items() if count}}
+        """Return running tasks by organisation."""
+        return {
+            "running": {
+                organisation: count for organisation, count in self._running.items() if count
+            }
+        }
--- a/fireflydeck/dispatcher/backend_client.py
+++ b/fireflydeck/dispatcher/backend_client.py
@@ -214,7 +214,7 @@
         fields = [(header.name, header.value) for header in request_headers(request.headers)]
         fields += [
             ("x-request-id", request.request_id),
-            ("x-team", request.team),
+            ("x-organisation", request.organisation),
             ("x-dispatcher", self._options.dispatcher),
             ("x-lease-ms", str(max(1, remaining_ms))),
         ]
--- a/fireflydeck/dispatcher/dispatcher.py
+++ b/fireflydeck/dispatcher/dispatcher.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok, Result
 
 from fireflydeck.configuration import ConfigurationView
-from fireflydeck.core import Answer, Clock, Failure, Ran, Reason, Request, Team, Vm
+from fireflydeck.core import Answer, Clock, Failure, Organisation, Ran, Reason, Request, Vm
 from fireflydeck.dispatcher.backend_client import BackendClient, BackendRequest
 from fireflydeck.dispatcher.idempotency import Claim, IdempotencyKeys
 from fireflydeck.dispatcher.lingering import LingeringSlots
@@ -254,10 +254,10 @@
 
     def _is_key_granted(self, request: Request) -> bool:
         """Whether the key is still in force; the gateway may have been paused after its check."""
-        if not request.key_hash or not request.team:
+        if not request.key_hash or not request.organisation:
             return True
-        team = self._view.current.get(Team, request.team)
-        return team is not None and request.key_hash in team.key_hashes
+        organisation = self._view.current.get(Organisation, request.organisation)
+        return organisation is not None and request.key_hash in organisation.key_hashes
 
     def _may_retry(self, call: _Call, failure: Failure, sends: int) -> bool:
         budget = self._budgets.setdefault(call.request.queue, RetryBudget())
@@ -279,7 +279,7 @@
     return SlotRequest(
         request_id=request.request_id,
         queue=request.queue,
-        team=request.team,
+        organisation=request.organisation,
         urgency=request.urgency,
         deadline_ms=call.deadline_ms,
         excluded_vms=frozenset(call.excluded_vms),
--- a/fireflydeck/dispatcher/fleet_allotments.py
+++ b/fireflydeck/dispatcher/fleet_allotments.py
@@ -1,4 +1,4 @@
-"""The dispatcher's grants of the teams' limits, kept in the table service.
+"""The dispatcher's grants of the organisations' limits, kept in the table service.
 
 A dispatcher runs at most the smaller of its last known committed grant and of what it allows
 itself. It lowers itself before it writes a cut and uses a raise after its commit is certain. While
@@ -6,7 +6,7 @@
 the one that the commit checked: then the commit either shows in the row or can never take effect.
 
 While a row's grants exceed a lowered limit, and from the moment the lower limit is seen in the
-configuration until a commit has confirmed the row, no task of the team starts here.
+configuration until a commit has confirmed the row, no task of the organisation starts here.
 """
 
 from collections.abc import Callable, Iterable
@@ -18,7 +18,7 @@
 from expression import Error, Ok, Result
 
 from fireflydeck.configuration import ConfigurationView
-from fireflydeck.core import Clock, Configuration, Failure, Ran, Reason, Team
+from fireflydeck.core import Clock, Configuration, Failure, Organisation, Ran, Reason
 from fireflydeck.dispatcher.allotments import Allotments
 from fireflydeck.kernel import Metrics, Registry, Service
 from fireflydeck.policy.allotment import (
@@ -39,12 +39,12 @@
 _IDLE_MS = 5_000
 _TURN_MS = 5_000
 _CONFLICT_TRIES = 4
-_SCAN_FROM_TEAMS = 8
+_SCAN_FROM_ORGANISATIONS = 8
 
 
 @define
 class _Local:
-    """What this dispatcher knows of one team.
+    """What this dispatcher knows of one organisation.
 
     `committed` is the grant that is certain; `allowed` bounds it while a cut is written;
     `unsettled_version` is the row version that a commit of unknown outcome checked;
@@ -77,7 +77,7 @@
 class _Step:
     """A planned write of one row."""
 
-    team: str
+    organisation: str
     row: Row | None
     before: AllotmentRow
     change: AllotmentChange
@@ -93,7 +93,7 @@
     Parameters
     ----------
     view
-        The configuration with the teams' limits.
+        The configuration with the organisations' limits.
     tables
         The table service.
     clock
@@ -117,7 +117,7 @@
         self._clock = clock
         self._metrics = metrics
         self._dispatcher = dispatcher
-        self._teams: dict[str, _Local] = {}
+        self._organisations: dict[str, _Local] = {}
         self._pending: set[str] = set()
         self._wake = anyio.Event()
         self._listeners: list[Callable[[], None]] = []
@@ -136,101 +136,104 @@
 
     async def stop(self) -> None:
         """Give back what is not used; one try."""
-        for local in self._teams.values():
+        for local in self._organisations.values():
             local.waiting = 0
             local.active_ms = self._clock.now_ms() - _IDLE_MS
-        await self.rebalance(self._active_teams())
+        await self.rebalance(self._active_organisations())
 
     def state(self) -> dict[str, Any]:
-        """Return running tasks, waiting requests and the usable grant by team."""
+        """Return running tasks, waiting requests and the usable grant by organisation."""
         return {
-            team: {
+            organisation: {
                 "running": local.running,
                 "waiting": local.waiting,
                 "grant": local.committed,
-                "usable": self._usable(team),
+                "usable": self._usable(organisation),
                 "settled": local.unsettled_version is None,
             }
-            for team, local in self._teams.items()
+            for organisation, local in self._organisations.items()
         }
 
-    def can_start(self, team: str) -> bool:
-        """Tell whether a task of the team may start now; always for queues open to all."""
-        return not team or self._local(team).running < self._usable(team)
+    def can_start(self, organisation: str) -> bool:
+        """Tell whether a task of the organisation may start now; always for queues open to all."""
+        return not organisation or self._local(organisation).running < self._usable(organisation)
 
-    def try_start(self, team: str) -> bool:
+    def try_start(self, organisation: str) -> bool:
         """Count a starting task; `False` if the allotment is used up."""
-        if not self.can_start(team):
+        if not self.can_start(organisation):
             return False
-        local = self._local(team)
+        local = self._local(organisation)
         local.running += 1
         local.active_ms = self._clock.now_ms()
         return True
 
-    def finish(self, team: str) -> None:
+    def finish(self, organisation: str) -> None:
         """Count a finished task."""
-        local = self._local(team)
+        local = self._local(organisation)
         local.running -= 1
         local.active_ms = self._clock.now_ms()
 
-    def set_waiting(self, team: str, waiting: int) -> None:
+    def set_waiting(self, organisation: str, waiting: int) -> None:
         """Tell how many requests wait; asks for a grant at once if none can start."""
-        if not team:
+        if not organisation:
             return
-        local = self._local(team)
+        local = self._local(organisation)
         local.waiting = waiting
         is_announced = local.wanted > local.committed
-        if waiting and not is_announced and not self.can_start(team):
-            self._request_soon(team, local)
+        if waiting and not is_announced and not self.can_start(organisation):
+            self._request_soon(organisation, local)
 
     def on_raise(self, listener: Callable[[], None]) -> None:
         """Call the listener after a grant was raised."""
         self._listeners.append(listener)
 
-    async def rebalance(self, teams: Iterable[str]) -> None:
-        """Read the teams' rows and write the changed grants in one transaction."""
+    async def rebalance(self, organisations: Iterable[str]) -> None:
+        """Read the organisations' rows and write the changed grants in one transaction."""
         async with self._rebalancing:
-            steps = await self._plan(list(teams))
+            steps = await self._plan(list(organisations))
             if not steps:
                 return
             result = await self._commit(steps)
             if result.is_error() and result.error.reason is Reason.CONFLICT:
                 for step in steps:
-                    await self._rebalance_alone(step.team)
+                    await self._rebalance_alone(step.organisation)
 
-    async def _rebalance_alone(self, team: str) -> None:
+    async def _rebalance_alone(self, organisation: str) -> None:
         for _ in range(_CONFLICT_TRIES):
-            steps = await self._plan([team])
+            steps = await self._plan([organisation])
             if not steps:
                 return
             result = await self._commit(steps)
             if result.is_ok() or result.error.reason is not Reason.CONFLICT:
                 return
 
-    async def _plan(self, teams: list[str]) -> list[_Step]:
-        rows = await self._read(teams)
+    async def _plan(self, organisations: list[str]) -> list[_Step]:
+        rows = await self._read(organisations)
         if rows.is_error():
             self._metrics.count("allotment_reads_failed_total")
             return []
-        steps = [self._plan_team(team, rows.ok.get(team)) for team in teams]
+        steps = [
+            self._plan_organisation(organisation, rows.ok.get(organisation))
+            for organisation in organisations
+        ]
         return [step for step in steps if step is not None]
 
-    async def _read(self, teams: list[str]) -> Result[dict[str, Row], Failure]:
-        if len(teams) >= _SCAN_FROM_TEAMS:
+    async def _read(self, organisations: list[str]) -> Result[dict[str, Row], Failure]:
+        if len(organisations) >= _SCAN_FROM_ORGANISATIONS:
             scanned = await self._tables.scan(ALLOTMENTS_TABLE)
             return scanned.map(lambda rows: {row.key: row for row in rows})
         found: dict[str, Row] = {}
-        for team in teams:
-            read = await self._tables.get(ALLOTMENTS_TABLE, team)
+        for organisation in organisations:
+            read = await self._tables.get(ALLOTMENTS_TABLE, organisation)
             if read.is_error():
                 return Error(read.error)
             if read.ok is not None:
-                found[team] = read.ok
+                found[organisation] = read.ok
         return Ok(found)
 
-    def _plan_team(self, team: str, row: Row | None) -> _Step | None:
-        local = self._local(team)
-        before = self._row_value(team, row)
+    def _plan_organisation(self, organisation: str, row: Row | None) -> _Step | None:
+        local = self._local(organisation)
+        before = self._row_value(organisation, row)
         version = row.version if row else ABSENT
         if before is None or version < local.version:
             return None
@@ -242,7 +245,7 @@
         if not must_write and not self._is_worth_writing(before, change):
             return None
         local.allowed = min(local.allowed, change.grant)
-        return _Step(team, row, before, change)
+        return _Step(organisation, row, before, change)
 
     def _take_row(self, local: _Local, version: int, row: AllotmentRow) -> None:
         local.version = version
@@ -270,8 +273,10 @@
         return is_hungry and abs(change.wanted - wanted) * 4 > wanted
 
     async def _commit(self, steps: list[_Step]) -> Result[None, Failure]:
-        checks = [Check(ALLOTMENTS_TABLE, step.team, step.checked_version) for step in steps]
-        puts = [Put(ALLOTMENTS_TABLE, step.team, self._new_value(step)) for step in steps]
+        checks = [
+            Check(ALLOTMENTS_TABLE, step.organisation, step.checked_version) for step in steps
+        ]
+        puts = [Put(ALLOTMENTS_TABLE, step.organisation, self._new_value(step)) for step in steps]
         result = await self._tables.commit(Transaction(checks=tuple(checks), puts=tuple(puts)))
         outcome = "ok" if result.is_ok() else result.error.reason.value
         self._metrics.count("allotment_commits_total", outcome=outcome)
@@ -284,7 +289,7 @@
 
     def _take_outcome(self, step: _Step, result: Result[None, Failure]) -> None:
         """Use a certain grant; a commit that wrote nothing leaves an earlier unknown one as is."""
-        local = self._local(step.team)
+        local = self._local(step.organisation)
         if result.is_ok():
             local.unsettled_version = None
             local.adopt(step.change.grant)
@@ -296,40 +301,42 @@
             local.adopt(min(local.committed, local.allowed, step.change.grant))
 
     def _knows_limit(self, step: _Step) -> bool:
-        entity = self._view.current.get(Team, step.team)
+        entity = self._view.current.get(Organisation, step.organisation)
         return entity is None or step.before.limit <= entity.limit
 
     def _new_value(self, step: _Step) -> dict[str, Any]:
         stored = step.row.value if step.row else {}
         return {**stored, **step.change.apply(step.before, self._dispatcher).to_plain()}
 
-    def _row_value(self, team: str, row: Row | None) -> AllotmentRow | None:
+    def _row_value(self, organisation: str, row: Row | None) -> AllotmentRow | None:
         if row is not None:
             return AllotmentRow.from_plain(row.value)
-        entity = self._view.current.get(Team, team)
+        entity = self._view.current.get(Organisation, organisation)
         is_known = entity is not None and self._view.is_fresh()
         return AllotmentRow(limit=entity.limit) if is_known else None  # type: ignore[union-attr]
 
     def _waiting(self, local: _Local) -> int:
-        """Return the waiting requests, or 1 for a team whose last task ended just now."""
+        """Return the waiting requests, or 1 for an organisation whose last task ended just now."""
         is_idle = self._clock.now_ms() - local.active_ms >= _IDLE_MS
         return local.waiting or int(not is_idle and not local.running)
 
-    def _usable(self, team: str) -> int:
-        local = self._local(team)
-        entity = self._view.current.get(Team, team)
+    def _usable(self, organisation: str) -> int:
+        local = self._local(organisation)
+        entity = self._view.current.get(Organisation, organisation)
         return min(local.usable, entity.limit) if entity is not None else 0
 
-    def _local(self, team: str) -> _Local:
-        local = self._teams.get(team)
+    def _local(self, organisation: str) -> _Local:
+        local = self._organisations.get(organisation)
         if local is None:
-            local = self._teams[team] = _Local(active_ms=self._clock.now_ms() - _IDLE_MS)
+            local = self._organisations[organisation] = _Local(
+                active_ms=self._clock.now_ms() - _IDLE_MS
+            )
         return local
 
-    def _active_teams(self) -> list[str]:
+    def _active_organisations(self) -> list[str]:
         return [
-            team
-            for team, local in self._teams.items()
+            organisation
+            for organisation, local in self._organisations.items()
             if local.running
             or local.waiting
             or local.committed
@@ -339,34 +346,34 @@
 
     def _on_change(self, previous: Configuration, current: Configuration) -> None:
         has_gap = current.version != previous.version + 1
-        for team, local in self._teams.items():
-            before = previous.get(Team, team)
-            after = current.get(Team, team)
+        for organisation, local in self._organisations.items():
+            before = previous.get(Organisation, organisation)
+            after = current.get(Organisation, organisation)
             if has_gap or before != after:
                 is_lowered = before is None or after is None or after.limit < before.limit
                 local.must_confirm = local.must_confirm or has_gap or is_lowered
-                self._request(team)
+                self._request(organisation)
 
-    def _request_soon(self, team: str, local: _Local) -> None:
+    def _request_soon(self, organisation: str, local: _Local) -> None:
         now_ms = self._clock.now_ms()
         if now_ms >= local.next_demand_ms:
             local.next_demand_ms = now_ms + _MIN_DEMAND_INTERVAL_MS
-            self._request(team)
+            self._request(organisation)
 
-    def _request(self, team: str) -> None:
-        self._pending.add(team)
+    def _request(self, organisation: str) -> None:
+        self._pending.add(organisation)
         self._wake.set()
 
     async def _tick_forever(self) -> None:
         while True:
             await self._clock.sleep_ms(_INTERVAL_MS)
-            for team in self._active_teams():
-                self._request(team)
+            for organisation in self._active_organisations():
+                self._request(organisation)
 
     async def _rebalance_forever(self) -> None:
         while True:
             await self._wake.wait()
             await self._clock.sleep_ms(_COALESCE_MS)
-            teams, self._pending = sorted(self._pending), set()
+            organisations, self._pending = sorted(self._pending), set()
             self._wake = anyio.Event()
-            await self.rebalance(teams)
+            await self.rebalance(organisations)
--- a/fireflydeck/dispatcher/headers.py
+++ b/fireflydeck/dispatcher/headers.py
@@ -16,7 +16,7 @@
         "x-dispatcher",
         "x-lease-ms",
         "x-request-id",
-        "x-team",
+        "x-organisation",
     }
 )
 _OF_ONE_HOP_ANSWER = frozenset({"content-length", "x-not-started", "x-request-id"})
--- a/fireflydeck/dispatcher/idempotency.py
+++ b/fireflydeck/dispatcher/idempotency.py
@@ -59,7 +59,7 @@
     def key(self) -> str:
         """Key of the row."""
         digest = hashlib.sha256(self.request.idempotency_key.encode()).hexdigest()
-        return f"{self.request.team}/{digest}"
+        return f"{self.request.organisation}/{digest}"
 
 
 @frozen
--- a/fireflydeck/dispatcher/pools.py
+++ b/fireflydeck/dispatcher/pools.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-from fireflydeck.core import Configuration, Pool, Team, Vm
+from fireflydeck.core import Configuration, Organisation, Pool, Vm
 from fireflydeck.policy import Demand, FairOrder, PoolPlacement, VmLoad, Waiting
 
 __all__ = ["PoolSet", "PoolState"]
@@ -53,7 +53,12 @@
     def follow(self, configuration: Configuration) -> None:
         """Take over shares, pools and the VMs that accept work."""
         self._shares.clear()
-        self._shares.update({team.name: team.share for team in configuration.all(Team)})
+        self._shares.update(
+            {
+                organisation.name: organisation.share
+                for organisation in configuration.all(Organisation)
+            }
+        )
         for pool in configuration.all(Pool):
             state = self.get(pool.name)
             state.is_spare = pool.spare
--- a/fireflydeck/dispatcher/scheduler.py
+++ b/fireflydeck/dispatcher/scheduler.py
@@ -11,7 +11,7 @@
 from expression import Error, Ok, Result
 
 from fireflydeck.configuration import ConfigurationView
-from fireflydeck.core import Clock, Configuration, Failure, Pool, Queue, Ran, Reason, Team
+from fireflydeck.core import Clock, Configuration, Failure, Organisation, Pool, Queue, Ran, Reason
 from fireflydeck.dispatcher.allotments import Allotments
 from fireflydeck.dispatcher.pools import PoolSet, PoolState
 from fireflydeck.dispatcher.slots import SlotGrant, SlotOutcome, SlotRequest
@@ -59,7 +59,7 @@
     view
         The configuration in force.
     allotments
-        This dispatcher's parts of the teams' limits.
+        This dispatcher's parts of the organisations' limits.
     clock
         Source of time.
     metrics
@@ -85,7 +85,7 @@
         self._waiters: dict[int, _Waiter] = {}
         self._held: dict[int, _Held] = {}
         self._queue_waiting: Counter[str] = Counter()
-        self._team_waiting: Counter[str] = Counter()
+        self._organisation_waiting: Counter[str] = Counter()
         self._deadlines: list[tuple[int, int]] = []
         self._accrued_ms = 0
         self._has_waiters = anyio.Event()
@@ -160,7 +160,7 @@
             if self._pools.record(held.load, now_ms, is_failure=is_failure):
                 self._metrics.count("vms_put_aside_total", vm=held.load.vm.name)
         held.pool.order.finish(grant.grant_id, now_ms, learn=outcome is SlotOutcome.FINISHED)
-        self._allotments.finish(held.entry.team)
+        self._allotments.finish(held.entry.organisation)
         self._pools.occupy(held.load, held.entry.demand, -1)
         self._metrics.count("slots_released_total", outcome=outcome.value)
         self._dispatch_after_release(held)
@@ -192,7 +192,7 @@
         if self._queue_waiting[queue.name] >= queue.max_waiting:
             detail = f"{queue.max_waiting} requests wait"
             return self._refusal(Reason.QUEUE_FULL, detail, retry_after_ms)
-        expected_ms = pool.order.expected_wait_ms(request.team, queue.name, request.urgency)
+        expected_ms = pool.order.expected_wait_ms(request.organisation, queue.name, request.urgency)
         remaining_ms = request.deadline_ms - self._clock.now_ms()
         if expected_ms > EARLY_REFUSAL_FACTOR * max(0, remaining_ms):
             detail = f"the wait is about {expected_ms:.0f} ms, the deadline is in {remaining_ms} ms"
@@ -202,7 +202,7 @@
     def _enqueue(self, request: SlotRequest, pool: PoolState) -> _Waiter:
         entry = Waiting(
             entry_id=next(self._ids),
-            team=request.team,
+            organisation=request.organisation,
             queue=request.queue,
             urgency=request.urgency,
             arrived_ms=self._clock.now_ms(),
@@ -223,12 +223,12 @@
             self._dispatch(pool)
 
     def _dispatch_after_release(self, held: _Held) -> None:
-        """Serve the pools that the free slot, or the team's freed allotment, may help."""
+        """Serve the pools that the free slot, or the organisation's freed allotment, may help."""
         vm_pool = self._pools.get(held.load.vm.pool)
         for pool in (vm_pool, held.pool):
             self._dispatch(pool)
         for pool in self._pools.states:
-            if vm_pool.is_spare or pool.order.waiting_of(held.entry.team):
+            if vm_pool.is_spare or pool.order.waiting_of(held.entry.organisation):
                 self._dispatch(pool)
 
     def _dispatch(self, pool: PoolState) -> None:
@@ -243,13 +243,13 @@
         now_ms = self._clock.now_ms()
         limited: set[str] = set()
         for entry in pool.order.candidates(now_ms):
-            if entry.team in limited:
+            if entry.organisation in limited:
                 continue
-            if not self._allotments.can_start(entry.team):
-                limited.add(entry.team)
+            if not self._allotments.can_start(entry.organisation):
+                limited.add(entry.organisation)
                 continue
             load = self._pools.choose(pool, entry, now_ms)
-            if load is not None and self._allotments.try_start(entry.team):
+            if load is not None and self._allotments.try_start(entry.organisation):
                 self._grant(entry, pool, load, limited)
                 return True
         return False
@@ -288,8 +288,10 @@
 
     def _count_waiting(self, entry: Waiting, sign: int) -> None:
         self._queue_waiting[entry.queue] += sign
-        self._team_waiting[entry.team] += sign
-        self._allotments.set_waiting(entry.team, self._team_waiting[entry.team])
+        self._organisation_waiting[entry.organisation] += sign
+        self._allotments.set_waiting(
+            entry.organisation, self._organisation_waiting[entry.organisation]
+        )
 
     def _refuse(self, waiter: _Waiter, reason: Reason, detail: str) -> None:
         waiter.pool.order.remove(waiter.entry.entry_id)
@@ -321,8 +323,8 @@
         queue = current.get(Queue, entry.queue)
         if queue is None:
             self._refuse(waiter, Reason.UNKNOWN_QUEUE, f"queue {entry.queue} was removed")
-        elif entry.team and current.get(Team, entry.team) is None:
-            self._refuse(waiter, Reason.WRONG_KEY, f"team {entry.team} was removed")
+        elif entry.organisation and current.get(Organisation, entry.organisation) is None:
+            self._refuse(waiter, Reason.WRONG_KEY, f"organisation {entry.organisation} was removed")
         elif queue.pool != waiter.pool.name:
             waiter.pool.order.remove(entry.entry_id)
             waiter.pool = self._pools.get(queue.pool)
--- a/fireflydeck/dispatcher/tests/test_dispatcher.py
+++ b/fireflydeck/dispatcher/tests/test_dispatcher.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from fireflydeck.core import DataCentre, Ran, Reason, SystemClock, Team
+from fireflydeck.core import DataCentre, Organisation, Ran, Reason, SystemClock
 from fireflydeck.dispatcher import (
     BackendClient,
     BackendClientOptions,
@@ -111,12 +111,12 @@
 
     async def use(sites, backends, tables):
         site = sites[0]
-        museum = Team(name="museum", limit=10, key_hashes=("granted",))
+        museum = Organisation(name="museum", limit=10, key_hashes=("granted",))
         site.view.put(museum)
-        result = await site.submit("r-1", team="museum", key_hash="withdrawn")
+        result = await site.submit("r-1", organisation="museum", key_hash="withdrawn")
         assert (result.error.reason, result.error.ran) == (Reason.WRONG_KEY, Ran.NO)
         assert backends[0].starts == 0
-        assert (await site.submit("r-2", team="museum", key_hash="granted")).is_ok()
+        assert (await site.submit("r-2", organisation="museum", key_hash="granted")).is_ok()
 
     await on_sites(1, use)
 
@@ -176,7 +176,7 @@
 async def test_slot_of_an_unknown_outcome_is_held_while_the_task_runs():
     async def use(sites, backends, tables):
         site, backend = sites[0], backends[0]
-        site.view.put(Team(name="museum", limit=1))
+        site.view.put(Organisation(name="museum", limit=1))
         backend.mode = "lose"
         backend.running = [{"id": "r-1"}]
         assert (await site.submit()).error.ran is Ran.UNKNOWN
@@ -199,7 +199,7 @@
         async def submit(request_id):
             results[request_id] = await site.submit(request_id)
 
-        site.view.put(Team(name="museum", limit=1))
+        site.view.put(Organisation(name="museum", limit=1))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(submit, "r-1")
             await until(lambda: backend.starts == 1)
--- a/fireflydeck/dispatcher/tests/test_fleet_allotments.py
+++ b/fireflydeck/dispatcher/tests/test_fleet_allotments.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from fireflydeck.core import Failure, Ran, Reason, Team
+from fireflydeck.core import Failure, Organisation, Ran, Reason
 from fireflydeck.dispatcher.fleet_allotments import FleetAllotments
 from fireflydeck.dispatcher.tests.fakes import FakeView
 from fireflydeck.kernel import Metrics, Registry
@@ -16,7 +16,7 @@
 from fireflydeck.tables import Put, TableService, Transaction
 from fireflydeck.testing import FakeClock, FakeTableService, StoreFault, build_configuration
 
-TEAM = "museum"
+ORGANISATION = "museum"
 FAULTS = ["none", "none", "none", "lost", "late", "dropped", "refused"]
 
 
@@ -69,7 +69,7 @@
 
 
 def row_of(tables):
-    row = tables.get("allotments", TEAM)
+    row = tables.get("allotments", ORGANISATION)
     return AllotmentRow.from_plain(row.value) if row else AllotmentRow(limit=0)
 
 
@@ -85,7 +85,7 @@
 
     def __init__(self, name, tables, clock, limit):
         self.name = name
-        self.view = FakeView(build_configuration(Team(name=TEAM, limit=limit)))
+        self.view = FakeView(build_configuration(Organisation(name=ORGANISATION, limit=limit)))
         self.allotments = FleetAllotments(self.view, tables, clock, Metrics(), name)
         self.running = 0
         self.task = None
@@ -104,7 +104,7 @@
         self.limit = 6
         self.tables = SteppedTables(MemoryTables())
         self.tables.tables.commit(
-            Transaction(puts=(Put("allotments", TEAM, AllotmentRow(limit=6).to_plain()),))
+            Transaction(puts=(Put("allotments", ORGANISATION, AllotmentRow(limit=6).to_plain()),))
         )
         self.names = 0
         self.orphans = {}
@@ -134,9 +134,9 @@
     @rule(index=nodes, waiting=st.integers(0, 9))
     def ask(self, index, waiting):
         node = self.live[index]
-        node.allotments.set_waiting(TEAM, waiting)
+        node.allotments.set_waiting(ORGANISATION, waiting)
         if node.task is None or node.task.done():
-            node.task = self.loop.create_task(node.allotments.rebalance([TEAM]))
+            node.task = self.loop.create_task(node.allotments.rebalance([ORGANISATION]))
         self.drain()
 
     @precondition(lambda self: self.tables.pending)
@@ -171,10 +171,12 @@
     def start(self, index, count):
         node = self.live[index]
         for _ in range(count):
-            if node.allotments.try_start(TEAM):
+            if node.allotments.try_start(ORGANISATION):
                 node.running += 1
                 seen = [self.limit, *(limit for other in self.live for limit in other.unseen)]
-                lagging = [other.view.current.get(Team, TEAM).limit for other in self.live]
+                lagging = [
+                    other.view.current.get(Organisation, ORGANISATION).limit for other in self.live
+                ]
                 assert self.total() <= max(seen + lagging)
 
     @rule(index=nodes, count=st.integers(1, 9))
@@ -182,7 +184,7 @@
         node = self.live[index]
         for _ in range(min(count, node.running)):
             node.running -= 1
-            node.allotments.finish(TEAM)
+            node.allotments.finish(ORGANISATION)
 
     @rule(index=nodes)
     def crash(self, index):
@@ -213,7 +215,7 @@
     def learn(self, index):
         node = self.live[index]
         while node.unseen:
-            node.view.put(Team(name=TEAM, limit=node.unseen.pop(0)))
+            node.view.put(Organisation(name=ORGANISATION, limit=node.unseen.pop(0)))
 
     @rule(limit=st.integers(0, 9))
     def change_limit_in_force_everywhere(self, limit):
@@ -228,13 +230,15 @@
         self.clock.jump(duration_ms)
 
     def put_row(self, row):
-        self.tables.tables.commit(Transaction(puts=(Put("allotments", TEAM, row.to_plain()),)))
+        self.tables.tables.commit(
+            Transaction(puts=(Put("allotments", ORGANISATION, row.to_plain()),))
+        )
 
     @invariant()
     def usable_never_exceeds_the_row(self):
         grants = row_of(self.tables.tables).grants
         for node in self.live:
-            state = node.allotments.state().get(TEAM)
+            state = node.allotments.state().get(ORGANISATION)
             if state is not None:
                 assert state["usable"] <= grants.get(node.name, 0)
                 assert node.running <= grants.get(node.name, 0)
@@ -254,7 +258,7 @@
     def __init__(self, limit, names):
         self.tables = FakeTableService()
         self.clock = JumpClock(now_ms=10_000)
-        self.view = FakeView(build_configuration(Team(name=TEAM, limit=limit)))
+        self.view = FakeView(build_configuration(Organisation(name=ORGANISATION, limit=limit)))
         self.members = [
             FleetAllotments(self.view, self.tables, self.clock, Metrics(), name) for name in names
         ]
@@ -263,7 +267,7 @@
         for _ in range(times):
             self.clock.jump(1000)
             for member in self.members:
-                await member.rebalance([TEAM])
+                await member.rebalance([ORGANISATION])
 
 
 @pytest.mark.anyio
@@ -274,10 +278,10 @@
     allotments.on_raise(lambda: raised.append(fleet.clock.now_ms()))
     async with anyio.create_task_group() as tasks:
         await allotments.start(Registry(), tasks)
-        allotments.set_waiting(TEAM, 1)
+        allotments.set_waiting(ORGANISATION, 1)
         await fleet.clock.advance_ms(10)
         assert raised and raised[0] <= 10_010
-        assert allotments.try_start(TEAM)
+        assert allotments.try_start(ORGANISATION)
         tasks.cancel_scope.cancel()
 
 
@@ -285,13 +289,13 @@
 async def test_grants_follow_demand_within_two_seconds():
     fleet = Fleet(8, ["d-1", "d-2"])
     first, second = fleet.members
-    first.set_waiting(TEAM, 20)
+    first.set_waiting(ORGANISATION, 20)
     await fleet.cycle()
-    assert first.state()[TEAM]["usable"] == 8
-    first.set_waiting(TEAM, 0)
-    second.set_waiting(TEAM, 20)
+    assert first.state()[ORGANISATION]["usable"] == 8
+    first.set_waiting(ORGANISATION, 0)
+    second.set_waiting(ORGANISATION, 20)
     await fleet.cycle(2)
-    assert second.state()[TEAM]["usable"] >= 7
+    assert second.state()[ORGANISATION]["usable"] >= 7
 
 
 @pytest.mark.anyio
@@ -299,12 +303,12 @@
     fleet = Fleet(1, ["d-1", "d-2", "d-3"])
     served = set()
     for allotments in fleet.members:
-        allotments.set_waiting(TEAM, 5)
+        allotments.set_waiting(ORGANISATION, 5)
     for _ in range(120):
         await fleet.cycle()
         for index, allotments in enumerate(fleet.members):
-            if allotments.try_start(TEAM):
-                allotments.finish(TEAM)
+            if allotments.try_start(ORGANISATION):
+                allotments.finish(ORGANISATION)
                 served.add(index)
     assert served == {0, 1, 2}
 
@@ -313,31 +317,31 @@
 async def test_a_lost_raise_is_used_only_after_the_row_was_read():
     fleet = Fleet(4, ["d-1"])
     allotments = fleet.members[0]
-    allotments.set_waiting(TEAM, 2)
+    allotments.set_waiting(ORGANISATION, 2)
     fleet.tables.next_commits = [StoreFault.ANSWER_LOST]
-    await allotments.rebalance([TEAM])
-    assert not allotments.can_start(TEAM)
-    await allotments.rebalance([TEAM])
-    assert allotments.can_start(TEAM)
+    await allotments.rebalance([ORGANISATION])
+    assert not allotments.can_start(ORGANISATION)
+    await allotments.rebalance([ORGANISATION])
+    assert allotments.can_start(ORGANISATION)
 
 
 @pytest.mark.anyio
 async def test_grants_stand_still_in_an_outage():
     fleet = Fleet(4, ["d-1"])
     allotments = fleet.members[0]
-    allotments.set_waiting(TEAM, 2)
-    await allotments.rebalance([TEAM])
+    allotments.set_waiting(ORGANISATION, 2)
+    await allotments.rebalance([ORGANISATION])
     fleet.tables.outage = True
-    allotments.set_waiting(TEAM, 9)
-    await allotments.rebalance([TEAM])
-    assert allotments.state()[TEAM]["usable"] == 3
+    allotments.set_waiting(ORGANISATION, 9)
+    await allotments.rebalance([ORGANISATION])
+    assert allotments.state()[ORGANISATION]["usable"] == 3
 
 
 @pytest.mark.anyio
 async def test_steady_demand_writes_nothing():
     fleet = Fleet(8, ["d-1", "d-2"])
     for allotments in fleet.members:
-        allotments.set_waiting(TEAM, 20)
+        allotments.set_waiting(ORGANISATION, 20)
     await fleet.cycle(5)
     commits = fleet.tables.commits
     await fleet.cycle(5)
@@ -348,18 +352,18 @@
 async def test_a_cut_holds_before_it_is_written():
     fleet = Fleet(6, ["d-1", "d-2"])
     first, second = fleet.members
-    first.set_waiting(TEAM, 9)
-    await first.rebalance([TEAM])
-    second.set_waiting(TEAM, 9)
-    await second.rebalance([TEAM])
+    first.set_waiting(ORGANISATION, 9)
+    await first.rebalance([ORGANISATION])
+    second.set_waiting(ORGANISATION, 9)
+    await second.rebalance([ORGANISATION])
     stepped = SteppedTables(fleet.tables.tables)
     first._tables = stepped
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(first.rebalance, [TEAM])
+        tasks.start_soon(first.rebalance, [ORGANISATION])
         await anyio.wait_all_tasks_blocked()
         stepped.deliver(0, "none")
         await anyio.wait_all_tasks_blocked()
-        assert first.state()[TEAM]["usable"] == 3
+        assert first.state()[ORGANISATION]["usable"] == 3
         assert row_of(fleet.tables.tables).grants["d-1"] == 6
         stepped.deliver(0, "none")
 
@@ -369,19 +373,21 @@
     fleet = Fleet(6, ["d-1", "d-2"])
     first, second = fleet.members
     for allotments in fleet.members:
-        allotments.set_waiting(TEAM, 9)
+        allotments.set_waiting(ORGANISATION, 9)
     await fleet.cycle(2)
-    while second.try_start(TEAM):
+    while second.try_start(ORGANISATION):
         pass
-    assert second.state()[TEAM]["running"] == 3
+    assert second.state()[ORGANISATION]["running"] == 3
     row = row_of(fleet.tables.tables)
     lowered = AllotmentRow(limit=3, grants=row.grants, wanted=row.wanted)
-    fleet.tables.tables.commit(Transaction(puts=(Put("allotments", TEAM, lowered.to_plain()),)))
-    fleet.view.put(Team(name=TEAM, limit=3))
+    fleet.tables.tables.commit(
+        Transaction(puts=(Put("allotments", ORGANISATION, lowered.to_plain()),))
+    )
+    fleet.view.put(Organisation(name=ORGANISATION, limit=3))
     await fleet.cycle(2)
-    assert not first.can_start(TEAM)
+    assert not first.can_start(ORGANISATION)
     for _ in range(3):
-        second.finish(TEAM)
-    second.set_waiting(TEAM, 0)
+        second.finish(ORGANISATION)
+    second.set_waiting(ORGANISATION, 0)
     await fleet.cycle(8)
-    assert first.can_start(TEAM)
+    assert first.can_start(ORGANISATION)
--- a/fireflydeck/dispatcher/tests/test_scheduler.py
+++ b/fireflydeck/dispatcher/tests/test_scheduler.py
@@ -1,7 +1,7 @@
 import anyio
 import pytest
 
-from fireflydeck.core import EntityKey, Pool, Queue, Ran, Reason, Team, VmState
+from fireflydeck.core import EntityKey, Organisation, Pool, Queue, Ran, Reason, VmState
 from fireflydeck.dispatcher import Scheduler, SlotOutcome, SlotRequest, WholeLimitAllotments
 from fireflydeck.dispatcher.tests.fakes import FakeView
 from fireflydeck.kernel import Metrics
@@ -13,7 +13,7 @@
 class Site:
     def __init__(self, *entities):
         self.clock = FakeClock(now_ms=1000)
-        museum = Team(name="museum", limit=100)
+        museum = Organisation(name="museum", limit=100)
         self.view = FakeView(build_configuration(museum, build_vm(slots=1), *entities))
         allotments = WholeLimitAllotments(self.view)
         self.scheduler = Scheduler(self.view, allotments, self.clock, Metrics(), "dc-1")
@@ -23,7 +23,7 @@
         request = SlotRequest(
             request_id=request_id,
             deadline_ms=deadline_ms,
-            **{"queue": "records", "team": "museum", **fields},
+            **{"queue": "records", "organisation": "museum", **fields},
         )
         self.results[request_id] = await self.scheduler.acquire(request)
         return self.results[request_id]
@@ -90,7 +90,10 @@
         lambda view: view.put(removes=(EntityKey("queue", "records"),)),
         "unknown-queue",
     ),
-    "team removed": (lambda view: view.put(removes=(EntityKey("team", "museum"),)), "wrong-key"),
+    "organisation removed": (
+        lambda view: view.put(removes=(EntityKey("organisation", "museum"),)),
+        "wrong-key",
+    ),
 }
 
 
--- a/fireflydeck/gateway/keys.py
+++ b/fireflydeck/gateway/keys.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
-from fireflydeck.core import Configuration, Failure, Queue, Reason, Team
+from fireflydeck.core import Configuration, Failure, Organisation, Queue, Reason
 
 __all__ = ["KeyRing", "hash_key", "presented_key_hash"]
 
@@ -34,11 +34,11 @@
 @frozen
 class _GrantedKey:
     key_hash: str
-    team: str
+    organisation: str
 
 
 class KeyRing:
-    """Finds the team of a key; its table is kept for one configuration version."""
+    """Finds the organisation of a key; its table is kept for one configuration version."""
 
     def __init__(self) -> None:
         self._version = -1
@@ -47,7 +47,7 @@
     def check(
         self, authorization: str | None, queue: Queue, configuration: Configuration
     ) -> Result[str, Failure]:
-        """Return the name of the team whose key came with the request.
+        """Return the name of the organisation whose key came with the request.
 
         Parameters
         ----------
@@ -59,34 +59,38 @@
         Returns
         -------
         Result
-            Team name, empty without a key on an open queue; or `NO_KEY`, `WRONG_KEY`.
+            Organisation name, empty without a key on an open queue; or `NO_KEY`, `WRONG_KEY`.
         """
         if authorization is None:
-            return Ok("") if queue.open_to_all else _refuse(Reason.NO_KEY, "a team key is needed")
+            return (
+                Ok("")
+                if queue.open_to_all
+                else _refuse(Reason.NO_KEY, "an organisation key is needed")
+            )
         scheme, _, key = authorization.partition(" ")
         if scheme.lower() != _SCHEME or not key.strip():
             return _refuse(Reason.WRONG_KEY, "authorization is not of the form 'Bearer KEY'")
-        team = self._find_team(key.strip(), configuration)
-        if team is None:
-            return _refuse(Reason.WRONG_KEY, "the key is not granted to any team")
-        return Ok(team)
+        organisation = self._find_organisation(key.strip(), configuration)
+        if organisation is None:
+            return _refuse(Reason.WRONG_KEY, "the key is not granted to any organisation")
+        return Ok(organisation)
 
-    def _find_team(self, key: str, configuration: Configuration) -> str | None:
+    def _find_organisation(self, key: str, configuration: Configuration) -> str | None:
         self._refresh(configuration)
         presented = hash_key(key)
         granted = self._granted.get(presented)
         if granted is None or not hmac.compare_digest(granted.key_hash, presented):
             return None
-        return granted.team
+        return granted.organisation
 
     def _refresh(self, configuration: Configuration) -> None:
         if configuration.version == self._version:
             return
         self._version = configuration.version
         self._granted = {
-            key_hash: _GrantedKey(key_hash, team.name)
-            for team in configuration.all(Team)
-            for key_hash in team.key_hashes
+            key_hash: _GrantedKey(key_hash, organisation.name)
+            for organisation in configuration.all(Organisation)
+            for key_hash in organisation.key_hashes
         }
 
 
--- a/fireflydeck/gateway/parsing.py
+++ b/fireflydeck/gateway/parsing.py
@@ -29,7 +29,7 @@
         "x-idempotent",
         "x-lease-ms",
         "x-request-id",
-        "x-team",
+        "x-organisation",
         "x-urgency",
         "x-vm",
     }
--- a/fireflydeck/gateway/service.py
+++ b/fireflydeck/gateway/service.py
@@ -32,7 +32,7 @@
 class _Admitted:
     head: RequestHead
     queue: Queue
-    team: str
+    organisation: str
 
 
 @frozen(kw_only=True)
@@ -116,7 +116,7 @@
         }
 
     def authenticate(self, authorization: str | None, queue: str) -> Result[str, Failure]:
-        """Return the team of the key for a queue, if work may be admitted now.
+        """Return the organisation of the key for a queue, if work may be admitted now.
 
         Parameters
         ----------
@@ -190,7 +190,7 @@
         request = self._make_request(admitted.ok, work, body.ok)
         if request.deadline_ms <= 0:
             return Error(_refusal(Reason.DEADLINE, "the deadline passed while the body arrived"))
-        refuse = partial(self._refuse_again, head, admitted.ok.team)
+        refuse = partial(self._refuse_again, head, admitted.ok.organisation)
         pool = admitted.ok.queue.pool
         result = await work.exchange.run_while_connected(
             lambda: self._router.submit(pool, request, refuse)
@@ -206,12 +206,12 @@
         if parsed.is_error():
             return Error(parsed.error)
         head = parsed.ok
-        team = self.authenticate(head.authorization, head.queue)
-        if team.is_error():
-            return Error(team.error)
+        organisation = self.authenticate(head.authorization, head.queue)
+        if organisation.is_error():
+            return Error(organisation.error)
         queue = self._view.current.get(Queue, head.queue)
         assert queue is not None
-        return Ok(_Admitted(head=head, queue=queue, team=team.ok))
+        return Ok(_Admitted(head=head, queue=queue, organisation=organisation.ok))
 
     def _refuse_admission(self) -> Failure | None:
         if self._is_stopping:
@@ -224,7 +224,7 @@
         detail = "the configuration was not confirmed recently enough"
         return _refusal(Reason.STALE_CONFIGURATION, detail, _STALE_RETRY_MS)
 
-    def _refuse_again(self, head: RequestHead, team: str) -> Failure | None:
+    def _refuse_again(self, head: RequestHead, organisation: str) -> Failure | None:
         refusal = self._refuse_stale()
         if refusal is not None:
             return refusal
@@ -234,8 +234,8 @@
         checked = self._keys.check(head.authorization, queue, self._view.current)
         if checked.is_error():
             return checked.error
-        if checked.ok != team:
-            return _refusal(Reason.WRONG_KEY, "the key was granted to another team")
+        if checked.ok != organisation:
+            return _refusal(Reason.WRONG_KEY, "the key was granted to another organisation")
         return None
 
     def _make_request(self, admitted: _Admitted, work: _Work, body: bytes) -> Request:
@@ -244,7 +244,7 @@
         return Request(
             request_id=work.request_id,
             queue=head.queue,
-            team=admitted.team,
+            organisation=admitted.organisation,
             key_hash=presented_key_hash(head.authorization),
             urgency=head.urgency,
             deadline_ms=head.deadline_ms - elapsed_ms,
--- a/fireflydeck/gateway/tests/test_answers.py
+++ b/fireflydeck/gateway/tests/test_answers.py
@@ -44,7 +44,7 @@
             x_deadline_ms="4000",
             x_idempotent="true",
             idempotency_key="k-1",
-            x_team="other",
+            x_organisation="other",
             x_own="v",
         )
         path = "/queues/records/scan%2Fa/b?x=1&y=%20"
@@ -55,13 +55,17 @@
         assert response.headers["x-vm"] == "vm-1"
         assert "x-hop" not in response.headers
         (request,) = bench.peers.dispatcher.requests
-        assert (request.queue, request.team, request.urgency) == ("records", "museum", "urgent")
+        assert (request.queue, request.organisation, request.urgency) == (
+            "records",
+            "museum",
+            "urgent",
+        )
         assert (request.path, request.body) == ("/scan%2Fa/b?x=1&y=%20", b"body")
         assert (request.idempotent, request.idempotency_key) == (True, "k-1")
         assert 3_000 < request.deadline_ms <= 4_000
         names = {header.name for header in request.headers}
         assert "x-own" in names
-        assert names.isdisjoint({"authorization", "x-team", "host", "x-urgency"})
+        assert names.isdisjoint({"authorization", "x-organisation", "host", "x-urgency"})
         assert response.headers["x-request-id"] == request.request_id
 
 
--- a/fireflydeck/gateway/tests/test_caller_interface.py
+++ b/fireflydeck/gateway/tests/test_caller_interface.py
@@ -8,8 +8,8 @@
     ConfigurationChange,
     EntityKey,
     Member,
+    Organisation,
     Reason,
-    Team,
 )
 from fireflydeck.gateway import hash_key
 from fireflydeck.testing.gateway import (
@@ -154,15 +154,17 @@
     async with run_gateway() as bench, bench.client() as client:
         assert (await client.get("/queues/visitors/a")).status_code == 200
         assert (await client.get("/queues/visitors/a", headers=keyed())).status_code == 200
-        teams = [request.team for request in bench.peers.dispatcher.requests]
-        assert teams == ["", "museum"]
+        organisations = [request.organisation for request in bench.peers.dispatcher.requests]
+        assert organisations == ["", "museum"]
 
 
 async def test_withdrawn_key_is_refused_from_the_next_version_on():
     async with run_gateway() as bench, bench.client() as client:
         assert (await client.get("/queues/records/a", headers=keyed())).status_code == 200
         bench.view.configuration = build_gateway_configuration(
-            Team(name="museum", key_hashes=(hash_key("new"),)), bench.peers.member, version=2
+            Organisation(name="museum", key_hashes=(hash_key("new"),)),
+            bench.peers.member,
+            version=2,
         )
         refused = await client.get("/queues/records/a", headers=keyed())
         assert (refused.status_code, refused.json()["reason"]) == (401, "wrong-key")
@@ -193,7 +195,7 @@
 CHANGES_WHILE_BODY_ARRIVES = {
     "stale": (lambda view: setattr(view, "fresh", False), "stale-configuration"),
     "key withdrawn": (
-        lambda view: view_changes(view, Team(name="museum"), *view.current.all(Member)),
+        lambda view: view_changes(view, Organisation(name="museum"), *view.current.all(Member)),
         "wrong-key",
     ),
     "queue removed": (view_without_queue, "unknown-queue"),
--- a/fireflydeck/history/decision.py
+++ b/fireflydeck/history/decision.py
@@ -12,7 +12,7 @@
 
     REQUEST = "request"
     VM = "vm"
-    TEAM = "team"
+    ORGANISATION = "organisation"
     POOL = "pool"
     MAINTENANCE_WINDOW = "maintenance_window"
 
--- a/fireflydeck/jobs/held.py
+++ b/fireflydeck/jobs/held.py
@@ -44,8 +44,8 @@
         The shortest time between two writes of one job's checkpoints.
     retry_delay_ms
         Pause before a job's next attempt.
-    waiting_per_team
-        Jobs of one queue and team that wait for a slot at once.
+    waiting_per_organisation
+        Jobs of one queue and organisation that wait for a slot at once.
     hand_over_timeout_ms
         The longest wait for hand-overs in a graceful stop.
     result_bytes
@@ -61,7 +61,7 @@
     lease_margin_ms: int = 1_000
     checkpoint_interval_ms: int = 5_000
     retry_delay_ms: int = 1_000
-    waiting_per_team: int = 32
+    waiting_per_organisation: int = 32
     hand_over_timeout_ms: int = 10_000
     result_bytes: int = 16 * _MIB
 
--- a/fireflydeck/jobs/record.py
+++ b/fireflydeck/jobs/record.py
@@ -97,7 +97,7 @@
 
     job_id: str
     queue: str
-    team: str
+    organisation: str
     urgency: Urgency = Urgency.NORMAL
     idempotent: bool = False
     cores: int = 0
--- a/fireflydeck/jobs/routes.py
+++ b/fireflydeck/jobs/routes.py
@@ -20,7 +20,7 @@
 __all__ = ["Authenticate", "JobRouteParts", "Problem", "job_routes"]
 
 Authenticate = Callable[[Request, str], Result[str, Failure]]
-"""Returns the team whose key came with the request for a queue."""
+"""Returns the organisation whose key came with the request for a queue."""
 
 Problem = Callable[[Failure], Response]
 """Returns the problem response of a failure."""
@@ -117,16 +117,16 @@
         return JSONResponse(_describe(cancelled.ok))
 
     async def _create(self, request: Request, queue: str) -> Result[JobRecord, Failure]:
-        team = self._parts.authenticate(request, queue)
-        if team.is_error():
-            return Error(team.error)
+        organisation = self._parts.authenticate(request, queue)
+        if organisation.is_error():
+            return Error(organisation.error)
         headers = parse_job_headers(request.headers)
         if headers.is_error():
             return Error(headers.error)
         content = await _read_body(request, self._parts.max_body_bytes)
         if content.is_error():
             return Error(content.error)
-        record = self._new_record(queue, team.ok, headers.ok)
+        record = self._new_record(queue, organisation.ok, headers.ok)
         created = await self._parts.store.create(
             record,
             content.ok,
@@ -139,11 +139,11 @@
             await self._parts.notifier.job_queued(created.ok.record)
         return Ok(created.ok.record)
 
-    def _new_record(self, queue: str, team: str, headers: JobHeaders) -> JobRecord:
+    def _new_record(self, queue: str, organisation: str, headers: JobHeaders) -> JobRecord:
         return JobRecord(
             job_id=uuid.uuid4().hex,
             queue=queue,
-            team=team,
+            organisation=organisation,
             urgency=headers.urgency,
             idempotent=headers.idempotent,
             cores=headers.cores,
@@ -153,17 +153,17 @@
         )
 
     async def _find(self, request: Request) -> Result[JobRecord, Failure]:
-        """Return the job that the path names if it belongs to the caller's team."""
+        """Return the job that the path names if it belongs to the caller's organisation."""
         found = await self._parts.store.find(request.path_params["job_id"])
         if found.is_error():
             return Error(_as_store_failure(found.error))
         unknown = Failure(Reason.UNKNOWN_JOB, "jobs.find", detail="no such job")
         if found.ok is None:
             return Error(unknown)
-        team = self._parts.authenticate(request, found.ok.queue)
-        if team.is_error():
-            return Error(team.error)
-        return Ok(found.ok) if team.ok == found.ok.team else Error(unknown)
+        organisation = self._parts.authenticate(request, found.ok.queue)
+        if organisation.is_error():
+            return Error(organisation.error)
+        return Ok(found.ok) if organisation.ok == found.ok.organisation else Error(unknown)
 
 
 async def _read_body(request: Request, limit_bytes: int) -> Result[bytes, Failure]:
--- a/fireflydeck/jobs/rows.py
+++ b/fireflydeck/jobs/rows.py
@@ -4,7 +4,7 @@
 final; it is written only when its content changes, so its version fences writes of the record: a
 holder writes checkpoints under the version that it knows, and any change of the holder, the
 attempt or the cancellation makes that write fail. ``job_holders/{holder}`` is written at every
-renewal of a runner's lease on all its jobs. ``job_keys/{team}/{digest}`` maps a caller's
+renewal of a runner's lease on all its jobs. ``job_keys/{organisation}/{digest}`` maps a caller's
 idempotency key to its job.
 """
 
@@ -42,7 +42,7 @@
 
     job_id: str
     queue: str
-    team: str
+    organisation: str
     urgency: Urgency
     state: JobState
     holder: str
@@ -102,7 +102,7 @@
     return OpenEntry(
         job_id=record.job_id,
         queue=record.queue,
-        team=record.team,
+        organisation=record.organisation,
         urgency=record.urgency,
         state=record.state,
         holder=record.holder,
@@ -116,7 +116,7 @@
     return f"{queue}/{job_id}"
 
 
-def key_row(team: str, idempotency_key: str) -> str:
+def key_row(organisation: str, idempotency_key: str) -> str:
     """Return the key of the row of a caller's idempotency key.
 
     Examples
@@ -125,4 +125,4 @@
     'museum/df8cf80227ec3'
     """
     digest = hashlib.sha256(idempotency_key.encode()).hexdigest()
-    return f"{team}/{digest}"
+    return f"{organisation}/{digest}"
--- a/fireflydeck/jobs/runner.py
+++ b/fireflydeck/jobs/runner.py
@@ -230,10 +230,12 @@
         now_ms = self._clock.now_ms()
         if entry.state is not JobState.QUEUED or now_ms < self._retry_at_ms.get(entry.job_id, 0):
             return
-        teams = Counter((item.queue, item.team) for item in self._waiting.values())
-        if teams[entry.queue, entry.team] >= self._options.waiting_per_team:
+        organisations = Counter((item.queue, item.organisation) for item in self._waiting.values())
+        if organisations[entry.queue, entry.organisation] >= self._options.waiting_per_organisation:
             return
-        waiting = _Waiting(queue=entry.queue, team=entry.team, scope=anyio.CancelScope())
+        waiting = _Waiting(
+            queue=entry.queue, organisation=entry.organisation, scope=anyio.CancelScope()
+        )
         self._waiting[entry.job_id] = waiting
         self._spawn(entry.job_id, lambda: self._run_queued(job, waiting))
 
@@ -334,7 +336,7 @@
 @frozen(kw_only=True)
 class _Waiting:
     queue: str
-    team: str
+    organisation: str
     scope: anyio.CancelScope
 
 
--- a/fireflydeck/jobs/seams.py
+++ b/fireflydeck/jobs/seams.py
@@ -50,7 +50,7 @@
 
 
 class SlotSource(ABC):
-    """Gives out slots in fair order and within the teams' limits."""
+    """Gives out slots in fair order and within the organisations' limits."""
 
     @abstractmethod
     async def acquire(self, request: SlotRequest) -> Result[SlotGrant, Failure]:
--- a/fireflydeck/jobs/starter.py
+++ b/fireflydeck/jobs/starter.py
@@ -72,7 +72,7 @@
         request = SlotRequest(
             request_id=record.job_id,
             queue=record.queue,
-            team=record.team,
+            organisation=record.organisation,
             urgency=record.urgency,
             deadline_ms=self._context.clock.now_ms() + _SLOT_WAIT_MS,
             cores=record.cores,
@@ -120,7 +120,7 @@
         held, record = prepared.held, prepared.held.record
         start = TaskStart(
             task_id=held.task_id,
-            team=record.team,
+            organisation=record.organisation,
             attempt=record.attempts[-1].number,
             checkpoint=record.checkpoint,
             lease_ms=self._context.options.task_lease_ms,
--- a/fireflydeck/jobs/store.py
+++ b/fireflydeck/jobs/store.py
@@ -100,7 +100,7 @@
         if body.is_error():
             return Error(evolve(body.error, ran=Ran.NO))
         record = stamp(evolve(record, body=body.ok))
-        keys = (record.team, idempotency_key, request_digest)
+        keys = (record.organisation, idempotency_key, request_digest)
         committed = await self._commit(_creation(record, *keys))
         if committed.is_ok():
             return Ok(CreatedJob(record=record, existed=False))
@@ -253,7 +253,7 @@
     ) -> Result[CreatedJob, Failure]:
         job_id = record.job_id
         if idempotency_key:
-            row = await self._tables.get(KEY_TABLE, key_row(record.team, idempotency_key))
+            row = await self._tables.get(KEY_TABLE, key_row(record.organisation, idempotency_key))
             if row.is_error():
                 return Error(evolve(row.error, ran=Ran.UNKNOWN))
             if row.ok is not None:
@@ -275,7 +275,7 @@
 
 
 def _creation(
-    record: JobRecord, team: str, idempotency_key: str, request_digest: str
+    record: JobRecord, organisation: str, idempotency_key: str, request_digest: str
 ) -> Transaction:
     index_key = open_row(record.queue, record.job_id)
     checks = [Check(JOB_TABLE, record.job_id, ABSENT)]
@@ -285,7 +285,7 @@
     ]
     if idempotency_key:
         key = JobKey(job_id=record.job_id, request_digest=request_digest)
-        row = key_row(team, idempotency_key)
+        row = key_row(organisation, idempotency_key)
         checks.append(Check(KEY_TABLE, row, ABSENT))
         puts.append(Put(KEY_TABLE, row, to_plain(key)))
     return Transaction(checks=tuple(checks), puts=tuple(puts))
--- a/fireflydeck/jobs/tasks.py
+++ b/fireflydeck/jobs/tasks.py
@@ -46,7 +46,7 @@
     """
 
     task_id: str
-    team: str
+    organisation: str
     attempt: int
     checkpoint: str
     lease_ms: int
@@ -126,7 +126,7 @@
         The failure's `ran` is `NO` only if no byte was sent or the server itself refused.
         """
         headers = self._headers(start.task_id, start.lease_ms) | {
-            "x-team": start.team,
+            "x-organisation": start.organisation,
             "x-checkpoint": start.checkpoint,
             "x-attempt": str(start.attempt),
         }
--- a/fireflydeck/jobs/tests/builders.py
+++ b/fireflydeck/jobs/tests/builders.py
@@ -27,7 +27,7 @@
 
 
 def build_record(job_id="j-1", **fields):
-    return JobRecord(job_id=job_id, **{"queue": QUEUE, "team": "museum", **fields})
+    return JobRecord(job_id=job_id, **{"queue": QUEUE, "organisation": "museum", **fields})
 
 
 @define
--- a/fireflydeck/jobs/tests/test_routes.py
+++ b/fireflydeck/jobs/tests/test_routes.py
@@ -11,7 +11,7 @@
 from fireflydeck.jobs.transitions import finish, start_attempt
 from fireflydeck.testing import FakeClock, FakeObjectStore, StoreFault, build_vm
 
-TEAMS = {"Bearer museum-key": "museum", "Bearer school-key": "school"}
+ORGANISATIONS = {"Bearer museum-key": "museum", "Bearer school-key": "school"}
 MUSEUM = {"authorization": "Bearer museum-key"}
 SCHOOL = {"authorization": "Bearer school-key"}
 
@@ -19,8 +19,8 @@
 def authenticate(request, queue):
     if queue != "records":
         return Error(Failure(Reason.UNKNOWN_QUEUE, "authenticate"))
-    team = TEAMS.get(request.headers.get("authorization", ""))
-    return Ok(team) if team else Error(Failure(Reason.NO_KEY, "authenticate"))
+    organisation = ORGANISATIONS.get(request.headers.get("authorization", ""))
+    return Ok(organisation) if organisation else Error(Failure(Reason.NO_KEY, "authenticate"))
 
 
 def problem(failure):
@@ -100,7 +100,7 @@
     run_with_gateway(scenario)
 
 
-def test_job_is_visible_to_its_team_only():
+def test_job_is_visible_to_its_organisation_only():
     async def scenario(gateway):
         location = (await gateway.post()).headers["location"]
         for path in (location, f"{location}/result"):
--- a/fireflydeck/jobs/tests/test_running_jobs.py
+++ b/fireflydeck/jobs/tests/test_running_jobs.py
@@ -134,7 +134,7 @@
 
 def test_cancellation_burst_is_batched():
     async def scenario(fleet):
-        runner = await fleet.run_runner(options=JobOptions(waiting_per_team=300))
+        runner = await fleet.run_runner(options=JobOptions(waiting_per_organisation=300))
         jobs = [f"j-{number}" for number in range(200)]
         for job_id in jobs:
             await fleet.submit(job_id)
@@ -153,7 +153,7 @@
 
 def test_checkpoints_are_batched_at_a_bounded_rate():
     async def scenario(fleet):
-        runner = await fleet.run_runner(options=JobOptions(waiting_per_team=100))
+        runner = await fleet.run_runner(options=JobOptions(waiting_per_organisation=100))
         for number in range(50):
             await fleet.submit(f"j-{number}", idempotent=True)
         await fleet.advance(4)
--- a/fireflydeck/jobs/tests/test_store.py
+++ b/fireflydeck/jobs/tests/test_store.py
@@ -67,8 +67,10 @@
             build_record("j-3"), b"", idempotency_key="order-7", request_digest="b"
         )
         assert other.error.reason is Reason.KEY_MISMATCH
-        other_team = await store.create(build_record("j-4", team="school"), b"", **key)
-        assert other_team.ok.record.job_id == "j-4"
+        other_organisation = await store.create(
+            build_record("j-4", organisation="school"), b"", **key
+        )
+        assert other_organisation.ok.record.job_id == "j-4"
 
     run_with_store(scenario)
 
--- a/fireflydeck/jobs/tests/test_tasks.py
+++ b/fireflydeck/jobs/tests/test_tasks.py
@@ -9,7 +9,12 @@
 from fireflydeck.jobs.tasks import TaskStart
 
 START = TaskStart(
-    task_id="j-1.1", team="museum", attempt=1, checkpoint="c", lease_ms=1000, content=b"body"
+    task_id="j-1.1",
+    organisation="museum",
+    attempt=1,
+    checkpoint="c",
+    lease_ms=1000,
+    content=b"body",
 )
 
 
--- a/fireflydeck/kernel/event_catalogue.py
+++ b/fireflydeck/kernel/event_catalogue.py
@@ -52,9 +52,9 @@
         fields=("member", "vm"),
     ),
     1209: EventNote(
-        written="The part of a team's limit that an ended dispatcher held above its running tasks "
-        "was returned.",
-        fields=("team", "tasks"),
+        written="The part of an organisation's limit that an ended dispatcher held above its "
+        "running tasks was returned.",
+        fields=("organisation", "tasks"),
     ),
     1210: EventNote(
         written="The object store did not take decision records; they are kept and tried again.",
--- a/fireflydeck/measure/change.py
+++ b/fireflydeck/measure/change.py
@@ -11,7 +11,7 @@
 from attrs import frozen
 
 from fireflydeck.configuration import ConfigurationStore
-from fireflydeck.core import SystemClock, Team
+from fireflydeck.core import Organisation, SystemClock
 from fireflydeck.measure.fleet_sheet import TODAY, FleetSize
 from fireflydeck.measure.observed_fleet import ROLES, ObservedFleet, RoleUse, observed_fleet
 from fireflydeck.measure.report import Report
@@ -128,7 +128,7 @@
 def _through_controller(observed: ObservedFleet) -> Changer:
     async def change(number: int) -> int:
         answer = await observed.fleet.operator(
-            "PUT", "/configuration/team/team-1", json={"share": 2 + number}
+            "PUT", "/configuration/organisation/organisation-1", json={"share": 2 + number}
         )
         answer.raise_for_status()
         return answer.json()["version"]
@@ -142,7 +142,9 @@
     async def change(number: int) -> int:
         loaded = await store.load()
         result = await store.commit(
-            loaded.ok, puts=[Team(name="team-1", share=2 + number, limit=100)], origin="operator"
+            loaded.ok,
+            puts=[Organisation(name="organisation-1", share=2 + number, limit=100)],
+            origin="operator",
         )
         return result.ok.version
 
--- a/fireflydeck/measure/decision.py
+++ b/fireflydeck/measure/decision.py
@@ -19,9 +19,9 @@
     ConfigurationChange,
     DataCentre,
     Entity,
+    Organisation,
     Pool,
     Queue,
-    Team,
     Vm,
 )
 from fireflydeck.dispatcher import Scheduler, SlotGrant, SlotOutcome, SlotRequest
@@ -62,7 +62,10 @@
         DataCentre(name=f"dc-{n}", region=f"region-{n % size.regions}")
         for n in range(size.data_centres)
     ]
-    entities += [Team(name=f"team-{n}", limit=_SLOTS * size.vms) for n in range(size.teams)]
+    entities += [
+        Organisation(name=f"organisation-{n}", limit=_SLOTS * size.vms)
+        for n in range(size.organisations)
+    ]
     for number in range(size.pools):
         name = f"pool-{number}"
         entities += [Pool(name=name), Queue(name=name, pool=name, max_waiting=1_000_000)]
@@ -100,7 +103,7 @@
         request = SlotRequest(
             request_id=f"r-{number}",
             queue=f"pool-{self.random.randrange(self.size.pools)}",
-            team=f"team-{self.random.randrange(self.size.teams)}",
+            organisation=f"organisation-{self.random.randrange(self.size.organisations)}",
             deadline_ms=_DEADLINE_MS,
         )
         result = await self.scheduler.acquire(request)
--- a/fireflydeck/measure/fleet_sheet.py
+++ b/fireflydeck/measure/fleet_sheet.py
@@ -29,7 +29,7 @@
     vms: int
     accelerators: int
     pools: int
-    teams: int
+    organisations: int
     data_centres: int
     regions: int
 
@@ -41,13 +41,15 @@
             vms=round(1_100 * part),
             accelerators=round(1_400 * part),
             pools=round(176 * part),
-            teams=round(76 * part),
+            organisations=round(76 * part),
             data_centres=8,
             regions=3,
         )
 
 
-TODAY = FleetSize(name="today", vms=30, accelerators=0, pools=5, teams=6, data_centres=3, regions=1)
+TODAY = FleetSize(
+    name="today", vms=30, accelerators=0, pools=5, organisations=6, data_centres=3, regions=1
+)
 
 SIZES = (TODAY, *(FleetSize.of_target(part) for part in (0.25, 0.5, 1)))
 
@@ -59,8 +61,8 @@
         for n in range(size.data_centres)
     ]
     rows += [
-        {"kind": "team", "name": f"team-{n}", "share": "1", "limit": "100"}
-        for n in range(size.teams)
+        {"kind": "organisation", "name": f"organisation-{n}", "share": "1", "limit": "100"}
+        for n in range(size.organisations)
     ]
     for number in range(size.pools):
         name = f"pool-{number}"
--- a/fireflydeck/measure/latency.py
+++ b/fireflydeck/measure/latency.py
@@ -56,7 +56,7 @@
 
 async def _measure(fleet: Fleet, report: Report) -> None:
     url = f"http://{fleet.address_of('records-1')}/direct"
-    headers = {"x-request-id": "m", "x-run-ms": "0", "x-lease-ms": "10000", "x-team": ""}
+    headers = {"x-request-id": "m", "x-run-ms": "0", "x-lease-ms": "10000", "x-organisation": ""}
     limits = httpx.Limits(max_connections=None, max_keepalive_connections=None)
     async with httpx.AsyncClient(limits=limits, timeout=60) as client:
 
--- a/fireflydeck/measure/tests/test_slopes.py
+++ b/fireflydeck/measure/tests/test_slopes.py
@@ -34,7 +34,7 @@
 def test_build_fleet_sheet_has_the_targets_numbers():
     lines = build_fleet_sheet(FleetSize.of_target(1)).splitlines()
     kinds = [line.split(",")[0] for line in lines]
-    assert (kinds.count("vm"), kinds.count("pool"), kinds.count("team")) == (1100, 176, 76)
+    assert (kinds.count("vm"), kinds.count("pool"), kinds.count("organisation")) == (1100, 176, 76)
     assert sum(int(line.rsplit(",", 1)[1]) for line in lines if line.startswith("vm,")) == 1400
 
 
--- a/fireflydeck/policy/allotment.py
+++ b/fireflydeck/policy/allotment.py
@@ -1,4 +1,4 @@
-"""Division of a team's upper limit among the dispatchers.
+"""Division of an organisation's upper limit among the dispatchers.
 
 A row holds the limit, each dispatcher's grant and what each wants. Only a dispatcher itself raises
 or cuts its own grant; the sum of all grants after a raise never exceeds the limit.
@@ -28,12 +28,12 @@
 
 @frozen(kw_only=True)
 class AllotmentRow:
-    """The stored division of one team's limit; names with 0 are left out.
+    """The stored division of one organisation's limit; names with 0 are left out.
 
     Parameters
     ----------
     limit
-        The most tasks of the team over the whole fleet.
+        The most tasks of the organisation over the whole fleet.
     grants
         The most tasks by dispatcher.
     wanted
--- a/fireflydeck/policy/estimates.py
+++ b/fireflydeck/policy/estimates.py
@@ -1,4 +1,4 @@
-"""Run times learned per queue and team; declared run times are not used."""
+"""Run times learned per queue and organisation; declared run times are not used."""
 
 from attrs import define, field
 
@@ -22,21 +22,23 @@
     (40.0, 40.0)
     """
 
-    _by_team: dict[tuple[str, str], float] = field(factory=dict, init=False)
+    _by_organisation: dict[tuple[str, str], float] = field(factory=dict, init=False)
     _by_queue: dict[str, float] = field(factory=dict, init=False)
 
-    def run_time_ms(self, queue: str, team: str) -> float:
-        """Return the expected run time; the queue's mean for a team not seen before."""
-        mean = self._by_team.get((queue, team))
+    def run_time_ms(self, queue: str, organisation: str) -> float:
+        """Return the expected run time; the queue's mean for an organisation not seen before."""
+        mean = self._by_organisation.get((queue, organisation))
         return mean if mean is not None else self._by_queue.get(queue, DEFAULT_RUN_TIME_MS)
 
     def is_known(self, queue: str) -> bool:
         """Tell whether a task of the queue has finished."""
         return queue in self._by_queue
 
-    def learn(self, queue: str, team: str, run_time_ms: float) -> None:
+    def learn(self, queue: str, organisation: str, run_time_ms: float) -> None:
         """Take one finished task into the means."""
-        self._by_team[queue, team] = _mix(self._by_team.get((queue, team)), run_time_ms)
+        self._by_organisation[queue, organisation] = _mix(
+            self._by_organisation.get((queue, organisation)), run_time_ms
+        )
         self._by_queue[queue] = _mix(self._by_queue.get(queue), run_time_ms)
 
 
--- a/fireflydeck/policy/fair_order.py
+++ b/fireflydeck/policy/fair_order.py
@@ -1,9 +1,9 @@
 """Weighted fair order of waiting requests over slot time, for one pool.
 
-Start-time fair queueing over teams: a team's virtual time grows by the slot time that it uses
-divided by its share, and the team with the smallest virtual time is served next. A start is
-charged by a learned estimate; the difference to the time really used is charged while the task
-runs on and corrected at its finish.
+Start-time fair queueing over organisations: an organisation's virtual time grows by the slot time
+that it uses divided by its share, and the organisation with the smallest virtual time is served
+next. A start is charged by a learned estimate; the difference to the time really used is charged
+while the task runs on and corrected at its finish.
 
 References
 ----------
@@ -31,7 +31,7 @@
 ]
 
 URGENT_LEAD_MS = 6_000
-"""Lead of a team, as time of the whole pool, beyond which its urgent work is ordered as normal."""
+"""Lead of an organisation, as time of the whole pool; beyond it urgent work counts as normal."""
 
 AGE_FLOOR_MS = 5_000
 """Wait after which a normal or batch request may be promoted ahead of its urgency."""
@@ -40,7 +40,7 @@
 """At most one in so many starts is a promoted one while more urgent work waits."""
 
 MAX_CREDIT_MS = 1_000
-"""The most slot time a share that a team which cannot start work saves up."""
+"""The most slot time a share that an organisation which cannot start work saves up."""
 
 _URGENT_RANK = 0
 _RANKS = {Urgency.URGENT: _URGENT_RANK, Urgency.NORMAL: 1, Urgency.BATCH: 2}
@@ -70,7 +70,7 @@
     """
 
     entry_id: int
-    team: str
+    organisation: str
     queue: str
     urgency: Urgency
     arrived_ms: int
@@ -81,26 +81,26 @@
 
 @frozen
 class _FlowKey:
-    team: str
+    organisation: str
     urgency: Urgency
     demand: Demand
     excluded_vms: frozenset[str]
 
 
 def _flow_key(entry: Waiting) -> _FlowKey:
-    return _FlowKey(entry.team, entry.urgency, entry.demand, entry.excluded_vms)
+    return _FlowKey(entry.organisation, entry.urgency, entry.demand, entry.excluded_vms)
 
 
 @define
 class _Running:
-    team: str
+    organisation: str
     queue: str
     started_ms: int
     charged_ms: float
 
 
 @define
-class _TeamUse:
+class _OrganisationUse:
     virtual_ms: float = 0.0
     waiting: int = 0
     running: int = 0
@@ -111,7 +111,7 @@
     """Waiting requests that are served in the order of their arrival."""
 
     rank: int
-    use: _TeamUse
+    use: _OrganisationUse
     entries: "OrderedDict[int, Waiting]" = field(factory=OrderedDict)
 
     @property
@@ -123,23 +123,23 @@
 class FairOrder:
     """Waiting requests of one pool in fair order.
 
-    A decision costs a sort of the flows (team, urgency, demand) that have waiting requests; it
-    does not depend on the number of waiting requests or VMs.
+    A decision costs a sort of the flows (organisation, urgency, demand) that have waiting
+    requests; it does not depend on the number of waiting requests or VMs.
 
     Parameters
     ----------
     shares
-        Weight by team; teams that are not in it have weight 1.
+        Weight by organisation; organisations that are not in it have weight 1.
     slots
         Slots of the pool, the scale of the urgent lead.
 
     Examples
     --------
     >>> order = FairOrder(shares={"museum": 2})
-    >>> for entry_id, team in enumerate(["school", "museum"]):
-    ...     order.add(Waiting(entry_id=entry_id, team=team, queue="q", urgency=Urgency.NORMAL,
-    ...                       arrived_ms=0, deadline_ms=1000))
-    >>> [entry.team for entry in order.candidates(now_ms=0)]
+    >>> for entry_id, organisation in enumerate(["school", "museum"]):
+    ...     order.add(Waiting(entry_id=entry_id, organisation=organisation, queue="q",
+    ...                       urgency=Urgency.NORMAL, arrived_ms=0, deadline_ms=1000))
+    >>> [entry.organisation for entry in order.candidates(now_ms=0)]
     ['school', 'museum']
     """
 
@@ -149,7 +149,7 @@
     _flows: dict[_FlowKey, _Flow] = field(factory=dict, init=False)
     _entries: dict[int, Waiting] = field(factory=dict, init=False)
     _running: dict[int, _Running] = field(factory=dict, init=False)
-    _teams: dict[str, _TeamUse] = field(factory=dict, init=False)
+    _organisations: dict[str, _OrganisationUse] = field(factory=dict, init=False)
     _virtual_ms: float = field(default=0.0, init=False)
     _since_promotion: int = field(default=0, init=False)
 
@@ -165,8 +165,8 @@
         return len(self._running)
 
     def add(self, entry: Waiting) -> None:
-        """Append a request; a team that was idle starts at the pool's virtual time."""
-        use = self._teams.setdefault(entry.team, _TeamUse())
+        """Append a request; an organisation that was idle starts at the pool's virtual time."""
+        use = self._organisations.setdefault(entry.organisation, _OrganisationUse())
         if not use.waiting and not use.running:
             use.virtual_ms = max(use.virtual_ms, self._virtual_ms)
         use.waiting += 1
@@ -187,7 +187,7 @@
         del flow.entries[entry_id]
         if not flow.entries:
             del self._flows[key]
-        self._teams[entry.team].waiting -= 1
+        self._organisations[entry.organisation].waiting -= 1
         return entry
 
     def candidates(self, now_ms: int) -> list[Waiting]:
@@ -201,13 +201,16 @@
             return heads
         return [promoted, *(head for head in heads if head is not promoted)]
 
-    def start(self, entry_id: int, now_ms: int, skipped_teams: Iterable[str] = ()) -> Waiting:
-        """Remove a waiting request because it starts, and charge its estimate to the team.
+    def start(
+        self, entry_id: int, now_ms: int, skipped_organisations: Iterable[str] = ()
+    ) -> Waiting:
+        """Remove a waiting request because it starts, and charge its estimate to the organisation.
 
         Parameters
         ----------
-        skipped_teams
-            Teams that were ahead but could not start; they save up no more than a bounded credit.
+        skipped_organisations
+            Organisations that were ahead but could not start; they save up no more than a
+            bounded credit.
 
         Raises
         ------
@@ -215,13 +218,13 @@
             If the request does not wait.
         """
         entry = self._entries[entry_id]
-        self._advance(set(skipped_teams))
+        self._advance(set(skipped_organisations))
         self._count_promotion(entry, now_ms)
         self.remove(entry_id)
-        estimate_ms = self.estimates.run_time_ms(entry.queue, entry.team)
-        self._running[entry_id] = _Running(entry.team, entry.queue, now_ms, estimate_ms)
-        self._teams[entry.team].running += 1
-        self._charge(entry.team, estimate_ms)
+        estimate_ms = self.estimates.run_time_ms(entry.queue, entry.organisation)
+        self._running[entry_id] = _Running(entry.organisation, entry.queue, now_ms, estimate_ms)
+        self._organisations[entry.organisation].running += 1
+        self._charge(entry.organisation, estimate_ms)
         return entry
 
     def finish(self, entry_id: int, now_ms: int, learn: bool = True) -> None:
@@ -236,10 +239,10 @@
         if running is None:
             return
         used_ms = max(0, now_ms - running.started_ms)
-        self._teams[running.team].running -= 1
-        self._charge(running.team, used_ms - running.charged_ms)
+        self._organisations[running.organisation].running -= 1
+        self._charge(running.organisation, used_ms - running.charged_ms)
         if learn:
-            self.estimates.learn(running.queue, running.team, used_ms)
+            self.estimates.learn(running.queue, running.organisation, used_ms)
 
     def accrue(self, now_ms: int) -> None:
         """Charge running tasks for the time that they run beyond their estimate."""
@@ -247,32 +250,32 @@
             over_ms = now_ms - running.started_ms - running.charged_ms
             if over_ms > 0:
                 running.charged_ms += over_ms
-                self._charge(running.team, over_ms)
+                self._charge(running.organisation, over_ms)
 
-    def waiting_of(self, team: str) -> int:
-        """Return how many requests of the team wait."""
-        use = self._teams.get(team)
+    def waiting_of(self, organisation: str) -> int:
+        """Return how many requests of the organisation wait."""
+        use = self._organisations.get(organisation)
         return use.waiting if use else 0
 
-    def lead_ms(self, team: str) -> float:
-        """Return how far the team is ahead of its share, in slot milliseconds a share."""
-        use = self._teams.get(team)
+    def lead_ms(self, organisation: str) -> float:
+        """Return how far the organisation is ahead of its share, in slot milliseconds a share."""
+        use = self._organisations.get(organisation)
         return max(0.0, use.virtual_ms - self._virtual_ms) if use else 0.0
 
-    def expected_wait_ms(self, team: str, queue: str, urgency: Urgency) -> float:
-        """Return the least wait to expect for one more request of the team; 0 if unknown."""
+    def expected_wait_ms(self, organisation: str, queue: str, urgency: Urgency) -> float:
+        """Return the least wait to expect for one more request; 0 if unknown."""
         if len(self._running) < self.slots or not self.estimates.is_known(queue):
             return 0.0
         rank = _RANKS[urgency]
         ahead = sum(
             len(flow.entries)
             for key, flow in self._flows.items()
-            if key.team == team and flow.rank <= rank
+            if key.organisation == organisation and flow.rank <= rank
         )
-        active = {key.team for key in self._flows} | {team}
+        active = {key.organisation for key in self._flows} | {organisation}
         weight = sum(self._share(name) for name in active)
-        team_slots = self.slots * self._share(team) / weight
-        return ahead * self.estimates.run_time_ms(queue, team) / team_slots
+        organisation_slots = self.slots * self._share(organisation) / weight
+        return ahead * self.estimates.run_time_ms(queue, organisation) / organisation_slots
 
     def drain_time_ms(self, queue: str) -> float:
         """Return the time in which all waiting requests start at the learned run time."""
@@ -284,7 +287,7 @@
         Parameters
         ----------
         limit_ms
-            Virtual time of a team beyond which its urgent work is ordered as normal.
+            Virtual time of an organisation beyond which its urgent work is ordered as normal.
         """
         rank = flow.rank
         virtual_ms = flow.use.virtual_ms
@@ -295,7 +298,7 @@
 
     def _lead_limit_ms(self) -> float:
         """Return the lead at which urgent work loses its precedence, per share."""
-        active = {key.team for key in self._flows}
+        active = {key.organisation for key in self._flows}
         if len(active) < 2:
             return math.inf
         weight = sum(self._share(name) for name in active)
@@ -320,16 +323,16 @@
     def _advance(self, skipped: set[str]) -> None:
         servable = [
             use.virtual_ms
-            for team, use in self._teams.items()
-            if use.waiting and team not in skipped
+            for organisation, use in self._organisations.items()
+            if use.waiting and organisation not in skipped
         ]
         self._virtual_ms = max(self._virtual_ms, min(servable, default=self._virtual_ms))
-        for team in skipped:
-            use = self._teams[team]
+        for organisation in skipped:
+            use = self._organisations[organisation]
             use.virtual_ms = max(use.virtual_ms, self._virtual_ms - MAX_CREDIT_MS)
 
-    def _charge(self, team: str, used_ms: float) -> None:
-        self._teams[team].virtual_ms += used_ms / self._share(team)
+    def _charge(self, organisation: str, used_ms: float) -> None:
+        self._organisations[organisation].virtual_ms += used_ms / self._share(organisation)
 
-    def _share(self, team: str) -> int:
-        return max(1, self.shares.get(team, 1))
+    def _share(self, organisation: str) -> int:
+        return max(1, self.shares.get(organisation, 1))
--- a/fireflydeck/policy/tests/test_fair_order.py
+++ b/fireflydeck/policy/tests/test_fair_order.py
@@ -21,10 +21,10 @@
         self.used_ms = dict.fromkeys(shares, 0)
         self.waits = {}
 
-    def add(self, team, now_ms, urgency=Urgency.NORMAL):
+    def add(self, organisation, now_ms, urgency=Urgency.NORMAL):
         entry = Waiting(
             entry_id=next(self.ids),
-            team=team,
+            organisation=organisation,
             queue="q",
             urgency=urgency,
             arrived_ms=now_ms,
@@ -40,47 +40,47 @@
                 self.start(self.order.candidates(now_ms)[0], now_ms, run_ms)
             if not self.ends:
                 return
-            now_ms, entry_id, team, used_ms = heapq.heappop(self.ends)
+            now_ms, entry_id, organisation, used_ms = heapq.heappop(self.ends)
             self.order.finish(entry_id, now_ms)
-            self.used_ms[team] += used_ms
+            self.used_ms[organisation] += used_ms
 
     def start(self, entry, now_ms, run_ms):
         self.order.start(entry.entry_id, now_ms)
         wait_ms = now_ms - entry.arrived_ms
-        key = (entry.team, entry.urgency)
+        key = (entry.organisation, entry.urgency)
         self.waits[key] = max(wait_ms, self.waits.get(key, 0))
-        used_ms = run_ms(entry.team)
-        heapq.heappush(self.ends, (now_ms + used_ms, entry.entry_id, entry.team, used_ms))
+        used_ms = run_ms(entry.organisation)
+        heapq.heappush(self.ends, (now_ms + used_ms, entry.entry_id, entry.organisation, used_ms))
 
 
 def keep_waiting(urgencies, depth=3):
     def refill(run, now_ms):
-        for team, urgency in urgencies.items():
-            while run.order.waiting_of(team) < depth:
-                run.add(team, now_ms, urgency)
+        for organisation, urgency in urgencies.items():
+            while run.order.waiting_of(organisation) < depth:
+                run.add(organisation, now_ms, urgency)
 
     return refill
 
 
-def part(run, team):
-    return run.used_ms[team] / sum(run.used_ms.values())
+def part(run, organisation):
+    return run.used_ms[organisation] / sum(run.used_ms.values())
 
 
-def test_teams_come_to_their_shares_with_tasks_a_hundred_times_longer():
+def test_organisations_come_to_their_shares_with_tasks_a_hundred_times_longer():
     run = PoolRun({"long": 1, "short": 3}, slots=8)
     lengths = {"long": 2000, "short": 20}
     run.run(MINUTE_MS, lengths.get, keep_waiting(dict.fromkeys(lengths, Urgency.NORMAL)))
     assert abs(part(run, "long") - 0.25) < 0.05
 
 
-def test_urgent_team_does_not_break_the_shares_over_a_minute():
+def test_urgent_organisation_does_not_break_the_shares_over_a_minute():
     run = PoolRun({"rush": 1, "calm": 1}, slots=4)
     urgencies = {"rush": Urgency.URGENT, "calm": Urgency.NORMAL}
-    run.run(MINUTE_MS, lambda team: 100, keep_waiting(urgencies))
+    run.run(MINUTE_MS, lambda organisation: 100, keep_waiting(urgencies))
     assert part(run, "rush") < 0.6
 
 
-def test_urgent_requests_of_a_team_within_its_share_go_first():
+def test_urgent_requests_of_a_organisation_within_its_share_go_first():
     run = PoolRun({"rush": 1, "calm": 3}, slots=4)
 
     def refill(run, now_ms):
@@ -88,19 +88,19 @@
         if now_ms % 1000 < 100 and not run.order.waiting_of("rush"):
             run.add("rush", now_ms, Urgency.URGENT)
 
-    run.run(MINUTE_MS, lambda team: 100, refill)
+    run.run(MINUTE_MS, lambda organisation: 100, refill)
     assert run.waits["rush", Urgency.URGENT] <= 100
 
 
 def test_batch_work_does_not_starve():
     run = PoolRun({"rush": 1, "ledger": 1}, slots=2)
     urgencies = {"rush": Urgency.NORMAL, "ledger": Urgency.BATCH}
-    run.run(MINUTE_MS, lambda team: 100, keep_waiting(urgencies))
+    run.run(MINUTE_MS, lambda organisation: 100, keep_waiting(urgencies))
     assert run.used_ms["ledger"] > 0
     assert run.waits["ledger", Urgency.BATCH] < 20_000
 
 
-def test_idle_team_saves_up_no_credit():
+def test_idle_organisation_saves_up_no_credit():
     run = PoolRun({"busy": 1, "late": 1}, slots=2)
     taken = {"busy": 0, "late": 0}
 
@@ -111,7 +111,7 @@
             if not taken["busy"]:
                 taken.update(run.used_ms)
 
-    run.run(MINUTE_MS + 10_000, lambda team: 100, refill)
+    run.run(MINUTE_MS + 10_000, lambda organisation: 100, refill)
     late_ms = run.used_ms["late"] - taken["late"]
     busy_ms = run.used_ms["busy"] - taken["busy"]
     assert abs(late_ms - busy_ms) <= 2000
@@ -139,9 +139,9 @@
 )
 def test_every_request_starts_once(requests):
     run = PoolRun({"a": 1, "b": 2, "c": 5}, slots=2)
-    for team, urgency, _ in requests:
-        run.add(team, 0, urgency)
+    for organisation, urgency, _ in requests:
+        run.add(organisation, 0, urgency)
     lengths = itertools.cycle([length for _, _, length in requests])
-    run.run(10**9, lambda team: next(lengths), lambda run, now_ms: None)
+    run.run(10**9, lambda organisation: next(lengths), lambda run, now_ms: None)
     assert len(run.order) == 0 and run.order.running == 0
     assert next(run.ids) == len(requests)
--- a/fireflydeck/recovery/allotment_reaper.py
+++ b/fireflydeck/recovery/allotment_reaper.py
@@ -1,4 +1,4 @@
-"""Returns the parts of team limits that ended dispatchers still hold."""
+"""Returns the parts of organisation limits that ended dispatchers still hold."""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -136,7 +136,7 @@
         )
         if (await self._tables.commit(transaction)).is_ok():
             returned = sum(before.grants.values()) - sum(after.grants.values())
-            self._log.emit(Event.ALLOTMENT_RECLAIMED, team=row.key, tasks=returned)
+            self._log.emit(Event.ALLOTMENT_RECLAIMED, organisation=row.key, tasks=returned)
 
     def _on_change(self, previous: Configuration, current: Configuration) -> None:
         """Note when members went, so that the grace time runs from then on."""
--- a/fireflydeck/recovery/running_tasks.py
+++ b/fireflydeck/recovery/running_tasks.py
@@ -1,4 +1,4 @@
-"""Asks backend servers which tasks they run, by dispatcher and team."""
+"""Asks backend servers which tasks they run, by dispatcher and organisation."""
 
 from abc import ABC, abstractmethod
 from collections import Counter
@@ -22,13 +22,13 @@
     """Identity under which running tasks are counted."""
 
     dispatcher: str
-    team: str
+    organisation: str
 
 
 @frozen(kw_only=True)
 class _Task:
     dispatcher: str
-    team: str
+    organisation: str
 
 
 @frozen(kw_only=True)
@@ -106,4 +106,4 @@
                     detail=type(error).__name__,
                 )
             )
-        return Ok(Counter(TaskCount(task.dispatcher, task.team) for task in status.tasks))
+        return Ok(Counter(TaskCount(task.dispatcher, task.organisation) for task in status.tasks))
--- a/fireflydeck/roles/recording.py
+++ b/fireflydeck/roles/recording.py
@@ -18,7 +18,7 @@
 def _subjects(request: Request, pool: str, vm: str = "") -> tuple[Subject, ...]:
     return (
         Subject(SubjectKind.REQUEST, request.request_id),
-        Subject(SubjectKind.TEAM, request.team),
+        Subject(SubjectKind.ORGANISATION, request.organisation),
         Subject(SubjectKind.POOL, pool),
         Subject(SubjectKind.VM, vm),
     )
--- a/fireflydeck/sheet/columns.py
+++ b/fireflydeck/sheet/columns.py
@@ -9,7 +9,7 @@
 
 from attrs import frozen
 
-from fireflydeck.core import DataCentre, Entity, MaintenanceWindow, Pool, Queue, Team, Vm
+from fireflydeck.core import DataCentre, Entity, MaintenanceWindow, Organisation, Pool, Queue, Vm
 
 __all__ = ["COLUMNS", "SHEET_COLUMNS", "SHEET_KINDS", "Column"]
 
@@ -120,7 +120,9 @@
             Column("open_to_all", "open_to_all", _YES_NO),
             Column("max_waiting", "max_waiting", _NUMBER),
         ),
-        Team: _columns(Column("share", "share", _NUMBER), Column("limit", "limit", _NUMBER)),
+        Organisation: _columns(
+            Column("share", "share", _NUMBER), Column("limit", "limit", _NUMBER)
+        ),
         Vm: _columns(
             Column("pool", "pool", _TEXT, required=True),
             Column("data_centre", "data_centre", _TEXT, required=True),
--- a/fireflydeck/sheet/parse.py
+++ b/fireflydeck/sheet/parse.py
@@ -90,9 +90,9 @@
     Examples
     --------
     >>> head = "# fireflydeck sheet, configuration 4"
-    >>> parse_sheet(head + "\nkind,name,share\nteam,museum,3\n").ok.rows[0].values
+    >>> parse_sheet(head + "\nkind,name,share\norganisation,museum,3\n").ok.rows[0].values
     {'share': 3}
-    >>> parse_sheet(head + "\nkind,name,share\nteam,museum,many\n").error
+    >>> parse_sheet(head + "\nkind,name,share\norganisation,museum,many\n").error
     (RowProblem(row=3, column='share', value='many', allowed='a whole number of up to 15 digits'),)
     """
     lines = text.removeprefix("\ufeff").splitlines()
--- a/fireflydeck/sheet/plan.py
+++ b/fireflydeck/sheet/plan.py
@@ -108,9 +108,9 @@
     --------
     >>> from fireflydeck.sheet.parse import parse_sheet
     >>> head = "# fireflydeck sheet, configuration 0"
-    >>> sheet = parse_sheet(head + "\nkind,name,share\nteam,museum,3\n").ok
+    >>> sheet = parse_sheet(head + "\nkind,name,share\norganisation,museum,3\n").ok
     >>> [(step.kind.value, str(step.key)) for step in plan(sheet, Configuration()).steps]
-    [('create', 'team:museum')]
+    [('create', 'organisation:museum')]
     """
     made = Plan(base_version=configuration.version, sheet_version=sheet.version)
     problems = tuple(_check_version(sheet, configuration, applied_version))
--- a/fireflydeck/sheet/tests/test_parse.py
+++ b/fireflydeck/sheet/tests/test_parse.py
@@ -2,7 +2,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from fireflydeck.core import Pool, Team
+from fireflydeck.core import Organisation, Pool
 from fireflydeck.sheet import SHEET_COLUMNS, SHEET_KINDS, Sheet, parse_sheet
 
 HEAD = "# fireflydeck sheet, configuration 7\n"
@@ -14,11 +14,14 @@
 
 
 def test_parse_sheet_reads_rows_and_leaves_out_empty_cells():
-    text = HEAD + 'kind,name,share,limit,spare\n\n# note\nteam, museum ,3,,\npool,"a","","",yes\n'
+    text = (
+        HEAD
+        + 'kind,name,share,limit,spare\n\n# note\norganisation, museum ,3,,\npool,"a","","",yes\n'
+    )
     sheet = parse_sheet(text).ok
     assert sheet.version == 7
     assert [(row.number, row.kind, row.name, row.values) for row in sheet.rows] == [
-        (5, Team, "museum", {"share": 3}),
+        (5, Organisation, "museum", {"share": 3}),
         (6, Pool, "a", {"spare": True}),
     ]
 
@@ -27,7 +30,7 @@
     "start", ["\ufeff" + HEAD, HEAD.strip() + ",,,\r\n", f'"{HEAD.strip()}"\n']
 )
 def test_parse_sheet_reads_what_spreadsheets_write(start):
-    assert parse_sheet(start + "kind,name\r\nteam,museum\r\n").ok.version == 7
+    assert parse_sheet(start + "kind,name\r\norganisation,museum\r\n").ok.version == 7
 
 
 @pytest.mark.parametrize(
@@ -39,17 +42,20 @@
         (HEAD, [(2, "")]),
         (HEAD + "kind,share\n", [(2, "name")]),
         (HEAD + "kind,name,colour,kind\n", [(2, "colour"), (2, "kind")]),
-        (HEAD + 'kind,name\nteam,"a\n', [(0, "")]),
-        (HEAD + "kind,name\nteam,a,b\n", [(3, "")]),
-        (HEAD + "kind,name\nmember,a\nteam,\n", [(3, "kind"), (4, "name")]),
-        (HEAD + "kind,name,share\nteam,a,1.5\nteam,b,\u0661\n", [(3, "share"), (4, "share")]),
-        (HEAD + "kind,name,share,slots\nteam,a,x,8\n", [(3, "share"), (3, "slots")]),
-        (HEAD + "kind,name,remove\nteam,a,maybe\n", [(3, "remove")]),
+        (HEAD + 'kind,name\norganisation,"a\n', [(0, "")]),
+        (HEAD + "kind,name\norganisation,a,b\n", [(3, "")]),
+        (HEAD + "kind,name\nmember,a\norganisation,\n", [(3, "kind"), (4, "name")]),
+        (
+            HEAD + "kind,name,share\norganisation,a,1.5\norganisation,b,\u0661\n",
+            [(3, "share"), (4, "share")],
+        ),
+        (HEAD + "kind,name,share,slots\norganisation,a,x,8\n", [(3, "share"), (3, "slots")]),
+        (HEAD + "kind,name,remove\norganisation,a,maybe\n", [(3, "remove")]),
         (HEAD + "kind,name,spare\npool,a,true\n", [(3, "spare")]),
-        (HEAD + "kind,name\nteam,a\npool,a\nteam,a\n", [(5, "name")]),
+        (HEAD + "kind,name\norganisation,a\npool,a\norganisation,a\n", [(5, "name")]),
         (HEAD + "kind,name,start\nmaintenance_window,a,2027-13-01T00:00Z\n", [(3, "start")]),
         (HEAD + "kind,name,start\nmaintenance_window,a,tomorrow\n", [(3, "start")]),
-        (HEAD + 'kind,name,region\ndata_centre,a,"x\ny"\nteam,b,z\n', [(5, "region")]),
+        (HEAD + 'kind,name,region\ndata_centre,a,"x\ny"\norganisation,b,z\n', [(5, "region")]),
     ],
 )
 def test_parse_sheet_reports_all_bad_rows_at_once(text, expected):
--- a/fireflydeck/sheet/tests/test_plan.py
+++ b/fireflydeck/sheet/tests/test_plan.py
@@ -13,9 +13,9 @@
     DataCentre,
     EntityKey,
     MaintenanceWindow,
+    Organisation,
     Pool,
     Reason,
-    Team,
     Vm,
     VmState,
 )
@@ -47,11 +47,11 @@
 def test_plan_has_a_step_for_each_row():
     base = build_configuration(Pool(name="old"), Pool(name="other"))
     text = sheet(
-        1, "pool,new", "team,museum,,5", "pool,records,,,,,1", "pool,old,yes", "pool,x,yes"
+        1, "pool,new", "organisation,museum,,5", "pool,records,,,,,1", "pool,old,yes", "pool,x,yes"
     )
     assert steps_of(text, base) == {
         "pool:new": StepKind.CREATE,
-        "team:museum": StepKind.CHANGE,
+        "organisation:museum": StepKind.CHANGE,
         "pool:records": StepKind.KEEP,
         "pool:old": StepKind.REMOVE,
         "pool:x": StepKind.KEEP,
@@ -61,10 +61,18 @@
 @pytest.mark.parametrize(
     ("row", "change", "expected"),
     [
-        ("team,museum,,5", Team(name="museum", share=3, limit=8), StepKind.CONFLICT),
-        ("team,museum,yes", Team(name="museum", share=3, limit=8), StepKind.CONFLICT),
-        ("team,museum,,3", Team(name="museum", share=3, limit=8), StepKind.KEEP),
-        ("team,school,,3", Team(name="school", share=1), StepKind.CONFLICT),
+        (
+            "organisation,museum,,5",
+            Organisation(name="museum", share=3, limit=8),
+            StepKind.CONFLICT,
+        ),
+        (
+            "organisation,museum,yes",
+            Organisation(name="museum", share=3, limit=8),
+            StepKind.CONFLICT,
+        ),
+        ("organisation,museum,,3", Organisation(name="museum", share=3, limit=8), StepKind.KEEP),
+        ("organisation,school,,3", Organisation(name="school", share=1), StepKind.CONFLICT),
         ("vm,vm-1,,,,,,8", build_vm(state=VmState.DRAINING), StepKind.KEEP),
     ],
 )
@@ -74,10 +82,12 @@
 
 
 def test_removal_by_hand_after_the_export_is_never_undone():
-    key = EntityKey("team", "museum")
+    key = EntityKey("organisation", "museum")
     base = changed(build_configuration(), removes=(key,))
-    text = sheet(1, "team,museum,,5")
-    assert steps_of(text, base, removed=frozenset({key})) == {"team:museum": StepKind.CONFLICT}
+    text = sheet(1, "organisation,museum,,5")
+    assert steps_of(text, base, removed=frozenset({key})) == {
+        "organisation:museum": StepKind.CONFLICT
+    }
 
 
 @pytest.mark.parametrize(("version", "applied"), [(1, 2), (9, 0)])
@@ -87,7 +97,13 @@
 
 
 def test_plan_reports_every_broken_rule_with_row_and_column():
-    rows = ["team,a,,0", "team,b,,,-1", "queue,c,,,,none", "vm,d", "pool,records,yes"]
+    rows = [
+        "organisation,a,,0",
+        "organisation,b,,,-1",
+        "queue,c,,,,none",
+        "vm,d",
+        "pool,records,yes",
+    ]
     made = plan(parse_sheet(sheet(1, *rows)).ok, build_configuration())
     assert [(problem.row, problem.column) for problem in made.problems] == [
         (6, "pool"),
@@ -109,18 +125,18 @@
 
 def test_keys_and_states_are_not_the_sheets_to_change():
     base = build_configuration(
-        Team(name="museum", share=2, limit=8, key_hashes=(HASH,)),
+        Organisation(name="museum", share=2, limit=8, key_hashes=(HASH,)),
         build_vm(state=VmState.MAINTENANCE, maintained_ms=5),
         DataCentre(name="dc-1", in_service=False),
     )
     text = export_sheet(base)
     assert HASH not in text and "maintenance," not in text
-    rows = text.replace("team,museum,,,,,,,,2,8", "team,museum,,,,,,,,4,8").replace(
+    rows = text.replace("organisation,museum,,,,,,,,2,8", "organisation,museum,,,,,,,,4,8").replace(
         ",65536,", ",9,"
     )
     made = plan(parse_sheet(rows).ok, base)
     assert made.puts == (
-        Team(name="museum", share=4, limit=8, key_hashes=(HASH,)),
+        Organisation(name="museum", share=4, limit=8, key_hashes=(HASH,)),
         build_vm(state=VmState.MAINTENANCE, maintained_ms=5, memory_mb=9),
     )
 
@@ -138,7 +154,7 @@
 )
 def test_exported_sheet_keeps_everything(share, limit, spare, region, start_ms):
     base = build_configuration(
-        Team(name="museum", share=share, limit=limit),
+        Organisation(name="museum", share=share, limit=limit),
         Pool(name="records", max_unavailable=limit, spare=spare),
         DataCentre(name="dc-1", region=region),
         MaintenanceWindow(name="w", data_centre="dc-1", start_ms=start_ms, end_ms=start_ms + 1),
@@ -153,12 +169,12 @@
 def test_apply_is_one_change_and_repeats_harmlessly():
     async def case(site):
         service = SheetService(site.service, site.tables)
-        text = sheet(2, "pool,new", "team,museum,,5", "team,school,,1,4")
+        text = sheet(2, "pool,new", "organisation,museum,,5", "organisation,school,,1,4")
         applied = (await service.apply(text)).ok
         assert applied.version == 3
         assert (await service.apply(text)).ok.version == 3
         after = await site.load()
-        assert after.get(Team, "museum").limit == 10
+        assert after.get(Organisation, "museum").limit == 10
         assert site.tables.tables.get("allotments", "school").value["limit"] == 4
         assert (await service.plan(sheet(1, "pool,other"))).error.row_problems[0].row == 1
 
@@ -168,7 +184,7 @@
 def test_apply_with_a_bad_row_changes_nothing():
     async def case(site):
         service = SheetService(site.service, site.tables)
-        result = await service.apply(sheet(2, "pool,new", "team,museum,,0"))
+        result = await service.apply(sheet(2, "pool,new", "organisation,museum,,0"))
         assert result.error.failure.reason is Reason.INVALID_CHANGE
         assert (await site.load()).version == 2
         assert site.tables.tables.get("sheets", "applied") is None
@@ -268,6 +284,6 @@
     pools = list(configuration.all(Pool))
     assert len(pools) == 5 and sum(pool.spare for pool in pools) == 1
     assert {len(configuration.vms_of(pool.name)) for pool in pools} == {vms_of_a_pool}
-    assert len(list(configuration.all(Team))) == 6
+    assert len(list(configuration.all(Organisation))) == 6
     vms = [evolve(vm, name="", pool="", address="", rack="") for vm in configuration.all(Vm)]
     assert {vm.slots for vm in vms} == {8} and {vm.cores for vm in vms} == {32}
--- a/fireflydeck/standins/backend_server.py
+++ b/fireflydeck/standins/backend_server.py
@@ -148,7 +148,7 @@
         headers = request.headers
         identity = TaskIdentity(
             request_id=headers.get("x-request-id", work.task_id),
-            team=headers.get("x-team", ""),
+            organisation=headers.get("x-organisation", ""),
             dispatcher=headers.get("x-dispatcher", ""),
             attempt=_number_of(request, "x-attempt", 0),
         )
@@ -188,7 +188,7 @@
         tasks = [
             {
                 "id": task.task_id,
-                "team": task.identity.team,
+                "organisation": task.identity.organisation,
                 "dispatcher": task.identity.dispatcher,
                 "long": task.work.is_long,
             }
--- a/fireflydeck/standins/backend_tasks.py
+++ b/fireflydeck/standins/backend_tasks.py
@@ -49,7 +49,7 @@
     """
 
     request_id: str
-    team: str = ""
+    organisation: str = ""
     dispatcher: str = ""
     attempt: int = 0
 
@@ -95,7 +95,7 @@
     at_ms: int
     event: str
     request_id: str
-    team: str
+    organisation: str
     dispatcher: str
     attempt: int
     data_centre: str
@@ -269,7 +269,7 @@
                 at_ms=at_ms,
                 event=event,
                 request_id=identity.request_id,
-                team=identity.team,
+                organisation=identity.organisation,
                 dispatcher=identity.dispatcher,
                 attempt=identity.attempt,
                 data_centre=self._data_centre,
--- a/fireflydeck/standins/tests/test_backend_server.py
+++ b/fireflydeck/standins/tests/test_backend_server.py
@@ -15,7 +15,7 @@
 
 HEADERS = {
     "x-request-id": "r-1",
-    "x-team": "museum",
+    "x-organisation": "museum",
     "x-dispatcher": "d-1",
     "x-lease-ms": "1000",
     "x-run-ms": "0",
@@ -106,7 +106,7 @@
             "slots": 3,
             "running": 1,
             "draining": False,
-            "tasks": [{"id": "j-1", "team": "museum", "dispatcher": "d-1", "long": True}],
+            "tasks": [{"id": "j-1", "organisation": "museum", "dispatcher": "d-1", "long": True}],
         }
 
 
--- a/fireflydeck/standins/tests/test_backend_tasks.py
+++ b/fireflydeck/standins/tests/test_backend_tasks.py
@@ -5,7 +5,7 @@
 from fireflydeck.standins.backend_tasks import Refusal, TaskIdentity, TaskState, TaskTable, Work
 from fireflydeck.standins.tests.test_memory_tables import SetClock
 
-IDENTITY = TaskIdentity(request_id="r-1", team="museum", dispatcher="d-1", attempt=1)
+IDENTITY = TaskIdentity(request_id="r-1", organisation="museum", dispatcher="d-1", attempt=1)
 
 
 @pytest.fixture
--- a/fireflydeck/testing/builders.py
+++ b/fireflydeck/testing/builders.py
@@ -7,10 +7,10 @@
     ConfigurationChange,
     DataCentre,
     Entity,
+    Organisation,
     Pool,
     Queue,
     Request,
-    Team,
     Vm,
 )
 
@@ -31,14 +31,14 @@
 def build_configuration(*entities: Entity, version: int = 1) -> Configuration:
     """Return a configuration with the entities over a small default fleet.
 
-    The default has data centre ``dc-1``, pool and queue ``records``, one VM and team ``museum``;
-    an entity given with the same kind and name replaces the default one.
+    The default has data centre ``dc-1``, pool and queue ``records``, one VM and organisation
+    ``museum``; an entity given with the same kind and name replaces the default one.
     """
     defaults = (
         DataCentre(name="dc-1", region="r-1"),
         Pool(name="records"),
         Queue(name="records", pool="records"),
-        Team(name="museum", share=1, limit=8),
+        Organisation(name="museum", share=1, limit=8),
         build_vm(),
     )
     change = ConfigurationChange(version=version, change_id="build", puts=defaults + entities)
@@ -46,5 +46,7 @@
 
 
 def build_request(request_id: str = "r-1", **fields: Any) -> Request:
-    """Return a request of team ``museum`` for queue ``records``."""
-    return Request(request_id=request_id, **{"queue": "records", "team": "museum", **fields})
+    """Return a request of organisation ``museum`` for queue ``records``."""
+    return Request(
+        request_id=request_id, **{"queue": "records", "organisation": "museum", **fields}
+    )
--- a/fireflydeck/testing/demo.py
+++ b/fireflydeck/testing/demo.py
@@ -1,4 +1,4 @@
-"""The demo: a day's sheet, work of two teams, a data centre out and back, a withdrawn key."""
+"""The demo: a sheet, work of two organisations, a data centre out and back, a withdrawn key."""
 
 import os
 import statistics
@@ -29,7 +29,7 @@
 class Outcome:
     """One request of the demo."""
 
-    team: str
+    organisation: str
     kind: str
     status: int
     latency_ms: float
@@ -41,7 +41,7 @@
     """Runs the steps and collects what differed from what was expected."""
 
     fleet: Fleet
-    teams: list[str]
+    organisations: list[str]
     queue: str
     data_centre: str
     keys: dict[str, str] = field(factory=dict)
@@ -55,31 +55,35 @@
         if not condition:
             self.problems.append(text)
 
-    async def send(self, team: str, kind: str, **headers: str) -> httpx.Response:
+    async def send(self, organisation: str, kind: str, **headers: str) -> httpx.Response:
         """Send one request through the entry VMs in turn and note its outcome."""
         vm = self.fleet.entry_vms[len(self.outcomes) % len(self.fleet.entry_vms)]
         began = time.monotonic()
         answer = await self.fleet.call(
-            f"/queues/{self.queue}/work", key=self.keys[team], vm=vm, content=b"demo", **headers
+            f"/queues/{self.queue}/work",
+            key=self.keys[organisation],
+            vm=vm,
+            content=b"demo",
+            **headers,
         )
         latency_ms = (time.monotonic() - began) * _MS_PER_S
         is_problem = answer.headers.get("content-type") == "application/problem+json"
         reason = answer.json()["reason"] if is_problem else ""
-        self.outcomes.append(Outcome(team, kind, answer.status_code, latency_ms, reason))
+        self.outcomes.append(Outcome(organisation, kind, answer.status_code, latency_ms, reason))
         self.last_request_id = answer.headers.get("x-request-id", "")
         return answer
 
     async def send_many(self, kind: str, count: int, **headers: str) -> None:
-        """Send `count` requests of each team at the same time."""
+        """Send `count` requests of each organisation at the same time."""
         async with anyio.create_task_group() as tasks:
-            for team in self.teams:
+            for organisation in self.organisations:
                 for _ in range(count):
-                    tasks.start_soon(lambda t=team: self.send(t, kind, **headers))
+                    tasks.start_soon(lambda t=organisation: self.send(t, kind, **headers))
 
     async def grant_keys(self) -> None:
-        """Grant a key to each team."""
-        for team in self.teams:
-            self.keys[team] = await self.fleet.grant_key(team)
+        """Grant a key to each organisation."""
+        for organisation in self.organisations:
+            self.keys[organisation] = await self.fleet.grant_key(organisation)
 
     async def quick_and_urgent_work(self) -> None:
         """Send quick work with and without urgency."""
@@ -97,12 +101,12 @@
         answers: list[httpx.Response] = []
 
         async def order() -> None:
-            answers.append(await self.send(self.teams[0], "non-idempotent", **headers))
+            answers.append(await self.send(self.organisations[0], "non-idempotent", **headers))
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(order)
             tasks.start_soon(order)
-        repeated = await self.send(self.teams[0], "non-idempotent", **headers)
+        repeated = await self.send(self.organisations[0], "non-idempotent", **headers)
         ids = {answer.headers["x-request-id"] for answer in (*answers, repeated)}
         starts = [e for e in await self.fleet.backend_log() if e["event"] == "start"]
         runs = [entry for entry in starts if entry["request_id"] in ids]
@@ -110,25 +114,27 @@
         self.expect(repeated.content == b"echo:demo", "a later try gets the stored answer")
 
     async def long_work(self) -> None:
-        """Submit a job of each team and wait for the results."""
-        for team in self.teams:
+        """Submit a job of each organisation and wait for the results."""
+        for organisation in self.organisations:
             began = time.monotonic()
             accepted = await self.fleet.call(
-                f"/jobs/{self.queue}", key=self.keys[team], content=b'{"run_ms": 800}'
+                f"/jobs/{self.queue}", key=self.keys[organisation], content=b'{"run_ms": 800}'
+            )
+            self.expect(
+                accepted.status_code == httpx.codes.ACCEPTED, f"long work of {organisation}: 202"
             )
-            self.expect(accepted.status_code == httpx.codes.ACCEPTED, f"long work of {team}: 202")
             if accepted.status_code != httpx.codes.ACCEPTED:
                 continue
             location = accepted.json()["location"]
             finished = await wait_until(
-                lambda path=location, t=team: self._finished(path, t), what="long work"
+                lambda path=location, t=organisation: self._finished(path, t), what="long work"
             )
-            self.expect(finished == "done", f"long work of {team} finished")
+            self.expect(finished == "done", f"long work of {organisation} finished")
             latency_ms = (time.monotonic() - began) * _MS_PER_S
-            self.outcomes.append(Outcome(team, "long", accepted.status_code, latency_ms))
+            self.outcomes.append(Outcome(organisation, "long", accepted.status_code, latency_ms))
 
-    async def _finished(self, path: str, team: str) -> str:
-        answer = await self.fleet.call(path, key=self.keys[team], method="GET")
+    async def _finished(self, path: str, organisation: str) -> str:
+        answer = await self.fleet.call(path, key=self.keys[organisation], method="GET")
         state = answer.json().get("state", "")
         return state if state in ("done", "failed", "cancelled", "unknown") else ""
 
@@ -153,26 +159,30 @@
         return sum(entry["data_centre"] == self.data_centre for entry in started)
 
     async def withdraw_key(self) -> None:
-        """Withdraw a team's key; it must stop working within seconds on every entry VM."""
-        team = self.teams[1]
-        key_id = hash_key(self.keys[team])[:_KEY_ID_LENGTH]
-        withdrawn = await self.fleet.operator("DELETE", f"/teams/{team}/keys/{key_id}")
-        self.expect(withdrawn.is_success, f"key {key_id} of {team} withdrawn")
+        """Withdraw an organisation's key; it must stop working within seconds on every entry VM."""
+        organisation = self.organisations[1]
+        key_id = hash_key(self.keys[organisation])[:_KEY_ID_LENGTH]
+        withdrawn = await self.fleet.operator(
+            "DELETE", f"/organisations/{organisation}/keys/{key_id}"
+        )
+        self.expect(withdrawn.is_success, f"key {key_id} of {organisation} withdrawn")
         for vm in self.fleet.entry_vms:
             await wait_until(
-                lambda v=vm: self._is_refused(team, v),
+                lambda v=vm: self._is_refused(organisation, v),
                 timeout_ms=_KEY_WITHDRAWN_WITHIN_MS,
                 what="refusal of the withdrawn key",
             )
         self.expect(True, "the withdrawn key is refused on every entry VM")
 
-    async def _is_refused(self, team: str, vm: object) -> bool:
-        answer = await self.fleet.call(f"/queues/{self.queue}/work", key=self.keys[team], vm=vm)
+    async def _is_refused(self, organisation: str, vm: object) -> bool:
+        answer = await self.fleet.call(
+            f"/queues/{self.queue}/work", key=self.keys[organisation], vm=vm
+        )
         return answer.status_code == httpx.codes.UNAUTHORIZED
 
     async def explain(self) -> None:
         """Explain the last answered request."""
-        await self.send(self.teams[0], "normal")
+        await self.send(self.organisations[0], "normal")
         request_id = self.last_request_id
 
         async def explained() -> str:
@@ -196,19 +206,22 @@
         return text if done.returncode == 0 and "answered" in text else ""
 
     def summary(self) -> None:
-        """Print outcomes and latencies by team and kind, and the refusals."""
+        """Print outcomes and latencies by organisation and kind, and the refusals."""
         print(
-            f"\n{'team':20} {'work':28} {'answered':>8} {'refused':>8} {'p50 ms':>8} {'max ms':>8}"
+            f"\n{'organisation':20} {'work':28} {'answered':>8} {'refused':>8} "
+            f"{'p50 ms':>8} {'max ms':>8}"
         )
         groups: dict[tuple[str, str], list[Outcome]] = {}
         for outcome in self.outcomes:
-            groups.setdefault((outcome.team, outcome.kind), []).append(outcome)
-        for (team, kind), outcomes in sorted(groups.items()):
+            groups.setdefault((outcome.organisation, outcome.kind), []).append(outcome)
+        for (organisation, kind), outcomes in sorted(groups.items()):
             times = [outcome.latency_ms for outcome in outcomes]
             refused = sum(bool(outcome.reason) for outcome in outcomes)
             median, longest = statistics.median(times), max(times)
             answered = len(outcomes) - refused
-            print(f"{team:20} {kind:28} {answered:8} {refused:8} {median:8.1f} {longest:8.1f}")
+            print(
+                f"{organisation:20} {kind:28} {answered:8} {refused:8} {median:8.1f} {longest:8.1f}"
+            )
         for reason in sorted({o.reason for o in self.outcomes if o.reason}):
             count = sum(o.reason == reason for o in self.outcomes)
             print(f"refused {count} times: {reason}")
@@ -218,13 +231,15 @@
     """Run the demo with a sheet; return what differed from what was expected."""
     sheet = sheet_path.read_text(encoding="utf-8")
     rows = [line.split(",") for line in sheet.splitlines()]
-    teams = [row[1] for row in rows if row[0] == "team"][:2]
+    organisations = [row[1] for row in rows if row[0] == "organisation"][:2]
     queue = next(row[1] for row in rows if row[0] == "queue")
     data_centre = next(row[1] for row in rows if row[0] == "data_centre")
     with tempfile.TemporaryDirectory(prefix="fireflydeck-demo-") as directory:
         print(f"starting stand-ins and two entry VMs, applying {sheet_path.name}")
         async with running_fleet(Path(directory), sheet) as fleet:
-            demo = Demo(fleet=fleet, teams=teams, queue=queue, data_centre=data_centre)
+            demo = Demo(
+                fleet=fleet, organisations=organisations, queue=queue, data_centre=data_centre
+            )
             for step in (
                 demo.grant_keys,
                 demo.quick_and_urgent_work,
--- a/fireflydeck/testing/fleet.py
+++ b/fireflydeck/testing/fleet.py
@@ -141,9 +141,9 @@
         url = f"http://{address}{path}"
         return await self._client.request(method, url, headers=headers, **arguments)
 
-    async def grant_key(self, team: str) -> str:
-        """Grant a key of a team and wait until it is in force everywhere."""
-        answer = await self.operator("POST", f"/teams/{team}/keys")
+    async def grant_key(self, organisation: str) -> str:
+        """Grant a key of an organisation and wait until it is in force everywhere."""
+        answer = await self.operator("POST", f"/organisations/{organisation}/keys")
         answer.raise_for_status()
         await self.in_force()
         return answer.json()["key"]
--- a/fireflydeck/testing/gateway.py
+++ b/fireflydeck/testing/gateway.py
@@ -8,7 +8,7 @@
 import httpx
 from attrs import define
 
-from fireflydeck.core import Queue, SystemClock, Team
+from fireflydeck.core import Organisation, Queue, SystemClock
 from fireflydeck.gateway import Gateway, GatewayOptions, Router, gateway_app, hash_key
 from fireflydeck.kernel import EventLog, Metrics, Registry
 from fireflydeck.testing.builders import build_configuration
@@ -64,9 +64,9 @@
 
 
 def build_gateway_configuration(*entities: Any, version: int = 1) -> Any:
-    """Return a configuration with a keyed and an open queue, and one key of team ``museum``."""
+    """Return a configuration with a keyed and an open queue, and one key of ``museum``."""
     return build_configuration(
-        Team(name="museum", key_hashes=(hash_key(KEY),)),
+        Organisation(name="museum", key_hashes=(hash_key(KEY),)),
         Queue(name="visitors", pool="records", open_to_all=True),
         *entities,
         version=version,
--- a/fireflydeck/testing/sheets.py
+++ b/fireflydeck/testing/sheets.py
@@ -21,13 +21,13 @@
     limit: int = 32,
     data_centres: int = 2,
 ) -> str:
-    """Return a sheet with two teams, an open queue ``public``, and VMs on free ports."""
+    """Return a sheet with two organisations, an open queue ``public``, and VMs on free ports."""
     rows = [
         {"kind": "data_centre", "name": f"dc-{n}", "region": "r"}
         for n in range(1, data_centres + 1)
     ]
     rows += [
-        {"kind": "team", "name": name, "share": "1", "limit": str(limit)}
+        {"kind": "organisation", "name": name, "share": "1", "limit": str(limit)}
         for name in ("museum", "school")
     ]
     for pool in pools:
--- a/tests/checks.py
+++ b/tests/checks.py
@@ -33,15 +33,15 @@
     return sorted(found, key=lambda entry: entry["at_ms"])
 
 
-def most_running(log: Iterable[dict[str, Any]], team: str, from_ms: int = 0) -> int:
-    """Return the largest number of tasks of a team that ran at the same time, from a time on.
+def most_running(log: Iterable[dict[str, Any]], organisation: str, from_ms: int = 0) -> int:
+    """Return the largest number of tasks of an organisation that ran at once, from a time on.
 
     An end and a start in the same millisecond do not overlap.
     """
     steps = [
         (entry["at_ms"], 1 if entry["event"] == "start" else -1)
         for entry in log
-        if entry["team"] == team and entry["event"] in ("start", "end")
+        if entry["organisation"] == organisation and entry["event"] in ("start", "end")
     ]
     running = most = 0
     for at_ms, step in sorted(steps):
--- a/tests/test_dispatcher_death.py
+++ b/tests/test_dispatcher_death.py
@@ -23,15 +23,18 @@
     """Idempotent requests are answered, the others run at most once, "not run" is true."""
 
     async def scenario(fleet):
-        keys = {team: await fleet.grant_key(team) for team in ("museum", "school")}
+        keys = {
+            organisation: await fleet.grant_key(organisation)
+            for organisation in ("museum", "school")
+        }
         once = {"key": keys["museum"], "run_ms": 50}
         again = {"key": keys["school"], "run_ms": 50, "idempotent": True}
         async with (
             steady_load(fleet, "/queues/records/once", **once) as single,
             steady_load(fleet, "/queues/records/again", **again) as repeated,
         ):
-            await wait_until(wait_for_start(fleet, 0, team="museum"), what="start")
-            await wait_until(wait_for_start(fleet, 0, team="school"), what="start")
+            await wait_until(wait_for_start(fleet, 0, organisation="museum"), what="start")
+            await wait_until(wait_for_start(fleet, 0, organisation="school"), what="start")
             owner = await owner_of(fleet)
             owner.kill()
             killed_ms = now_ms()
@@ -40,9 +43,9 @@
         log = await fleet.backend_log()
         print(f"served again {first['at_ms'] - killed_ms} ms after the kill")
         assert first["at_ms"] - killed_ms < SERVED_AGAIN_MS
-        for team in keys:
-            assert starts_of(log, from_ms=first["at_ms"], team=team)
-        assert_ran_at_most_once(starts_of(log, team="museum"))
+        for organisation in keys:
+            assert starts_of(log, from_ms=first["at_ms"], organisation=organisation)
+        assert_ran_at_most_once(starts_of(log, organisation="museum"))
         assert_not_run_is_true(log, single.replies + repeated.replies)
         failed = [reply for reply in repeated.replies if reply.status != 200]
         assert not failed, failed[:3]
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -40,7 +40,7 @@
 
 
 async def grant_keys(fleet):
-    granted = (await fleet.operator("POST", "/teams/museum/keys")).json()
+    granted = (await fleet.operator("POST", "/organisations/museum/keys")).json()
     return granted["key_id"], granted["key"], await fleet.grant_key("school")
 
 
@@ -51,7 +51,7 @@
         await proxy.set_mode(ProxyFault(mode=ProxyMode.CUT))
         for process in frozen.processes.values():
             process.pause()
-        withdrawn = await fleet.operator("DELETE", f"/teams/museum/keys/{key_id}")
+        withdrawn = await fleet.operator("DELETE", f"/organisations/museum/keys/{key_id}")
         answered_ms = now_ms()
         assert withdrawn.status_code == 200, withdrawn.text
         await anyio.sleep(FROZEN_MS / 1000)
@@ -60,9 +60,9 @@
             process.resume()
         await anyio.sleep(2)
     log = await fleet.backend_log()
-    assert starts_of(log, team="museum")
-    assert not starts_of(log, from_ms=answered_ms + IN_FORCE_MS, team="museum")
-    assert not starts_of(log, from_ms=resumed_ms, team="museum")
+    assert starts_of(log, organisation="museum")
+    assert not starts_of(log, from_ms=answered_ms + IN_FORCE_MS, organisation="museum")
+    assert not starts_of(log, from_ms=resumed_ms, organisation="museum")
     assert_not_run_is_true(log, load.replies)
 
 
--- a/tests/test_team_limit.py
+++ b/tests/test_organisation_limit.py
@@ -1,4 +1,4 @@
-"""No team runs more than its limit over the whole fleet."""
+"""No organisation runs more than its limit over the whole fleet."""
 
 import anyio
 import pytest
@@ -28,15 +28,16 @@
             steady_load(fleet, "/queues/records/a", **load) as records,
             steady_load(fleet, "/queues/images/b", **load) as images,
         ):
-            await wait_until(wait_for_start(fleet, 0, team="museum"), what="start")
+            await wait_until(wait_for_start(fleet, 0, organisation="museum"), what="start")
             await anyio.sleep(1)
-            owner = await owner_of(fleet, team="museum")
+            owner = await owner_of(fleet, organisation="museum")
             owner.pause()
             lowered_ms = await lower_limit(fleet)
             await anyio.sleep(IN_FORCE_MS / 1000 + 1)
             owner.resume()
             await wait_until(
-                wait_for_start(fleet, now_ms(), team="museum"), what="start after the resume"
+                wait_for_start(fleet, now_ms(), organisation="museum"),
+                what="start after the resume",
             )
             await anyio.sleep(1)
             owner.kill()
@@ -51,20 +52,20 @@
 
 
 def test_limit_of_a_killed_dispatcher_is_used_again(run_with_fleet):
-    """All of the team's limit was granted to the dispatcher that is killed and started again."""
+    """All of the limit was granted to the dispatcher that is killed and started again."""
 
     async def scenario(fleet):
         key = await fleet.grant_key("museum")
         load = {"key": key, "parallel": PARALLEL, "run_ms": RUN_MS, "deadline_ms": 3_000}
         async with steady_load(fleet, "/queues/records/a", **load):
-            await wait_until(wait_for_start(fleet, 0, team="museum"), what="start")
+            await wait_until(wait_for_start(fleet, 0, organisation="museum"), what="start")
             await anyio.sleep(1)
-            owner = await owner_of(fleet, team="museum")
+            owner = await owner_of(fleet, organisation="museum")
             owner.kill()
             killed_ms = now_ms()
             owner.start()
             await wait_until(
-                wait_for_start(fleet, killed_ms, team="museum"),
+                wait_for_start(fleet, killed_ms, organisation="museum"),
                 timeout_ms=USED_AGAIN_MS,
                 what="start after the kill",
             )
@@ -74,6 +75,8 @@
 
 
 async def lower_limit(fleet):
-    answer = await fleet.operator("PUT", "/configuration/team/museum", json={"limit": LOWER_LIMIT})
+    answer = await fleet.operator(
+        "PUT", "/configuration/organisation/museum", json={"limit": LOWER_LIMIT}
+    )
     assert answer.status_code == 200, answer.text
     return now_ms()
--- a/tests/test_store_outage.py
+++ b/tests/test_store_outage.py
@@ -23,11 +23,13 @@
             steady_load(fleet, "/queues/public/open", parallel=4) as unkeyed,
             steady_load(fleet, "/queues/records/keyed", **keyed) as idempotent,
         ):
-            await wait_until(wait_for_start(fleet, 0, team="museum"), what="keyed start")
+            await wait_until(wait_for_start(fleet, 0, organisation="museum"), what="keyed start")
             outage_ms = now_ms()
             await fleet.set_platform_faults(outage=True)
             await anyio.sleep(OUTAGE_S / 2)
-            refused = await fleet.operator("PUT", "/configuration/team/museum", json={"share": 3})
+            refused = await fleet.operator(
+                "PUT", "/configuration/organisation/museum", json={"share": 3}
+            )
             await anyio.sleep(OUTAGE_S / 2)
             end_ms = now_ms()
             await fleet.set_platform_faults(outage=False)
@@ -35,8 +37,8 @@
         replies = unkeyed.since(outage_ms) + idempotent.since(outage_ms)
         assert {reply.status for reply in replies} == {200}, worst(replies)
         log = await fleet.backend_log()
-        for team in ("museum", ""):
-            late = starts_of(log, from_ms=end_ms - 2_000, team=team)
+        for organisation in ("museum", ""):
+            late = starts_of(log, from_ms=end_ms - 2_000, organisation=organisation)
             assert [entry for entry in late if entry["at_ms"] < end_ms]
         document = refused.json()
         assert (refused.status_code, document["reason"]) == (503, "store-unavailable")
@@ -77,11 +79,13 @@
 
 async def change_until_accepted(fleet):
     async def accepted():
-        answer = await fleet.operator("PUT", "/configuration/team/museum", json={"share": 5})
+        answer = await fleet.operator(
+            "PUT", "/configuration/organisation/museum", json={"share": 5}
+        )
         return answer.status_code == 200
 
     await wait_until(accepted, timeout_ms=GO_ON_TIMEOUT_MS, what="change after the outage")
-    shown = (await fleet.operator("GET", "/configuration/team/museum")).json()
+    shown = (await fleet.operator("GET", "/configuration/organisation/museum")).json()
     assert float(shown["entity"]["share"]) == 5
 
 
