--- a/fireflydeck/soak/operator_promises.py
+++ b/fireflydeck/soak/operator_promises.py
@@ -56,8 +56,9 @@
 def _accepted(operation: Operation, jobs: list[JobRecord]) -> Iterator[Violation]:
     """Find submissions that were sent and accepted while their key was withdrawn."""
     for job in jobs:
-        sent_ms = job.accepted_try_ms
-        if job.key == operation.target and sent_ms is not None and _is_in(operation, sent_ms):
+        if job.key != operation.target or job.accepted_try_ms is None or job.accepted_ms is None:
+            continue
+        if _is_in(operation, job.accepted_try_ms) and _is_in(operation, job.accepted_ms):
             yield Violation("a withdrawn key stops working", f"{job} {operation}")
 
 
