A holder that alone has lost the store hands its lease over

Change: 0.6 s after the last confirmed renewal, and after the outcome of the last one was asked for, the holder asks three processes that called it lately whether they can read the lease under its term. If one can, it ends its tenure first and tells that process then, which takes the lease by the usual conditional write. A notice of another term changes nothing; without a notice the lease lapses as before. While the store answers nobody, the holder stays.

--- a/fireflydeck/entry/peer_link.py
+++ b/fireflydeck/entry/peer_link.py
@@ -12,13 +12,19 @@
     TCPConnector,
     web,
 )
+from anyio import create_task_group
 from anyio.abc import TaskGroup
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Clock, Ran
 from fireflydeck.core.rows import StoredRow
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
-from fireflydeck.entry.peer_messages import StateQuery, SubmissionNotice
+from fireflydeck.entry.peer_messages import (
+    StateQuery,
+    SubmissionNotice,
+    SuccessionNotice,
+    SuccessionQuery,
+)
 from fireflydeck.entry.state_source import (
     ForwardResult,
     RequestForwarder,
@@ -27,6 +33,7 @@
 )
 from fireflydeck.kernel import Registry, Service
 from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.ownership.succession import Successors
 from fireflydeck.scheduling.scheduler import Scheduler
 
 __all__ = ["PeerLink"]
@@ -36,6 +43,10 @@
 _STATE_PATH = "/job-state"
 _FORWARD_PATH = "/forward"
 _SUBMISSION_PATH = "/submission"
+_SUCCESSION_QUERY_PATH = "/succession-query"
+_SUCCESSION_PATH = "/succession"
+_SUCCESSION_TIMEOUT_MS = 300
+_ASKED_SUCCESSORS = 3
 _MOST_ANNOUNCEMENTS = 32
 """Announcements on their way; beyond them the holder learns of jobs from the store alone."""
 _CONNECTIONS = 8
@@ -45,9 +56,11 @@
 _SEEN_MS = 30_000
 """How long a process that called counts as a peer to forward to."""
 _MS_PER_S = 1000
+_YES = b"\1"
+_NO = b"\0"
 
 
-class PeerLink(Service, StateSource, RequestForwarder, SubmissionAnnouncer):
+class PeerLink(Service, StateSource, RequestForwarder, SubmissionAnnouncer, Successors):
     """Serves other entry processes, and asks them.
 
     The holder of the lease is known from its row; other processes from their calls.
@@ -139,6 +152,29 @@
         self._announcements += 1
         self._tasks.start_soon(self._send_announcement, holder, row)
 
+    async def find(self, term: int) -> str | None:
+        """Return the first of the processes that called last which could hold the lease."""
+        able: list[str] = []
+        content = SuccessionQuery(term).encode()
+
+        async def ask(peer: str) -> None:
+            received = await self._post(
+                peer, _SUCCESSION_QUERY_PATH, content, _SUCCESSION_TIMEOUT_MS
+            )
+            if received.is_ok() and received.ok == _YES:
+                able.append(peer)
+                asking.cancel_scope.cancel()
+
+        async with create_task_group() as asking:
+            for peer in self._peers()[:_ASKED_SUCCESSORS]:
+                asking.start_soon(ask, peer)
+        return able[0] if able else None
+
+    async def hand_over(self, peer: str, term: int) -> None:
+        """Tell the successor; without an answer the lease lapses as if nothing was said."""
+        content = SuccessionNotice(term).encode()
+        await self._post(peer, _SUCCESSION_PATH, content, _SUCCESSION_TIMEOUT_MS)
+
     async def _send_announcement(self, holder: str, row: StoredRow) -> None:
         # Without an answer the holder reads the row from the store's changes.
         try:
@@ -192,6 +228,10 @@
         try:
             if request.path == _SUBMISSION_PATH:
                 return self._serve_submission(SubmissionNotice.decode(content))
+            if request.path == _SUCCESSION_QUERY_PATH:
+                return await self._serve_query(SuccessionQuery.decode(content))
+            if request.path == _SUCCESSION_PATH:
+                return await self._serve_succession(SuccessionNotice.decode(content))
             return self._serve_state(StateQuery.decode(content))
         except ValueError as error:
             return web.Response(status=400, text=str(error))
@@ -202,6 +242,15 @@
         state = run.job_state(query.job_id) if run is not None else None
         return web.Response(body=msgpack.packb(state))
 
+    async def _serve_query(self, query: SuccessionQuery) -> web.StreamResponse:
+        is_able = self._lease is not None and await self._lease.may_succeed(query.term)
+        return web.Response(body=_YES if is_able else _NO)
+
+    async def _serve_succession(self, notice: SuccessionNotice) -> web.StreamResponse:
+        if self._lease is not None:
+            await self._lease.succeed(notice.term)
+        return web.Response()
+
     def _serve_submission(self, notice: SubmissionNotice) -> web.StreamResponse:
         run = self._scheduler.current if self._scheduler else None
         if run is not None:
--- a/fireflydeck/entry/peer_messages.py
+++ b/fireflydeck/entry/peer_messages.py
@@ -8,7 +8,7 @@
 from fireflydeck.core.rows import StoredRow
 from fireflydeck.workload.records import job_id_of, job_key
 
-__all__ = ["StateQuery", "SubmissionNotice"]
+__all__ = ["StateQuery", "SubmissionNotice", "SuccessionNotice", "SuccessionQuery"]
 
 
 @frozen
@@ -49,6 +49,20 @@
     sender: str
 
 
+@frozen
+class SuccessionQuery(_Message):
+    """Asks whether a process could hold the lease after the term of the asking one."""
+
+    term: int
+
+
+@frozen
+class SuccessionNotice(_Message):
+    """Tells that the holder of the lease gives no more orders under its term."""
+
+    term: int
+
+
 @frozen
 class SubmissionNotice(_Message):
     """Tells the holder of the lease of a submission that is stored.
--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -105,6 +105,7 @@
         metrics=metrics,
     )
     link.serve_forwarded(interface.answer)
+    lease.hand_over_to(link)
     kernel.add(operators)
     times = DutyTimes(
         duty_lease_ms=settings.bounds.duty_lease_ms,
--- a/fireflydeck/entry/tests/test_peer_link.py
+++ b/fireflydeck/entry/tests/test_peer_link.py
@@ -1,6 +1,7 @@
 """Requests passed on to other processes, with each way in which a peer can fail."""
 
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, asynccontextmanager
+from itertools import product
 
 import anyio
 import pytest
@@ -51,7 +52,9 @@
     return web.Response(body=b"\xc1")
 
 
-async def _forward(handler):
+@asynccontextmanager
+async def _linked(handler):
+    """A link whose one peer is served by the handler, or by nobody; yields the address too."""
     link = PeerLink(free_address(), SystemClock())
     async with AsyncExitStack() as stack:
         address = free_address()
@@ -59,6 +62,11 @@
             address = await stack.enter_async_context(local_server(handler))
         link._lease = _Lease(address)
         link._session = await stack.enter_async_context(ClientSession())
+        yield link, address
+
+
+async def _forward(handler):
+    async with _linked(handler) as (link, _):
         return await link.forward(_REQUEST, timeout_ms=400)
 
 
@@ -73,8 +81,17 @@
         return self._by_name[name]
 
 
-@pytest.mark.parametrize("path", ["/submission", "/job-state"])
-@pytest.mark.parametrize("content", [b"", b"\xc1", b"\x01", b"\x91\xa1a"])
+@pytest.mark.parametrize(
+    ("path", "content"),
+    [
+        *product(
+            ["/submission", "/job-state", "/succession", "/succession-query"],
+            [b"", b"\xc1", b"\x01", b"\x94\x01\x01\x01\x01"],
+        ),
+        ("/submission", b"\x91\xa1a"),
+        ("/job-state", b"\x91\xa1a"),
+    ],
+)
 async def test_unreadable_messages_are_refused(path, content):
     link = PeerLink(free_address(), SystemClock())
     async with (
@@ -112,3 +129,26 @@
 async def test_what_a_peer_tells(handler, answer, is_uncertain):
     result = await _forward(handler)
     assert (result.answer, result.is_uncertain) == (answer, is_uncertain)
+
+
+def _telling(content):
+    async def handle(_):
+        return web.Response(body=content)
+
+    return handle
+
+
+@pytest.mark.parametrize(
+    ("handler", "is_found"),
+    [
+        (_telling(b"\1"), True),
+        (_telling(b"\0"), False),
+        (_telling(b""), False),
+        (_unreadable, False),
+        (_silent, False),
+        (None, False),
+    ],
+)
+async def test_successor_is_a_process_that_says_so(handler, is_found):
+    async with _linked(handler) as (link, address):
+        assert await link.find(1) == (address if is_found else None)
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -58,10 +58,15 @@
     ),
     6003: EventNote(
         written="This process schedules no more.",
-        action="Nothing; the next holder logs 6001.",
-        fields=("term", "why"),
+        action="Nothing; the next holder logs 6001. `handed over`: to `peer`, see 6005 there.",
+        fields=("term", "why", "peer"),
     ),
     6004: EventNote(written="The lease's holder changed, as seen here.", fields=("holder", "term")),
+    6005: EventNote(
+        written="The holder of the term has lost the store and gives no more orders; this process "
+        "takes the lease if it knows the same term.",
+        fields=("term", "known"),
+    ),
     6101: EventNote(
         written="A backend server appeared in the store.", fields=("server", "pool", "state")
     ),
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -82,6 +82,7 @@
     LEASE_TAKEN = _Entry(6001, "info", "lease of the fleet taken")
     LEASE_NOT_TAKEN = _Entry(6002, "info", "lease of the fleet could not be taken")
     LEASE_LOST = _Entry(6003, "warning", "lease of the fleet lost")
+    LEASE_OFFERED = _Entry(6005, "info", "holder that lost the store offers its lease")
     LEASE_HOLDER_SEEN = _Entry(6004, "info", "lease of the fleet has another holder")
     SERVER_SEEN = _Entry(6101, "info", "backend server registered")
     SERVER_STATE = _Entry(6102, "info", "backend server changed its state")
--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -25,6 +25,7 @@
     LeaseRecord,
     decode_lease,
 )
+from fireflydeck.ownership.succession import Successors
 
 __all__ = ["LeaseKeeper", "Tenure"]
 
@@ -38,8 +39,18 @@
 _WATCH_PAUSE_MS = 200
 _WATCH_WAIT_MS = 500
 _RETRY_MS = 100
+_MS_PER_S = 1000
 _CALL_TIMEOUT_MS = 1200
 _MIN_TIMEOUT_MS = 50
+_HAND_OVER_SHARE = 0.4
+"""Part of the time to live without a confirmed renewal after which a successor is looked for."""
+_SUCCESSION_READ_MS = 200
+_LEAST_SETTLE_MS = 200
+_SETTLE_LATENCIES = 4
+"""The outcome of a renewal is asked for this many times as long as the last renewal took, before
+a successor is looked for."""
+_SUCCESSION_TRIES = 3
+"""A late renewal of the holder before may come in between."""
 
 
 @frozen
@@ -87,6 +98,7 @@
         self._seen_version = 0
         self._standing_since_ms = clock.now_ms()
         self._renewal: tuple[int, int] | None = None
+        self._renewal_took_ms = 0
         self._commits = 0
         self._valid_until_ms = 0
         self._tenure: Tenure | None = None
@@ -94,8 +106,10 @@
         self._stopping = False
         self._health = StoreHealth(log, OWNERSHIP_TABLE)
         self._commit_lock = anyio.Lock()
+        self._take_over_lock = anyio.Lock()
         self._on_change: list[Callable[[Tenure | None], None]] = []
         self._pending: Callable[[], dict[str, int]] = dict
+        self._successors: Successors | None = None
 
     @property
     def name(self) -> str:
@@ -129,6 +143,10 @@
         """Let renewals carry the numbers of jobs that have not begun."""
         self._pending = source
 
+    def hand_over_to(self, successors: Successors) -> None:
+        """Give the lease to one of these processes when only this one has lost the store."""
+        self._successors = successors
+
     def state(self) -> dict[str, object]:
         """Return the state to dump."""
         return {
@@ -155,6 +173,33 @@
         if self._tenure is tenure:
             self._leave(why)
 
+    async def may_succeed(self, term: int) -> bool:
+        """Whether the store answers this process now, and the lease is held under the term."""
+        if self._stopping or self._tenure is not None:
+            return False
+        with anyio.move_on_after(_SUCCESSION_READ_MS / _MS_PER_S):
+            rows = await self._read_rows()
+            if rows is None:
+                return False
+            self._note_rows(rows)
+            return self._record_term() == term
+        return False
+
+    def _record_term(self) -> int:
+        return self._record.term if self._record is not None else 0
+
+    async def succeed(self, term: int) -> None:
+        """Take the lease over from a holder that gives no more orders under its term."""
+        self._log.emit(Event.LEASE_OFFERED, term=term, known=self._record_term())
+        for _ in range(_SUCCESSION_TRIES):
+            async with self._take_over_lock:
+                if self._stopping or self._tenure is not None or self._record_term() != term:
+                    return
+                await self._take_over()
+            if self._tenure is None:
+                rows = await self._read_rows()
+                self._note_rows(rows or {})
+
     async def commit(self, writes: list[RowWrite], removals: list[RowKey]) -> Failure | None:
         """Write rows of the lease's partition as its holder; retries until the outcome is known.
 
@@ -222,38 +267,65 @@
             return
         if result is None:
             took_ms = self._clock.now_ms() - sent_ms
+            self._renewal_took_ms = took_ms
             self._confirm(renewed, sent_ms)
             self._ttl_ms = min(_MAX_TTL_MS, max(_TTL_MS, took_ms * _TTL_LATENCIES))
             await self._clock.sleep_ms(max(_RETRY_MS, _RENEWAL_MS - took_ms))
             return
         if result.reason != Reason.CONFLICT:
             self._health.note_failure(result)
-        if result.reason == Reason.CONFLICT or result.ran == Ran.UNKNOWN:
-            await self._settle_renewal()
-        else:
+        is_unsettled = result.reason == Reason.CONFLICT or result.ran == Ran.UNKNOWN
+        if is_unsettled and await self._settle_soon():
+            return
+        if await self._hand_over(tenure):
+            return
+        if not (is_unsettled and await self._settle_renewal()):
             await self._clock.sleep_ms(_RETRY_MS)
 
-    async def _settle_renewal(self) -> None:
+    async def _settle_soon(self) -> bool:
+        settle_ms = max(_LEAST_SETTLE_MS, self._renewal_took_ms * _SETTLE_LATENCIES)
+        with anyio.move_on_after(settle_ms / _MS_PER_S):
+            return await self._settle_renewal()
+        return False
+
+    async def _hand_over(self, tenure: Tenure) -> bool:
+        """Let another process hold the lease if the store answers it and not this one."""
+        record = self._record
+        if self._successors is None or record is None or self._tenure is not tenure:
+            return False
+        confirmed_ms = self._valid_until_ms - record.ttl_ms
+        if self._clock.now_ms() - confirmed_ms < record.ttl_ms * _HAND_OVER_SHARE:
+            return False
+        peer = await self._successors.find(tenure.term)
+        if peer is None or self._tenure is not tenure:
+            return False
+        self._leave("handed over", peer=peer)
+        await self._successors.hand_over(peer, tenure.term)
+        return True
+
+    async def _settle_renewal(self) -> bool:
         """Find out whether a renewal took effect, or another process took over.
 
+        Returns whether the store told.
+
         A renewal that took effect without an answer holds from when it was first sent: no other
         process can have seen it earlier.
         """
         rows = await self._read_rows()
         lease = rows.get(LEASE_ROW) if rows is not None else None
         if lease is None or self._tenure is None:
-            await self._clock.sleep_ms(_RETRY_MS)
-            return
+            return False
         record = decode_lease(lease.value)
         if record.term != self._tenure.term or record.holder != self._name_of_process:
             self._observe(record, lease.version)
             self._leave("taken by another process")
-            return
+            return True
         has_effect = lease.version != self._lease_version
         self._lease_version = lease.version
         self._record = record
         if has_effect and self._renewal is not None and self._renewal[0] == record.sequence:
             self._confirm(record, self._renewal[1])
+        return True
 
     def _call_timeout_ms(self) -> int:
         return max(_MIN_TIMEOUT_MS, min(_CALL_TIMEOUT_MS, self._ttl_ms - _RENEWAL_MS))
@@ -271,7 +343,9 @@
         self._note_rows(rows)
         while not self._stopping and self._tenure is None:
             if self._is_free():
-                await self._take_over()
+                async with self._take_over_lock:
+                    if self._tenure is None and self._is_free():
+                        await self._take_over()
                 return
             await self._clock.sleep_ms(_WATCH_PAUSE_MS)
             changes = await self._store.changes(
@@ -346,10 +420,10 @@
         self._log.emit(Event.LEASE_TAKEN, term=record.term, version=version)
         self._notify()
 
-    def _leave(self, why: str) -> None:
+    def _leave(self, why: str, *, peer: str = "") -> None:
         if self._tenure is None:
             return
-        self._log.emit(Event.LEASE_LOST, term=self._tenure.term, why=why)
+        self._log.emit(Event.LEASE_LOST, term=self._tenure.term, why=why, peer=peer)
         self._tenure = None
         self._valid_until_ms = 0
         self._standing_since_ms = self._clock.now_ms()
--- a/fireflydeck/scheduling/tests/fleet.py
+++ b/fireflydeck/scheduling/tests/fleet.py
@@ -18,6 +18,7 @@
     CORES,
 )
 from fireflydeck.testing.fleet_fakes import FakeAdvisor, FakeOrders, FakeVmOrders
+from fireflydeck.testing.fleet_successors import FakeSuccessors
 from fireflydeck.testing.recording_log import RecordingLog
 from fireflydeck.testing.rows import FakeRowStore
 from fireflydeck.workload import decode_outcome, outcome_key
@@ -65,6 +66,10 @@
         for service in (self.operators, self.scheduler, self.lease):
             await service.start(self.registry, tasks)
 
+    def hand_over_to(self, others):
+        """Let the lease be handed over to one of these members."""
+        self.lease.hand_over_to(FakeSuccessors(lambda: [member.lease for member in others]))
+
     @property
     def leads(self):
         return self.lease.is_valid()
--- a/fireflydeck/scheduling/tests/test_take_over.py
+++ b/fireflydeck/scheduling/tests/test_take_over.py
@@ -12,6 +12,7 @@
 pytestmark = pytest.mark.anyio
 
 _LONG_MS = 4000
+_HANDED_OVER_MS = 1200
 _OTHER_JOB = "00000000000000b2"
 
 
@@ -47,6 +48,24 @@
         assert fleet.outcome(JOB_ID) == "completed"
 
 
+@pytest.mark.parametrize("silence", list(Ran))
+async def test_jobs_go_on_soon_when_the_holder_alone_lost_the_store(silence):
+    """Starts stood still until the lease had lapsed, while callers' jobs waited."""
+    async with running_fleet(servers=2, members=2) as fleet:
+        _long_tasks(fleet)
+        for member in fleet.members:
+            member.hand_over_to([other for other in fleet.members if other is not member])
+        accept_job(fleet.rows, build_spec(build_step(count=4)))
+        await fleet.advance_ms(500)
+        fleet.leader.store.outage = silence
+        accept_job(fleet.rows, build_spec(job_id=_OTHER_JOB))
+        await fleet.advance_ms(_HANDED_OVER_MS, check=never_twice(fleet))
+        assert len(fleet.starts()) == 5
+        await fleet.advance_ms(_LONG_MS + 1000, check=never_twice(fleet))
+        assert len(fleet.starts()) == 5
+        assert fleet.outcome(JOB_ID) == fleet.outcome(_OTHER_JOB) == "completed"
+
+
 async def test_holder_that_is_fenced_without_the_store_orders_no_more():
     """It sent holds that were refused for as long as the store stayed away."""
     async with running_fleet(servers=2, members=2) as fleet:
--- a/fireflydeck/testing/rows.py
+++ b/fireflydeck/testing/rows.py
@@ -38,6 +38,8 @@
         While set, every call fails: `Ran.NO` for refusals, `Ran.UNKNOWN` for silence.
     next_commits
         Faults of the next commits, first one first.
+    answer_delay_ms
+        How long answers to transactions that took effect take.
     are_changes_silent
         While set, calls for changes answer that there are none.
     stale_reads
@@ -51,6 +53,7 @@
     def __init__(self, clock: Clock, rows: MemoryRows | None = None) -> None:
         self.rows = rows or MemoryRows()
         self.outage: Ran | None = None
+        self.answer_delay_ms = 0
         self.are_changes_silent = False
         self.stale_reads: dict[str, int] = {}
         self.next_commits: list[RowStoreFault | None] = []
@@ -79,13 +82,16 @@
         if self.on_commit is not None:
             self.on_commit(transaction)
         failed = self.rows.commit(transaction)
+        version = self.rows.version
         if not failed:
             self.commits.append(transaction)
+        if self.answer_delay_ms > 0:
+            await self._clock.sleep_ms(self.answer_delay_ms)
         if fault == RowStoreFault.ANSWER_LOST:
             return Error(_unavailable("store.commit", Ran.UNKNOWN))
         if failed:
             return Error(Failure(Reason.CONFLICT, "store.commit", peer="store"))
-        return Ok(self.rows.version)
+        return Ok(version)
 
     async def read(
         self, table: str, partition: str, *, first: str = "", before: str = "", timeout_ms: int
