--- a/fireflydeck/entry/tests/callers.py
+++ b/fireflydeck/entry/tests/callers.py
@@ -19,7 +19,6 @@
 from fireflydeck.testing.recording_log import RecordingLog
 from fireflydeck.testing.rows import FakeRowStore
 
-
 _ANSWER_WITHIN_S = 10
 """All answers here end their connections; this only bounds a test that fails."""
 
