The lease is handed over to no process on a smaller VM

Larger VMs take a free lease first; the hand-over asked whoever had called last. Change: a process says that it can hold the lease only if it would not have left it to larger ones than the holder. With none, the lease lapses as before. Test: fails without the comparison.

--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -174,7 +174,10 @@
             self._leave(why)
 
     async def may_succeed(self, term: int) -> bool:
-        """Whether the store answers this process now, and the lease is held under the term."""
+        """Whether this process could hold the lease in place of the holder of the term.
+
+        The store must answer it now, and its VM be as large as the holder's.
+        """
         if self._stopping or self._tenure is not None:
             return False
         with anyio.move_on_after(_SUCCESSION_READ_MS / _MS_PER_S):
@@ -182,7 +185,10 @@
             if rows is None:
                 return False
             self._note_rows(rows)
-            return self._record_term() == term
+            record = self._record
+            if record is None or self._candidate_delay_ms > record.candidate_delay_ms:
+                return False
+            return record.term == term
         return False
 
     def _record_term(self) -> int:
--- a/fireflydeck/ownership/tests/test_succession.py
+++ b/fireflydeck/ownership/tests/test_succession.py
@@ -18,12 +18,20 @@
 
 _HANDED_OVER_WITHIN_MS = 1100
 _LAPSED_WITHIN_MS = 2500
+_SMALL_VM_DELAY_MS = 500
 
 
 class _Member:
-    def __init__(self, name, clock, rows, members):
+    def __init__(self, name, clock, rows, members, delay_ms=0):
         self.store = FakeRowStore(clock, rows)
-        self.lease = LeaseKeeper(self.store, clock, RecordingLog(), name=name, address=f"{name}:1")
+        self.lease = LeaseKeeper(
+            self.store,
+            clock,
+            RecordingLog(),
+            name=name,
+            address=f"{name}:1",
+            candidate_delay_ms=delay_ms,
+        )
         self.successors = FakeSuccessors(
             lambda: [member.lease for member in members if member is not self]
         )
@@ -31,9 +39,11 @@
 
 
 @asynccontextmanager
-async def _members(clock, *names):
+async def _members(clock, *names, small=()):
     rows, members = MemoryRows(), []
-    members.extend(_Member(name, clock, rows, members) for name in names)
+    for name in names:
+        delay_ms = _SMALL_VM_DELAY_MS if name in small else 0
+        members.append(_Member(name, clock, rows, members, delay_ms))
     async with anyio.create_task_group() as tasks:
         for member in members:
             await member.lease.start(Registry(), tasks)
@@ -65,6 +75,26 @@
         assert holders != [first]
 
 
+async def test_holder_on_a_large_vm_hands_over_to_none_on_a_small_one():
+    """On a fleet of 181 VMs the holder on a small one started next to nothing."""
+    clock = FakeClock()
+    async with _members(clock, "a", "b", "c", small="ab") as members:
+        large = members[2]
+        assert _holders(members) == [large]
+        large.store.outage = Ran.NO
+        await _advance(clock, members, _HANDED_OVER_WITHIN_MS)
+        assert _holders(members) == [large]
+
+
+async def test_holder_on_a_small_vm_hands_over_to_another_one():
+    clock = FakeClock()
+    async with _members(clock, "a", "b", small="ab") as members:
+        first = _holders(members)[0]
+        first.store.outage = Ran.NO
+        await _advance(clock, members, _HANDED_OVER_WITHIN_MS)
+        assert _holders(members) == [member for member in members if member is not first]
+
+
 async def test_no_hand_over_while_the_store_answers_nobody():
     clock = FakeClock()
     async with _members(clock, "a", "b") as members:
