Tests: the platform's names stay in its package; members of the lease stand once

Outside fireflydeck/platform tests and the soak wrote table names, rows' keys, headers and a field of registrations themselves; they use the stand-in's documents and the adapter's constants now. The members of test_lease and test_succession are one module. Tests and stand-ins only.

--- a/fireflydeck/entry/tests/test_bad_requests.py
+++ b/fireflydeck/entry/tests/test_bad_requests.py
@@ -7,6 +7,7 @@
 from fireflydeck.entry.tests.callers import running_callers
 from fireflydeck.kernel import Event
 from fireflydeck.observation import OperatorDocuments
+from fireflydeck.platform.job_documents import DEADLINE_HEADER, KEY_HEADER
 from fireflydeck.platform.standin.documents import submission_document
 from fireflydeck.testing.fleet_builders import JOB_ID
 from fireflydeck.workload import job_key
@@ -15,7 +16,7 @@
 
 _BODY = submission_document("text", tasks=1)
 _HOST = b"Host: paint.example"
-_KEY = b"Api-Key: key-1"
+_KEY = f"{KEY_HEADER}: key-1".encode()
 _PATH = b"/swatch/" + JOB_ID.encode()
 
 
@@ -58,8 +59,8 @@
 @pytest.mark.parametrize(
     ("content", "status"),
     [
-        (_request(_HOST, b"Api-Key: key-1\xff"), 401),
-        (_request(_HOST, "Api-Key: clé".encode()), 401),
+        (_request(_HOST, _KEY + b"\xff"), 401),
+        (_request(_HOST, f"{KEY_HEADER}: clé".encode()), 401),
         (_request(b"Host: paint.example\xff", _KEY), 404),
         (_request(b"Host: ", _KEY), 404),
         (_request(_HOST, _KEY, path=b"/swatch/%ff%fe"), 404),
@@ -71,7 +72,7 @@
         (_request(_HOST, _KEY, method=b"PUT"), 405),
         (_request(_HOST, _KEY, body=b"\xff" * 20), 400),
         (_request(_HOST, _KEY, body=b"[" * 1900), 400),
-        (b"POST " + _PATH + b" HTTP/1.0\r\nApi-Key: key-1\r\nContent-Length: 0\r\n\r\n", 404),
+        (b"POST " + _PATH + b" HTTP/1.0\r\n" + _KEY + b"\r\nContent-Length: 0\r\n\r\n", 404),
     ],
 )
 @pytest.mark.parametrize("outage", [None, Ran.NO])
@@ -87,7 +88,7 @@
     monkeypatch.setattr(OperatorDocuments, "is_lost", property(lambda _: True))
     async with running_callers() as callers:
         callers.forwarder.answer = CallerAnswer(401, b"{}")
-        received = await callers.send(_request(_HOST, b"Api-Key: key-1\xff"))
+        received = await callers.send(_request(_HOST, _KEY + b"\xff"))
         assert _status(received) == 401
 
 
@@ -98,7 +99,7 @@
 )
 async def test_unreadable_deadline_is_left_out_of_account(deadline):
     async with running_callers() as callers:
-        header = b"X-Deadline-Ms: " + deadline.encode()
+        header = f"{DEADLINE_HEADER}: {deadline}".encode()
         assert _status(await callers.send(_request(_HOST, _KEY, header))) == 200
 
 
--- a/fireflydeck/observation/tests/test_operators.py
+++ b/fireflydeck/observation/tests/test_operators.py
@@ -6,13 +6,15 @@
 import pytest
 
 from fireflydeck.core import Ran
-from fireflydeck.core.rows import RowKey, RowTransaction, RowWrite
 from fireflydeck.kernel import Event, Registry
 from fireflydeck.observation import OperatorDocuments
+from fireflydeck.platform.documents import CONFIGURATION_KEY, OPERATOR_TABLE, WAVE_PREFIX
 from fireflydeck.platform.standin.documents import (
     put_configuration,
     put_evacuation,
+    put_operator_document,
     put_wave,
+    remove_configuration,
     remove_evacuation,
 )
 from fireflydeck.testing.clock import FakeClock
@@ -67,7 +69,7 @@
         put_configuration(followed.rows, version=2)
         await followed.advance()
         assert followed.version == 3
-        followed.rows.commit(RowTransaction(removals=(RowKey("op", "", "config"),)))
+        remove_configuration(followed.rows)
         await followed.advance()
         assert followed.version == 3
 
@@ -78,7 +80,7 @@
         followed.store.are_changes_silent = True
         put_configuration(followed.rows, version=7)
         put_evacuation(followed.rows, "zvolen")
-        followed.store.stale_reads["op"] = 1
+        followed.store.stale_reads[OPERATOR_TABLE] = 1
         followed.rows.forget_history()
         followed.store.are_changes_silent = False
         await followed.advance()
@@ -93,7 +95,7 @@
     async with _followed() as followed:
         put_evacuation(followed.rows, "zvolen")
         await followed.advance()
-        followed.store.stale_reads["op"] = 1
+        followed.store.stale_reads[OPERATOR_TABLE] = 1
         followed.rows.forget_history()
         await followed.advance()
         assert followed.documents.evacuated_data_centres == {"zvolen"}
@@ -126,13 +128,12 @@
         assert {Event.STORE_CALL_FAILED, Event.STORE_REGAINED} <= followed.log.kinds()
 
 
-@pytest.mark.parametrize("key", ["config", "wave/4"])
+@pytest.mark.parametrize("key", [CONFIGURATION_KEY, f"{WAVE_PREFIX}4"])
 async def test_unreadable_document_is_named_and_the_known_one_stays(key):
     async with _followed() as followed:
         put_wave(followed.rows, 4, ["vm-1"], max_at_once=1)
         await followed.advance()
-        write = RowWrite(RowKey("op", "", key), b'{"version":"x"}')
-        followed.rows.commit(RowTransaction(writes=(write,)))
+        put_operator_document(followed.rows, key, b'{"version":"x"}')
         await followed.advance()
         assert followed.version == 3
         assert [wave.number for wave in followed.documents.waves] == [4]
--- a/fireflydeck/ownership/tests/test_lease.py
+++ b/fireflydeck/ownership/tests/test_lease.py
@@ -1,55 +1,21 @@
 """The fleet's lease: take-over, renewal, lost and late answers, pauses, release."""
 
-from contextlib import asynccontextmanager
-
 import anyio
 import msgpack
 import pytest
 
 from fireflydeck.core import Ran, Reason
 from fireflydeck.core.rows import RowKey, RowWrite
-from fireflydeck.kernel import EventLog, Registry
-from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.kernel import Registry
 from fireflydeck.ownership.records import LeaseRecord, decode_lease
-from fireflydeck.standins.memory_rows import MemoryRows
+from fireflydeck.ownership.tests.members import Member, holders, running_members
 from fireflydeck.testing.clock import FakeClock
-from fireflydeck.testing.rows import FakeRowStore, RowStoreFault
+from fireflydeck.testing.rows import RowStoreFault
 
 pytestmark = pytest.mark.anyio
 
 _ROW = RowKey("progress", "fleet", "job")
 _LONG_MS = 6000
-_SMALL_VM_DELAY_MS = 500
-
-
-class _Member:
-    def __init__(self, name, clock, rows, delay_ms=0):
-        self.store = FakeRowStore(clock, rows)
-        self.lease = LeaseKeeper(
-            self.store,
-            clock,
-            EventLog(),
-            name=name,
-            address=f"{name}:1",
-            candidate_delay_ms=delay_ms,
-        )
-
-
-@asynccontextmanager
-async def _members(clock, *names, small=()):
-    rows = MemoryRows()
-    members = [
-        _Member(name, clock, rows, _SMALL_VM_DELAY_MS if name in small else 0) for name in names
-    ]
-    async with anyio.create_task_group() as tasks:
-        for member in members:
-            await member.lease.start(Registry(), tasks)
-        yield members
-        tasks.cancel_scope.cancel()
-
-
-def _holders(members):
-    return [member for member in members if member.lease.is_valid()]
 
 
 async def _commit(clock, member):
@@ -67,46 +33,46 @@
 
 async def test_one_member_takes_a_free_lease():
     clock = FakeClock()
-    async with _members(clock, "a", "b", "c") as members:
+    async with running_members(clock, "a", "b", "c") as members:
         await clock.advance_ms(1000)
-        assert len(_holders(members)) == 1
+        assert len(holders(members)) == 1
 
 
 async def test_process_on_a_large_vm_takes_a_free_lease_before_those_on_small_vms():
     clock = FakeClock()
-    async with _members(clock, "a", "b", "c", "d", small="abc") as members:
+    async with running_members(clock, "a", "b", "c", "d", small="abc") as members:
         await clock.advance_ms(2000)
         assert [member.lease.is_valid() for member in members] == [False, False, False, True]
 
 
 async def test_large_vm_follows_a_lost_large_vm():
     clock = FakeClock()
-    async with _members(clock, "a", "b", "c", "d", small="ab") as members:
+    async with running_members(clock, "a", "b", "c", "d", small="ab") as members:
         await clock.advance_ms(2000)
-        first = _holders(members)[0]
+        first = holders(members)[0]
         first.store.outage = Ran.NO
         await clock.advance_ms(3000)
-        second = _holders(members)[0]
+        second = holders(members)[0]
         assert {first, second} == set(members[2:])
 
 
 async def test_small_vm_follows_when_no_large_one_does():
     clock = FakeClock()
-    async with _members(clock, "a", "b", "c", small="ab") as members:
+    async with running_members(clock, "a", "b", "c", small="ab") as members:
         await clock.advance_ms(2000)
         members[2].store.outage = Ran.NO
         await clock.advance_ms(4000)
-        assert _holders(members)[0] in members[:2]
+        assert holders(members)[0] in members[:2]
 
 
 async def test_small_vm_does_not_wait_for_large_ones_after_a_small_one():
     clock = FakeClock()
-    async with _members(clock, "a", "b", small="ab") as members:
+    async with running_members(clock, "a", "b", small="ab") as members:
         await clock.advance_ms(2000)
-        first = _holders(members)[0]
+        first = holders(members)[0]
         first.store.outage = Ran.NO
         await clock.advance_ms(2200)
-        assert _holders(members) == [member for member in members if member is not first]
+        assert holders(members) == [member for member in members if member is not first]
 
 
 def test_lease_of_a_later_version_is_read():
@@ -123,35 +89,35 @@
 
 async def test_lease_stays_with_its_holder():
     clock = FakeClock()
-    async with _members(clock, "a", "b") as members:
+    async with running_members(clock, "a", "b") as members:
         await clock.advance_ms(1000)
-        holder = _holders(members)[0]
+        holder = holders(members)[0]
         for _ in range(20):
             await clock.advance_ms(500)
-            assert _holders(members) == [holder]
+            assert holders(members) == [holder]
         assert holder.lease.tenure.term == 1
 
 
 @pytest.mark.parametrize("silence", list(Ran))
 async def test_no_two_valid_holders_when_one_loses_the_store(silence):
     clock = FakeClock()
-    async with _members(clock, "a", "b") as members:
+    async with running_members(clock, "a", "b") as members:
         await clock.advance_ms(1000)
-        first = _holders(members)[0]
+        first = holders(members)[0]
         first.store.outage = silence
         for _ in range(_LONG_MS // 20):
             await clock.advance_ms(20)
-            assert len(_holders(members)) <= 1
-        second = _holders(members)[0]
+            assert len(holders(members)) <= 1
+        second = holders(members)[0]
         assert second is not first
         assert second.lease.tenure.term == 2
 
 
 async def test_deposed_holder_commits_nothing():
     clock = FakeClock()
-    async with _members(clock, "a", "b") as members:
+    async with running_members(clock, "a", "b") as members:
         await clock.advance_ms(1000)
-        first = _holders(members)[0]
+        first = holders(members)[0]
         first.store.outage = Ran.NO
         await clock.advance_ms(_LONG_MS)
         first.store.outage = None
@@ -164,7 +130,7 @@
 @pytest.mark.parametrize("fault", list(RowStoreFault))
 async def test_commit_is_settled_after_a_fault(fault):
     clock = FakeClock()
-    async with _members(clock, "a") as members:
+    async with running_members(clock, "a") as members:
         await clock.advance_ms(1000)
         member = members[0]
         member.store.next_commits = [fault]
@@ -174,7 +140,7 @@
 
 async def test_late_commit_does_not_overwrite_a_newer_one():
     clock = FakeClock()
-    async with _members(clock, "a") as members:
+    async with running_members(clock, "a") as members:
         await clock.advance_ms(1000)
         member = members[0]
 
@@ -194,9 +160,9 @@
 async def test_renewal_that_took_effect_late_confirms_nothing():
     """Others may have seen the renewal long before its holder learned of it."""
     clock = FakeClock()
-    async with _members(clock, "a", "b") as members:
+    async with running_members(clock, "a", "b") as members:
         await clock.advance_ms(1000)
-        first = _holders(members)[0]
+        first = holders(members)[0]
         first.store.next_commits = [RowStoreFault.ANSWER_LOST]
         await clock.advance_ms(350)
         until_ms = first.lease.valid_until_ms
@@ -205,25 +171,25 @@
         assert first.lease.valid_until_ms == until_ms
         for _ in range(_LONG_MS // 20):
             await clock.advance_ms(20)
-            assert len(_holders(members)) <= 1
+            assert len(holders(members)) <= 1
 
 
 async def test_every_second_answer_lost_keeps_the_lease():
     """Each lost renewal cost the holder its lease, and the fleet a take-over of two seconds."""
     clock = FakeClock()
-    async with _members(clock, "a", "b") as members:
+    async with running_members(clock, "a", "b") as members:
         await clock.advance_ms(1000)
-        first = _holders(members)[0]
+        first = holders(members)[0]
         for _ in range(500):
             if len(first.store.next_commits) < 2:
                 first.store.next_commits += [RowStoreFault.ANSWER_LOST, None]
             await clock.advance_ms(20)
-            assert _holders(members) == [first]
+            assert holders(members) == [first]
 
 
 async def test_commit_whose_answer_was_lost_is_not_repeated():
     clock = FakeClock()
-    async with _members(clock, "a") as members:
+    async with running_members(clock, "a") as members:
         await clock.advance_ms(1000)
         member = members[0]
         member.store.next_commits = [RowStoreFault.ANSWER_LOST]
@@ -238,31 +204,31 @@
 
 async def test_lost_renewals_keep_the_lease():
     clock = FakeClock()
-    async with _members(clock, "a", "b") as members:
+    async with running_members(clock, "a", "b") as members:
         await clock.advance_ms(1000)
-        first = _holders(members)[0]
+        first = holders(members)[0]
         for _ in range(10):
             first.store.next_commits = [RowStoreFault.ANSWER_LOST]
             await clock.advance_ms(500)
-            assert _holders(members) == [first]
+            assert holders(members) == [first]
 
 
 async def test_released_lease_is_taken_at_once():
     clock = FakeClock()
-    async with _members(clock, "a", "b") as members:
+    async with running_members(clock, "a", "b") as members:
         await clock.advance_ms(1000)
-        first = _holders(members)[0]
+        first = holders(members)[0]
         await first.lease.stop()
         assert not first.lease.is_valid()
         await clock.advance_ms(600)
-        assert _holders(members) != []
-        assert first not in _holders(members)
+        assert holders(members) != []
+        assert first not in holders(members)
 
 
 async def test_paused_holder_finds_its_lease_over():
     """A pause shows as time that passed without a renewal."""
     clock = FakeClock()
-    async with _members(clock, "a") as members:
+    async with running_members(clock, "a") as members:
         await clock.advance_ms(1000)
         clock._now_ms += _LONG_MS
         assert not members[0].lease.is_valid()
@@ -270,22 +236,22 @@
 
 async def test_forgotten_history_is_read_again():
     clock = FakeClock()
-    async with _members(clock, "a", "b") as members:
+    async with running_members(clock, "a", "b") as members:
         await clock.advance_ms(1000)
-        first = _holders(members)[0]
+        first = holders(members)[0]
         await clock.advance_ms(2000)
         first.store.rows.forget_history()
         await clock.advance_ms(2000)
-        assert _holders(members) == [first]
+        assert holders(members) == [first]
 
 
 async def test_restarted_holder_takes_its_lease_at_once():
-    """All machines lost power and are back before the lease has lapsed."""
+    """All VMs lost power and are back before the lease has lapsed."""
     clock = FakeClock()
-    async with _members(clock, "a") as members:
+    async with running_members(clock, "a") as members:
         await clock.advance_ms(1000)
         rows = members[0].store.rows
-    again = _Member("a", clock, rows)
+    again = Member("a", clock, rows, [])
     async with anyio.create_task_group() as tasks:
         await again.lease.start(Registry(), tasks)
         await clock.advance_ms(100)
@@ -296,7 +262,7 @@
 
 async def test_take_over_without_an_answer_is_repeated_at_once():
     clock = FakeClock()
-    async with _members(clock, "a") as members:
+    async with running_members(clock, "a") as members:
         members[0].store.next_commits = [RowStoreFault.ANSWER_LOST]
         await clock.advance_ms(500)
         assert members[0].lease.is_valid()
--- a/fireflydeck/platform/standin/documents.py
+++ b/fireflydeck/platform/standin/documents.py
@@ -12,6 +12,7 @@
     OPERATOR_TABLE,
     REGISTRATION_TABLE,
     WAVE_PREFIX,
+    wave_status_row,
 )
 from fireflydeck.standins.memory_rows import MemoryRows
 
@@ -22,12 +23,16 @@
     "configuration_document",
     "put_configuration",
     "put_evacuation",
+    "put_operator_document",
     "put_registration",
     "put_wave",
     "registration_document",
+    "remove_configuration",
     "remove_evacuation",
+    "remove_registration",
     "settings_document",
     "submission_document",
+    "wave_state",
 ]
 
 _KEY = "key-1"
@@ -137,8 +142,23 @@
 
 def remove_evacuation(rows: MemoryRows, data_centre: str = _DATA_CENTRE) -> None:
     """Bring a data centre back."""
-    key = RowKey(OPERATOR_TABLE, "", EVACUATION_PREFIX + data_centre)
-    rows.commit(RowTransaction(removals=(key,)))
+    _remove(rows, OPERATOR_TABLE, EVACUATION_PREFIX + data_centre)
+
+
+def put_operator_document(rows: MemoryRows, key: str, content: bytes) -> None:
+    """Write any content as an operators' document."""
+    _put(rows, OPERATOR_TABLE, key, content)
+
+
+def remove_configuration(rows: MemoryRows) -> None:
+    """Remove the configuration's row."""
+    _remove(rows, OPERATOR_TABLE, CONFIGURATION_KEY)
+
+
+def wave_state(rows: MemoryRows, number: int) -> str | None:
+    """Return the state of a wave as operators read it; `None` before the first."""
+    row = rows.get(wave_status_row(number))
+    return orjson.loads(row.value)["state"] if row is not None else None
 
 
 def put_wave(rows: MemoryRows, number: int, vms: list[str], *, max_at_once: int) -> None:
@@ -153,13 +173,24 @@
 
 
 def put_registration(
-    rows: MemoryRows, server_id: str, *, address: str, born_ms: int = 1, **fields: Any
+    rows: MemoryRows,
+    server_id: str,
+    *,
+    address: str,
+    born_ms: int = 1,
+    data_centre: str = _DATA_CENTRE,
+    **fields: Any,
 ) -> None:
     """Register a backend server."""
-    content = registration_document(address=address, born=born_ms, **fields)
+    content = registration_document(address=address, born=born_ms, zone=data_centre, **fields)
     _put(rows, REGISTRATION_TABLE, server_id, content)
 
 
+def remove_registration(rows: MemoryRows, server_id: str) -> None:
+    """Let a backend server's entry go."""
+    _remove(rows, REGISTRATION_TABLE, server_id)
+
+
 def submission_document(payload: str, *, tasks: int, estimated_ms: int = 600) -> bytes:
     """Return a submission of a job of one step."""
     step = {"count": tasks, "cpu": 500, "estimated_ms": estimated_ms}
@@ -202,5 +233,9 @@
     )
 
 
+def _remove(rows: MemoryRows, table: str, key: str) -> None:
+    rows.commit(RowTransaction(removals=(RowKey(table, "", key),)))
+
+
 def _put(rows: MemoryRows, table: str, key: str, content: bytes) -> None:
     rows.commit(RowTransaction(writes=(RowWrite(RowKey(table, "", key), content),)))
--- a/fireflydeck/scheduling/tests/test_duties.py
+++ b/fireflydeck/scheduling/tests/test_duties.py
@@ -1,14 +1,13 @@
 """Moves and waves of upkeep: budgets, bounds, holders, lost answers."""
 
 import msgpack
-import orjson
 import pytest
 from attrs import evolve
 
-from fireflydeck.core.rows import RowKey, RowTransaction, RowWrite
+from fireflydeck.core.rows import RowTransaction, RowWrite
 from fireflydeck.core.vm_orders import DutyOutcome
 from fireflydeck.ownership import DUTIES_ROW
-from fireflydeck.platform.standin.documents import put_wave
+from fireflydeck.platform.standin.documents import put_wave, remove_registration, wave_state
 from fireflydeck.scheduling.tests.fleet import running_fleet
 from fireflydeck.testing.fleet_builders import (
     accept_job,
@@ -28,14 +27,13 @@
 
 
 def _status(fleet):
-    row = fleet.rows.get(RowKey("status", "", "wave/1"))
-    return orjson.loads(row.value)["state"] if row else None
+    return wave_state(fleet.rows, 1)
 
 
 def _bring_back(fleet, server_id, new_id):
     """Let a VM come back from its upkeep with a new backend server."""
     del fleet.servers[server_id]
-    fleet.rows.commit(RowTransaction(removals=(RowKey("servers", "", server_id),)))
+    remove_registration(fleet.rows, server_id)
     fleet.add_server(new_id)
     vm = fleet.vm_orders.vms[f"vm-{server_id}"]
     fleet.vm_orders.vms[vm.name] = evolve(vm, server_id=new_id)
--- a/fireflydeck/soak/injector.py
+++ b/fireflydeck/soak/injector.py
@@ -123,5 +123,5 @@
             server_id,
             address=address,
             born_ms=server.born_ms,
-            zone=self.fleet.data_centres[server_id],
+            data_centre=self.fleet.data_centres[server_id],
         )
--- a/fireflydeck/testing/platform_fleet.py
+++ b/fireflydeck/testing/platform_fleet.py
@@ -116,7 +116,7 @@
             address = await connect(f"server-{number}", own_address)
             data_centre = data_centres[(number - 1) % len(data_centres)]
             fleet.data_centres[server_id] = data_centre
-            put_registration(fleet.store.rows, server_id, address=address, zone=data_centre)
+            put_registration(fleet.store.rows, server_id, address=address, data_centre=data_centre)
         if prepare is not None:
             prepare(fleet)
         for number in range(1, entries + 1):
