--- a/fireflydeck/core/fleet_configuration.py
+++ b/fireflydeck/core/fleet_configuration.py
@@ -139,7 +139,7 @@
 
 @frozen(kw_only=True)
 class MaintenanceWave:
-    """VMs that are due for upkeep within a time, at most `max_at_once` down together."""
+    """VMs that are due for maintenance within a time, at most `max_at_once` down together."""
 
     number: int
     vms: tuple[str, ...]
--- a/fireflydeck/core/vm_orders.py
+++ b/fireflydeck/core/vm_orders.py
@@ -17,12 +17,12 @@
 
     UP = "up"
     MOVING = "moving"
-    UPKEEP = "upkeep"
+    MAINTENANCE = "maintenance"
     DOWN = "down"
 
 
 class DutyOutcome(StrEnum):
-    """Answers to a move or an upkeep; all but `TAKEN` mean that nothing was done."""
+    """Answers to a move or a maintenance; all but `TAKEN` mean that nothing was done."""
 
     TAKEN = "taken"
     FENCED = "fenced"
@@ -62,7 +62,7 @@
         """Move a VM to a pool; all that runs there ends at once."""
 
     @abstractmethod
-    async def upkeep(
+    async def maintenance(
         self, *, vm: str, wave: int, fencing_token: int, timeout_ms: int
     ) -> Result[DutyOutcome, Failure]:
-        """Take a VM down for its upkeep; all that runs there ends at once."""
+        """Take a VM down for its maintenance; all that runs there ends at once."""
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -48,7 +48,7 @@
         written="Operators took a data centre out or back.",
         fields=("data_centre", "evacuated", "version"),
     ),
-    1221: EventNote(written="Operators requested upkeep for VMs.", fields=("wave", "vms")),
+    1221: EventNote(written="Operators requested maintenance for VMs.", fields=("wave", "vms")),
     6001: EventNote(
         written="This process took the lease and schedules from now on.", fields=("term", "version")
     ),
@@ -153,7 +153,7 @@
         fields=("task", "run", "server"),
     ),
     6307: EventNote(
-        written="A long-running task is stopped, to go on at a server that is not due for upkeep.",
+        written="A long-running task is stopped, to go on at a server that is not due for maintenance.",
         fields=("task", "run", "server", "list_age_ms"),
     ),
     6308: EventNote(
@@ -176,7 +176,7 @@
         fields=("vm", "server", "running", "stopped"),
     ),
     6503: EventNote(
-        written="A move or an upkeep was ordered and answered, or got no answer.",
+        written="A move or a maintenance was ordered and answered, or got no answer.",
         action="For moves the cores are those of the target pool as the decision saw it.",
         fields=(
             "duty",
--- a/fireflydeck/observation/operators.py
+++ b/fireflydeck/observation/operators.py
@@ -1,4 +1,4 @@
-"""What operators want: configuration, evacuated data centres and waves of upkeep."""
+"""What operators want: configuration, evacuated data centres and waves of maintenance."""
 
 from fireflydeck.core import Clock
 from fireflydeck.core.fleet_configuration import FleetConfiguration, MaintenanceWave
@@ -46,7 +46,7 @@
 
     @property
     def waves(self) -> tuple[MaintenanceWave, ...]:
-        """Waves of upkeep, in the order of their numbers."""
+        """Waves of maintenance, in the order of their numbers."""
         return tuple(sorted(self._waves.values(), key=lambda wave: wave.number))
 
     def state(self) -> dict[str, object]:
--- a/fireflydeck/ownership/records.py
+++ b/fireflydeck/ownership/records.py
@@ -25,7 +25,7 @@
 ROSTER_ROW = RowKey("roster", FLEET_PARTITION, "servers")
 """Backend servers that may run what the holder started."""
 DUTIES_ROW = RowKey("roster", FLEET_PARTITION, "duties")
-"""VMs that were ordered lately, had their upkeep, or came from standby."""
+"""VMs that were ordered lately, had their maintenance, or came from standby."""
 
 
 @frozen(kw_only=True)
--- a/fireflydeck/platform/documents.py
+++ b/fireflydeck/platform/documents.py
@@ -128,7 +128,7 @@
 
 
 def decode_wave(content: bytes) -> MaintenanceWave:
-    """Decode a request for upkeep.
+    """Decode a request for maintenance.
 
     Raises
     ------
--- a/fireflydeck/platform/tests/test_vm_client.py
+++ b/fireflydeck/platform/tests/test_vm_client.py
@@ -43,12 +43,30 @@
         await client.close()
 
 
+@pytest.mark.parametrize(
+    ("state", "decoded"),
+    [
+        ("up", VmListState.UP),
+        ("moving", VmListState.MOVING),
+        ("upkeep", VmListState.MAINTENANCE),
+        ("down", VmListState.DOWN),
+    ],
+)
+async def test_states_of_listed_vms(state, decoded):
+    app = _app()
+    app.vms["m-0"]["state"] = state
+    async with local_server(app.handle) as address:
+        client = VmClient(address, "edge-1")
+        assert (await client.list_vms(timeout_ms=_TIMEOUT_MS)).ok[0].state == decoded
+        await client.close()
+
+
 async def test_orders_name_their_holder():
     app = _app()
     async with local_server(app.handle) as address:
         client = VmClient(address, "edge-1")
         assert (await _move(client)).ok == DutyOutcome.TAKEN
-        result = await client.upkeep(vm="m-0", wave=3, fencing_token=8, timeout_ms=_TIMEOUT_MS)
+        result = await client.maintenance(vm="m-0", wave=3, fencing_token=8, timeout_ms=_TIMEOUT_MS)
         assert result.ok == DutyOutcome.TAKEN
         assert app.orders == [
             {"machine": "m-0", "pool": "spare", "holder": "edge-1", "token": 7},
--- a/fireflydeck/platform/vm_client.py
+++ b/fireflydeck/platform/vm_client.py
@@ -1,4 +1,4 @@
-"""The platform's machine calls: the list of VMs, moves between pools and upkeep."""
+"""The platform's machine calls: the list of VMs, moves between pools and maintenance."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -19,6 +19,12 @@
 _TOO_MANY_REQUESTS = 429
 _UNAVAILABLE = 503
 _STATUSES = {_OK: DutyOutcome.TAKEN, 400: DutyOutcome.INVALID}
+_STATES = {
+    "up": VmListState.UP,
+    "moving": VmListState.MOVING,
+    "upkeep": VmListState.MAINTENANCE,
+    "down": VmListState.DOWN,
+}
 _CONFLICTS = {
     "fence": DutyOutcome.FENCED,
     "busy": DutyOutcome.BUSY,
@@ -74,10 +80,10 @@
         body = {"machine": vm, "pool": pool}
         return await self._duty("machine-move", body, fencing_token, timeout_ms)
 
-    async def upkeep(
+    async def maintenance(
         self, *, vm: str, wave: int, fencing_token: int, timeout_ms: int
     ) -> Result[DutyOutcome, Failure]:
-        """Take a VM down for its upkeep; all that runs there ends at once."""
+        """Take a VM down for its maintenance; all that runs there ends at once."""
         body = {"machine": vm, "maintenance_wave": wave}
         return await self._duty("machine-upkeep", body, fencing_token, timeout_ms)
 
@@ -117,7 +123,7 @@
     return ListedVm(
         name=string(item["machine"]),
         pool=string(item["pool"]),
-        state=VmListState(item["state"]),
+        state=_STATES[item["state"]],
         data_centre=string(item["zone"]),
         rack=rack_of(labels),
         capacity=decode_resources(item["capacity"]),
--- a/fireflydeck/policy/server_choice.py
+++ b/fireflydeck/policy/server_choice.py
@@ -23,7 +23,7 @@
     disturbs
         Whether serving tasks would be disturbed there by this task, or disturb it.
     is_due
-        Whether its VM goes down for upkeep before long.
+        Whether its VM goes down for maintenance before long.
     splits_step
         Whether the step, whose tasks should be in one rack, would run in one rack more.
     """
--- a/fireflydeck/policy/tests/test_upkeep.py
+++ b/fireflydeck/policy/tests/test_vm_maintenance.py
@@ -2,7 +2,7 @@
 
 from attrs import evolve
 
-from fireflydeck.policy.upkeep import DueVm, choose_vms_to_empty
+from fireflydeck.policy.vm_maintenance import DueVm, choose_vms_to_empty
 
 
 def _vm(name, **fields):
--- a/fireflydeck/policy/upkeep.py
+++ b/fireflydeck/policy/vm_maintenance.py
@@ -1,4 +1,4 @@
-"""Which VMs of a wave are emptied next for their upkeep."""
+"""Which VMs of a wave are emptied next for their maintenance."""
 
 from collections.abc import Sequence
 
@@ -9,7 +9,7 @@
 
 @frozen(kw_only=True)
 class DueVm:
-    """A VM whose upkeep is due and has not begun.
+    """A VM whose maintenance is due and has not begun.
 
     Parameters
     ----------
--- a/fireflydeck/scheduling/duties.py
+++ b/fireflydeck/scheduling/duties.py
@@ -1,4 +1,4 @@
-"""Duties of the lease's holder on VMs: moves between pools and waves of upkeep."""
+"""Duties of the lease's holder on VMs: moves between pools and waves of maintenance."""
 
 from collections.abc import Callable
 
--- a/fireflydeck/scheduling/duty_record.py
+++ b/fireflydeck/scheduling/duty_record.py
@@ -1,4 +1,4 @@
-"""What holders of the lease tell their successors of the VMs: orders, upkeep, loans."""
+"""What holders of the lease tell their successors of the VMs: orders, maintenance, loans."""
 
 from collections.abc import Iterable
 
@@ -31,7 +31,7 @@
     _is_loaded: bool = field(default=False, init=False)
     _is_stored: bool = field(default=True, init=False)
     _borrowed: set[str] = field(factory=set, init=False)
-    _upkeep: dict[int, set[str]] = field(factory=dict, init=False)
+    _maintenance: dict[int, set[str]] = field(factory=dict, init=False)
     _before: dict[str, int] = field(factory=dict, init=False)
     _recent: dict[str, tuple[int, int]] = field(factory=dict, init=False)
 
@@ -43,9 +43,9 @@
         if result.is_error():
             return result.error
         if result.ok is not None:
-            borrowed, upkeep, recent = msgpack.unpackb(result.ok.value, strict_map_key=False)
+            borrowed, maintenance, recent = msgpack.unpackb(result.ok.value, strict_map_key=False)
             self._borrowed = set(borrowed)
-            self._upkeep = {number: set(vms) for number, vms in upkeep.items()}
+            self._maintenance = {number: set(vms) for number, vms in maintenance.items()}
             self._before = recent
         self._is_loaded = True
         return None
@@ -55,8 +55,8 @@
         return vm in self._borrowed
 
     def has_begun(self, wave: int, vm: str) -> bool:
-        """Whether the upkeep of a VM was ordered and taken."""
-        return vm in self._upkeep.get(wave, ())
+        """Whether the maintenance of a VM was ordered and taken."""
+        return vm in self._maintenance.get(wave, ())
 
     def ordered_before(self, vm: str) -> bool:
         """Whether the holder before may have ordered something for a VM just before it ended."""
@@ -66,9 +66,9 @@
         """Return the VMs of a wave that the holder before may have taken down at its end."""
         return {vm for vm, number in self._before.items() if number == wave}
 
-    def note_upkeep(self, wave: int, vm: str) -> None:
-        """Note that the upkeep of a VM was taken; stored with the next `save` or `announce`."""
-        self._upkeep.setdefault(wave, set()).add(vm)
+    def note_maintenance(self, wave: int, vm: str) -> None:
+        """Note that the maintenance of a VM was taken; stored with the next `save` or `announce`."""
+        self._maintenance.setdefault(wave, set()).add(vm)
         self._is_stored = False
 
     async def announce(
@@ -97,14 +97,16 @@
         return await self.save()
 
     async def save(self, waves: set[int] | None = None) -> Failure | None:
-        """Store what was noted; of the upkeep only the requested `waves` are kept, if given."""
+        """Store what was noted; of the maintenance only the requested `waves` are kept, if given."""
         if self._is_stored:
             return None
         if waves is not None:
-            self._upkeep = {number: vms for number, vms in self._upkeep.items() if number in waves}
-        upkeep = {number: sorted(vms) for number, vms in self._upkeep.items()}
+            self._maintenance = {
+                number: vms for number, vms in self._maintenance.items() if number in waves
+            }
+        maintenance = {number: sorted(vms) for number, vms in self._maintenance.items()}
         recent = {vm: number for vm, (number, _) in self._recent.items()}
-        content = msgpack.packb([sorted(self._borrowed), upkeep, recent])
+        content = msgpack.packb([sorted(self._borrowed), maintenance, recent])
         failure = await self._lease.commit([RowWrite(DUTIES_ROW, content)], [])
         self._is_stored = failure is None
         return failure
--- a/fireflydeck/scheduling/pool_duties.py
+++ b/fireflydeck/scheduling/pool_duties.py
@@ -67,7 +67,7 @@
         Parameters
         ----------
         due
-            VMs that wait for their upkeep; these stay where they are.
+            VMs that wait for their maintenance; these stay where they are.
         """
         loads = {
             pool.name: self._load(pool, demand.get(pool.name, PoolDemand()))
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -47,7 +47,7 @@
     is_cordoned
         Whether it gets no new work because its VM is about to move or to go down.
     is_due
-        Whether its VM waits for its upkeep, so that long-running tasks go elsewhere.
+        Whether its VM waits for its maintenance, so that long-running tasks go elsewhere.
     """
 
     registration: Registration
--- a/fireflydeck/scheduling/tests/test_duties.py
+++ b/fireflydeck/scheduling/tests/test_duties.py
@@ -1,4 +1,4 @@
-"""Moves and waves of upkeep: budgets, bounds, holders, lost answers."""
+"""Moves and waves of maintenance: budgets, bounds, holders, lost answers."""
 
 import msgpack
 import pytest
@@ -31,7 +31,7 @@
 
 
 def _bring_back(fleet, server_id, new_id):
-    """Let a VM come back from its upkeep with a new backend server."""
+    """Let a VM come back from its maintenance with a new backend server."""
     del fleet.servers[server_id]
     remove_registration(fleet.rows, server_id)
     fleet.add_server(new_id)
@@ -48,13 +48,13 @@
         fleet.list_vms("s1", "s2")
         _request_wave(fleet, "s1", "s2")
         await fleet.advance_ms(_READY_MS)
-        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+        assert _ordered(fleet) == [("maintenance", "vm-s1")]
         assert _status(fleet) == "running"
         await fleet.advance_ms(3000)
-        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+        assert _ordered(fleet) == [("maintenance", "vm-s1")]
         _bring_back(fleet, "s1", "s3")
         await fleet.advance_ms(2000)
-        assert _ordered(fleet) == [("upkeep", "vm-s1"), ("upkeep", "vm-s2")]
+        assert _ordered(fleet) == [("maintenance", "vm-s1"), ("maintenance", "vm-s2")]
         assert _status(fleet) == "running"
         _bring_back(fleet, "s2", "s4")
         await fleet.advance_ms(2000)
@@ -77,12 +77,12 @@
         fleet.list_vms("s1", "s2")
         _request_wave(fleet, "s1", "s2", max_at_once=2)
         await fleet.advance_ms(1900)
-        assert _ordered(fleet) == [("upkeep", "vm-s2")]
+        assert _ordered(fleet) == [("maintenance", "vm-s2")]
         await fleet.advance_ms(2000)
-        assert _ordered(fleet) == [("upkeep", "vm-s2"), ("upkeep", "vm-s1")]
+        assert _ordered(fleet) == [("maintenance", "vm-s2"), ("maintenance", "vm-s1")]
 
 
-async def test_upkeep_that_the_holder_before_began_at_its_end_counts_as_down():
+async def test_maintenance_that_the_holder_before_began_at_its_end_counts_as_down():
     async with running_fleet(prepare=_record(recent={"vm-s1": 1}), servers=2) as fleet:
         fleet.list_vms("s1", "s2")
         _request_wave(fleet, "s1", "s2", max_at_once=1)
@@ -103,7 +103,7 @@
         fleet.leader.store.on_commit = note
         await fleet.advance_ms(1000)
         assert stored[0] == 0
-        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+        assert _ordered(fleet) == [("maintenance", "vm-s1")]
 
 
 async def test_next_holder_goes_on_with_a_wave():
@@ -117,7 +117,7 @@
         assert _status(fleet) == "completed"
         await fleet.leader.lease.stop()
         await fleet.advance_ms(_READY_MS + 3000)
-        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+        assert _ordered(fleet) == [("maintenance", "vm-s1")]
 
 
 async def test_next_holder_leaves_a_completed_wave_alone_after_another():
@@ -132,19 +132,19 @@
         await fleet.advance_ms(2000)
         _bring_back(fleet, "s2", "s5")
         await fleet.advance_ms(2000)
-        assert _ordered(fleet) == [("upkeep", "vm-s1"), ("upkeep", "vm-s2")]
+        assert _ordered(fleet) == [("maintenance", "vm-s1"), ("maintenance", "vm-s2")]
         await fleet.leader.lease.stop()
         await fleet.advance_ms(6000)
-        assert _ordered(fleet) == [("upkeep", "vm-s1"), ("upkeep", "vm-s2")]
+        assert _ordered(fleet) == [("maintenance", "vm-s1"), ("maintenance", "vm-s2")]
 
 
-async def test_upkeep_that_was_done_already_keeps_no_vm_out_of_work():
+async def test_maintenance_that_was_done_already_keeps_no_vm_out_of_work():
     """The holder before was killed between the order and its record."""
     async with running_fleet(servers=1) as fleet:
         fleet.list_vms("s1")
         _request_wave(fleet, "s1")
         await fleet.advance_ms(_READY_MS + 8000)
-        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+        assert _ordered(fleet) == [("maintenance", "vm-s1")]
         accept_job(fleet.rows, build_spec())
         await fleet.advance_ms(1000)
         assert len(fleet.starts()) == 1
@@ -156,17 +156,17 @@
         _request_wave(fleet, "s1", "s2")
         fleet.vm_orders.next_outcomes = [None]
         await fleet.advance_ms(_READY_MS + 4000)
-        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+        assert _ordered(fleet) == [("maintenance", "vm-s1")]
         assert _status(fleet) == "running"
 
 
-async def test_refused_upkeep_is_tried_again():
+async def test_refused_maintenance_is_tried_again():
     async with running_fleet(servers=2) as fleet:
         fleet.list_vms("s1", "s2")
         _request_wave(fleet, "s1")
         fleet.vm_orders.next_outcomes = [DutyOutcome.BUSY]
         await fleet.advance_ms(_READY_MS)
-        assert _ordered(fleet)[:2] == [("upkeep", "vm-s1")] * 2
+        assert _ordered(fleet)[:2] == [("maintenance", "vm-s1")] * 2
 
 
 async def test_budget_of_long_running_tasks_holds_in_a_wave():
@@ -183,7 +183,7 @@
             await fleet.advance_ms(20)
             stopped.append(2 - len(fleet.running()))
         assert max(stopped) == 1
-        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+        assert _ordered(fleet) == [("maintenance", "vm-s1")]
 
 
 async def test_long_running_tasks_leave_a_vm_one_at_a_time():
@@ -203,7 +203,7 @@
             await fleet.advance_ms(20)
             away.append(4 - len(fleet.running()))
         assert max(away) == 1
-        assert _ordered(fleet) == [("upkeep", f"vm-{full}")]
+        assert _ordered(fleet) == [("maintenance", f"vm-{full}")]
         assert len(fleet.running()) == 4
 
 
@@ -218,7 +218,7 @@
         await fleet.advance_ms(1500)
         assert _ordered(fleet) == []
         await fleet.advance_ms(2500)
-        assert _ordered(fleet) == [("upkeep", "vm-s1")]
+        assert _ordered(fleet) == [("maintenance", "vm-s1")]
         assert len(fleet.starts()) == 1
 
 
@@ -264,13 +264,13 @@
 
 
 async def test_vm_that_came_back_to_standby_can_move_again():
-    """Without a backend server it looked as if its upkeep never ended."""
+    """Without a backend server it looked as if its maintenance never ended."""
     async with running_fleet(servers=1) as fleet:
         fleet.list_vms("s1")
         fleet.list_vms("", pool="spare")
         _request_wave(fleet, "")
         await fleet.advance_ms(_READY_MS + 4000)
-        assert _ordered(fleet) == [("upkeep", "vm-")]
+        assert _ordered(fleet) == [("maintenance", "vm-")]
         assert _status(fleet) == "completed"
         for number in range(40):
             spec = build_spec(build_step(count=16, estimated_ms=2000), job_id=f"{number:016x}")
--- a/fireflydeck/scheduling/wave_duties.py
+++ b/fireflydeck/scheduling/wave_duties.py
@@ -1,4 +1,4 @@
-"""Waves of upkeep: VMs are emptied within the budgets of what runs there, then taken down."""
+"""Waves of maintenance: VMs are emptied within the budgets of what runs there, then taken down."""
 
 from collections.abc import Callable
 
@@ -10,7 +10,7 @@
 from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState
 from fireflydeck.kernel import Event, EventLog, log_store_failure
 from fireflydeck.platform.documents import WaveState
-from fireflydeck.policy.upkeep import DueVm, choose_vms_to_empty
+from fireflydeck.policy.vm_maintenance import DueVm, choose_vms_to_empty
 from fireflydeck.scheduling.availability import may_disrupt
 from fireflydeck.scheduling.demand import PoolDemand
 from fireflydeck.scheduling.relocation import relocate_long_running
@@ -63,7 +63,7 @@
             log_store_failure(self.log, failure)
 
     def due_vms(self, waves: list[MaintenanceWave]) -> set[str]:
-        """Return the VMs whose upkeep has not begun."""
+        """Return the VMs whose maintenance has not begun."""
         return {
             name
             for wave in waves
@@ -101,7 +101,7 @@
         ):
             self._empty(self.fleet.vms[name])
         ready = [vm for vm in due if self._is_ready(vm)]
-        await self._begin_upkeep(wave, ready[: max(0, wave.max_at_once - down)])
+        await self._begin_maintenance(wave, ready[: max(0, wave.max_at_once - down)])
 
     def _relocate(self, due: list[ListedVm]) -> None:
         """Stop long-running tasks on VMs that are due, so that they go on elsewhere."""
@@ -121,8 +121,8 @@
         return age_ms > wave.duration_ms * _URGENT_SHARE
 
     def _down(self, wave: MaintenanceWave) -> int:
-        """Count the wave's VMs that are, or may be, down for their upkeep."""
-        states = {VmListState.UPKEEP, VmListState.DOWN}
+        """Count the wave's VMs that are, or may be, down for their maintenance."""
+        states = {VmListState.MAINTENANCE, VmListState.DOWN}
         vms = self.fleet.vms
         names = {name for name in wave.vms if name in vms and vms[name].state in states}
         names |= {order.vm for order in self.fleet.sent.values() if order.wave == wave.number}
@@ -163,13 +163,13 @@
             self.request_stop(attempt)
 
     def _is_ready(self, vm: ListedVm) -> bool:
-        """Whether the upkeep of a VM may be ordered now."""
+        """Whether the maintenance of a VM may be ordered now."""
         if vm.state != VmListState.UP or vm.name in self.fleet.sent:
             return False
         return self.fleet.may_order(vm.name) and _is_empty(vm, self.fleet.server_of(vm))
 
-    async def _begin_upkeep(self, wave: MaintenanceWave, vms: list[ListedVm]) -> None:
-        """Announce and order the upkeep of some VMs that are empty."""
+    async def _begin_maintenance(self, wave: MaintenanceWave, vms: list[ListedVm]) -> None:
+        """Announce and order the maintenance of some VMs that are empty."""
         if not vms:
             return
         failure = await self.fleet.record.announce([vm.name for vm in vms], wave=wave.number)
@@ -178,18 +178,18 @@
             return
         for vm in vms:
             if self.fleet.is_current() and self._is_ready(vm):
-                await self._order_upkeep(wave, vm)
+                await self._order_maintenance(wave, vm)
 
-    async def _order_upkeep(self, wave: MaintenanceWave, vm: ListedVm) -> None:
-        result = await self.fleet.orders.upkeep(
+    async def _order_maintenance(self, wave: MaintenanceWave, vm: ListedVm) -> None:
+        result = await self.fleet.orders.maintenance(
             vm=vm.name,
             wave=wave.number,
             fencing_token=self.fleet.tenure.term,
             timeout_ms=CALL_TIMEOUT_MS,
         )
-        self.fleet.log_order("upkeep", vm, str(wave.number), result)
+        self.fleet.log_order("maintenance", vm, str(wave.number), result)
         if result.is_ok() and result.ok == DutyOutcome.TAKEN:
-            self.fleet.record.note_upkeep(wave.number, vm.name)
+            self.fleet.record.note_maintenance(wave.number, vm.name)
         elif result.is_ok() or result.error.ran == Ran.NO:
             return
         self.fleet.note_order(vm, vm.pool, wave.number, is_certain=result.is_ok())
--- a/fireflydeck/scheduling/wave_status.py
+++ b/fireflydeck/scheduling/wave_status.py
@@ -1,4 +1,4 @@
-"""Tells operators how far a wave of upkeep is."""
+"""Tells operators how far a wave of maintenance is."""
 
 from fireflydeck.core import Failure, Reason
 from fireflydeck.core.rows import ABSENT_VERSION, RowCondition, RowStore, RowTransaction, RowWrite
--- a/fireflydeck/testing/fleet_fakes.py
+++ b/fireflydeck/testing/fleet_fakes.py
@@ -190,11 +190,11 @@
         """Take a move."""
         return await self._take("move", vm, pool, fencing_token)
 
-    async def upkeep(
+    async def maintenance(
         self, *, vm: str, wave: int, fencing_token: int, timeout_ms: int
     ) -> Result[DutyOutcome, Failure]:
-        """Take an upkeep."""
-        return await self._take("upkeep", vm, str(wave), fencing_token)
+        """Take a maintenance."""
+        return await self._take("maintenance", vm, str(wave), fencing_token)
 
     async def _take(
         self, duty: str, vm: str, target: str, fencing_token: int
