--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -153,7 +153,7 @@
         fields=("task", "run", "server"),
     ),
     6307: EventNote(
-        written="A long-running task is stopped, to go on at a server that is not due for maintenance.",
+        written="A long-running task is stopped, to go on at a server that stays.",
         fields=("task", "run", "server", "list_age_ms"),
     ),
     6308: EventNote(
--- a/fireflydeck/scheduling/duty_record.py
+++ b/fireflydeck/scheduling/duty_record.py
@@ -67,7 +67,7 @@
         return {vm for vm, number in self._before.items() if number == wave}
 
     def note_maintenance(self, wave: int, vm: str) -> None:
-        """Note that the maintenance of a VM was taken; stored with the next `save` or `announce`."""
+        """Note that a VM's maintenance was taken; stored with the next `save` or `announce`."""
         self._maintenance.setdefault(wave, set()).add(vm)
         self._is_stored = False
 
@@ -97,7 +97,7 @@
         return await self.save()
 
     async def save(self, waves: set[int] | None = None) -> Failure | None:
-        """Store what was noted; of the maintenance only the requested `waves` are kept, if given."""
+        """Store what was noted; if given, of `waves` only; other waves are forgotten."""
         if self._is_stored:
             return None
         if waves is not None:
--- a/fireflydeck/scheduling/relocation.py
+++ b/fireflydeck/scheduling/relocation.py
@@ -1,4 +1,4 @@
-"""Which long-running tasks leave VMs that are due for maintenance, one at a time within the budgets."""
+"""Which long-running tasks leave VMs that are due for maintenance, one at a time."""
 
 from collections.abc import Sequence
 
--- a/fireflydeck/scheduling/vm_fleet.py
+++ b/fireflydeck/scheduling/vm_fleet.py
@@ -146,7 +146,7 @@
     def _is_settled(self, order: SentOrder, lasted_ms: int) -> bool:
         """Whether the list, read `lasted_ms` after an order, shows what became of it.
 
-        A VM that is back has a new backend server, or none while it is on standby. A maintenance that
+        A VM that is back has a new backend server, or none on standby. A maintenance that
         an earlier holder ordered before is taken again, and changes nothing.
         """
         vm = self.vms.get(order.vm)
