The lease's rows and the hand-over's messages are modules of their own

The messages of the hand-over left entry/peer_link.py for succession_link.py; the link carries messages of others by path now.

--- a/fireflydeck/entry/peer_link.py
+++ b/fireflydeck/entry/peer_link.py
@@ -12,19 +12,13 @@
     TCPConnector,
     web,
 )
-from anyio import create_task_group
 from anyio.abc import TaskGroup
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Clock, Ran
 from fireflydeck.core.rows import StoredRow
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
-from fireflydeck.entry.peer_messages import (
-    StateQuery,
-    SubmissionNotice,
-    SuccessionNotice,
-    SuccessionQuery,
-)
+from fireflydeck.entry.peer_messages import StateQuery, SubmissionNotice
 from fireflydeck.entry.state_source import (
     ForwardResult,
     RequestForwarder,
@@ -33,20 +27,18 @@
 )
 from fireflydeck.kernel import Registry, Service
 from fireflydeck.ownership.lease import LeaseKeeper
-from fireflydeck.ownership.succession import Successors
 from fireflydeck.scheduling.scheduler import Scheduler
 
-__all__ = ["PeerLink"]
+__all__ = ["PeerHandler", "PeerLink"]
+
+PeerHandler = Callable[[bytes], Awaitable[bytes]]
+"""Answers a message of another process; raises `ValueError` for one that it can't read."""
 
 _STATE_TIMEOUT_MS = 300
 _FORWARD_TIMEOUT_MS = 1500
 _STATE_PATH = "/job-state"
 _FORWARD_PATH = "/forward"
 _SUBMISSION_PATH = "/submission"
-_SUCCESSION_QUERY_PATH = "/succession-query"
-_SUCCESSION_PATH = "/succession"
-_SUCCESSION_TIMEOUT_MS = 300
-_ASKED_SUCCESSORS = 3
 _MOST_ANNOUNCEMENTS = 32
 """Announcements on their way; beyond them the holder learns of jobs from the store alone."""
 _CONNECTIONS = 8
@@ -56,11 +48,9 @@
 _SEEN_MS = 30_000
 """How long a process that called counts as a peer to forward to."""
 _MS_PER_S = 1000
-_YES = b"\1"
-_NO = b"\0"
 
 
-class PeerLink(Service, StateSource, RequestForwarder, SubmissionAnnouncer, Successors):
+class PeerLink(Service, StateSource, RequestForwarder, SubmissionAnnouncer):
     """Serves other entry processes, and asks them.
 
     The holder of the lease is known from its row; other processes from their calls.
@@ -82,6 +72,7 @@
         self._tasks: TaskGroup | None = None
         self._announcements = 0
         self._answer: Callable[[CallerRequest], Awaitable[CallerAnswer]] | None = None
+        self._handlers: dict[str, PeerHandler] = {}
 
     @property
     def name(self) -> str:
@@ -92,6 +83,10 @@
         """Answer forwarded requests by `answer`."""
         self._answer = answer
 
+    def serve(self, path: str, handler: PeerHandler) -> None:
+        """Answer the messages to a path by `handler`."""
+        self._handlers[path] = handler
+
     async def start(self, registry: Registry, tasks: TaskGroup) -> None:
         """Listen for other processes."""
         self._tasks = tasks
@@ -122,15 +117,15 @@
         if holder is None:
             return None
         content = StateQuery(job_id, self._address).encode()
-        received = await self._post(holder, _STATE_PATH, content, _STATE_TIMEOUT_MS)
+        received = await self.post(holder, _STATE_PATH, content, _STATE_TIMEOUT_MS)
         return msgpack.unpackb(received.ok) if received.is_ok() else None
 
     async def forward(self, request: CallerRequest, *, timeout_ms: int) -> ForwardResult:
         """Let the holder answer, or another process that called lately."""
         bound_ms = min(_FORWARD_TIMEOUT_MS, timeout_ms // _TRIED_PEERS)
         is_uncertain = False
-        for peer in self._peers()[:_TRIED_PEERS]:
-            received = await self._post(peer, _FORWARD_PATH, request.encode(), bound_ms)
+        for peer in self.peers()[:_TRIED_PEERS]:
+            received = await self.post(peer, _FORWARD_PATH, request.encode(), bound_ms)
             answer = received.bind(_decode_answer)
             if answer.is_ok() and not answer.ok.lacks_store:
                 return ForwardResult(peer=peer, answer=answer.ok, is_uncertain=is_uncertain)
@@ -152,34 +147,11 @@
         self._announcements += 1
         self._tasks.start_soon(self._send_announcement, holder, row)
 
-    async def find(self, term: int) -> str | None:
-        """Return the first of the processes that called last which could hold the lease."""
-        able: list[str] = []
-        content = SuccessionQuery(term).encode()
-
-        async def ask(peer: str) -> None:
-            received = await self._post(
-                peer, _SUCCESSION_QUERY_PATH, content, _SUCCESSION_TIMEOUT_MS
-            )
-            if received.is_ok() and received.ok == _YES:
-                able.append(peer)
-                asking.cancel_scope.cancel()
-
-        async with create_task_group() as asking:
-            for peer in self._peers()[:_ASKED_SUCCESSORS]:
-                asking.start_soon(ask, peer)
-        return able[0] if able else None
-
-    async def hand_over(self, peer: str, term: int) -> None:
-        """Tell the successor; without an answer the lease lapses as if nothing was said."""
-        content = SuccessionNotice(term).encode()
-        await self._post(peer, _SUCCESSION_PATH, content, _SUCCESSION_TIMEOUT_MS)
-
     async def _send_announcement(self, holder: str, row: StoredRow) -> None:
         # Without an answer the holder reads the row from the store's changes.
         try:
             content = SubmissionNotice.of_row(row).encode()
-            await self._post(holder, _SUBMISSION_PATH, content, _STATE_TIMEOUT_MS)
+            await self.post(holder, _SUBMISSION_PATH, content, _STATE_TIMEOUT_MS)
         finally:
             self._announcements -= 1
 
@@ -189,7 +161,7 @@
             return None
         return holder.address
 
-    def _peers(self) -> list[str]:
+    def peers(self) -> list[str]:
         """Return addresses to forward to: the holder, then who called last."""
         now_ms = self._clock.now_ms()
         self._seen_ms = {
@@ -200,7 +172,7 @@
         first = [holder] if holder is not None else []
         return first + [peer for peer in seen if peer != holder]
 
-    async def _post(
+    async def post(
         self, peer: str, path: str, content: bytes, timeout_ms: int
     ) -> Result[bytes, Ran]:
         """Return the body of a peer's answer; without one whether the peer may have acted."""
@@ -228,10 +200,8 @@
         try:
             if request.path == _SUBMISSION_PATH:
                 return self._serve_submission(SubmissionNotice.decode(content))
-            if request.path == _SUCCESSION_QUERY_PATH:
-                return await self._serve_query(SuccessionQuery.decode(content))
-            if request.path == _SUCCESSION_PATH:
-                return await self._serve_succession(SuccessionNotice.decode(content))
+            if request.path in self._handlers:
+                return web.Response(body=await self._handlers[request.path](content))
             return self._serve_state(StateQuery.decode(content))
         except ValueError as error:
             return web.Response(status=400, text=str(error))
@@ -242,15 +212,6 @@
         state = run.job_state(query.job_id) if run is not None else None
         return web.Response(body=msgpack.packb(state))
 
-    async def _serve_query(self, query: SuccessionQuery) -> web.StreamResponse:
-        is_able = self._lease is not None and await self._lease.may_succeed(query.term)
-        return web.Response(body=_YES if is_able else _NO)
-
-    async def _serve_succession(self, notice: SuccessionNotice) -> web.StreamResponse:
-        if self._lease is not None:
-            await self._lease.succeed(notice.term)
-        return web.Response()
-
     def _serve_submission(self, notice: SubmissionNotice) -> web.StreamResponse:
         run = self._scheduler.current if self._scheduler else None
         if run is not None:
--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -11,6 +11,7 @@
 from fireflydeck.entry.peer_link import PeerLink
 from fireflydeck.entry.server import CallerServer, StatusServer
 from fireflydeck.entry.settings_watch import SettingsWatch
+from fireflydeck.entry.succession_link import SuccessionLink
 from fireflydeck.kernel import Kernel, dump_state, forward_library_log
 from fireflydeck.kernel.log_sink import configure_bounded_logging
 from fireflydeck.observation.operators import OperatorDocuments
@@ -105,7 +106,7 @@
         metrics=metrics,
     )
     link.serve_forwarded(interface.answer)
-    lease.hand_over_to(link)
+    lease.hand_over_to(SuccessionLink(link, lease))
     kernel.add(operators)
     times = DutyTimes(
         duty_lease_ms=settings.bounds.duty_lease_ms,
--- /dev/null
+++ b/fireflydeck/entry/succession_link.py
@@ -0,0 +1,62 @@
+"""Hand-over of the lease between entry processes, by messages over the peer link."""
+
+from anyio import create_task_group
+
+from fireflydeck.entry.peer_link import PeerLink
+from fireflydeck.entry.peer_messages import SuccessionNotice, SuccessionQuery
+from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.ownership.succession import Successors
+
+__all__ = ["SuccessionLink"]
+
+_QUERY_PATH = "/succession-query"
+_NOTICE_PATH = "/succession"
+_TIMEOUT_MS = 300
+_ASKED_PEERS = 3
+_YES = b"\1"
+_NO = b"\0"
+
+
+class SuccessionLink(Successors):
+    """Asks other processes to hold the lease, and answers for this one.
+
+    Parameters
+    ----------
+    link
+        Carries the messages; it knows who called lately.
+    """
+
+    def __init__(self, link: PeerLink, lease: LeaseKeeper) -> None:
+        self._link = link
+        self._lease = lease
+        link.serve(_QUERY_PATH, self._serve_query)
+        link.serve(_NOTICE_PATH, self._serve_notice)
+
+    async def find(self, term: int) -> str | None:
+        """Return the first of the processes that called last which could hold the lease."""
+        able: list[str] = []
+        content = SuccessionQuery(term).encode()
+
+        async def ask(peer: str) -> None:
+            received = await self._link.post(peer, _QUERY_PATH, content, _TIMEOUT_MS)
+            if received.is_ok() and received.ok == _YES:
+                able.append(peer)
+                asking.cancel_scope.cancel()
+
+        async with create_task_group() as asking:
+            for peer in self._link.peers()[:_ASKED_PEERS]:
+                asking.start_soon(ask, peer)
+        return able[0] if able else None
+
+    async def hand_over(self, peer: str, term: int) -> None:
+        """Tell the successor; without an answer the lease lapses as if nothing was said."""
+        await self._link.post(peer, _NOTICE_PATH, SuccessionNotice(term).encode(), _TIMEOUT_MS)
+
+    async def _serve_query(self, content: bytes) -> bytes:
+        query = SuccessionQuery.decode(content)
+        return _YES if await self._lease.may_succeed(query.term) else _NO
+
+    async def _serve_notice(self, content: bytes) -> bytes:
+        notice = SuccessionNotice.decode(content)
+        await self._lease.succeed(notice.term)
+        return b""
--- a/fireflydeck/entry/tests/test_peer_link.py
+++ b/fireflydeck/entry/tests/test_peer_link.py
@@ -11,6 +11,7 @@
 from fireflydeck.core.rows import StoredRow
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 from fireflydeck.entry.peer_link import PeerLink
+from fireflydeck.entry.succession_link import SuccessionLink
 from fireflydeck.kernel import EventLog, Registry
 from fireflydeck.ownership import LeaseKeeper
 from fireflydeck.ownership.records import LeaseRecord
@@ -94,6 +95,7 @@
 )
 async def test_unreadable_messages_are_refused(path, content):
     link = PeerLink(free_address(), SystemClock())
+    SuccessionLink(link, _Lease(""))
     async with (
         local_server(link._serve) as address,
         ClientSession() as session,
@@ -151,4 +153,5 @@
 )
 async def test_successor_is_a_process_that_says_so(handler, is_found):
     async with _linked(handler) as (link, address):
-        assert await link.find(1) == (address if is_found else None)
+        successors = SuccessionLink(link, link._lease)
+        assert await successors.find(1) == (address if is_found else None)
--- a/fireflydeck/ownership/__init__.py
+++ b/fireflydeck/ownership/__init__.py
@@ -1,6 +1,6 @@
 """The lease of the fleet: who schedules, and who takes over."""
 
-from fireflydeck.ownership.lease import LeaseKeeper, Tenure
+from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.ownership.records import (
     COMMIT_ROW,
     DUTIES_ROW,
@@ -8,6 +8,7 @@
     OWNERSHIP_TABLE,
     ROSTER_ROW,
     LeaseRecord,
+    Tenure,
     decode_lease,
 )
 
--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -4,43 +4,27 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from attrs import evolve, frozen
+from attrs import evolve
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
-from fireflydeck.core.rows import (
-    ABSENT_VERSION,
-    RowChanges,
-    RowCondition,
-    RowKey,
-    RowStore,
-    RowTransaction,
-    RowWrite,
-    StoredRow,
-)
-from fireflydeck.kernel import Event, EventLog, Registry, Service, StoreHealth, keep_running
-from fireflydeck.ownership.records import (
-    COMMIT_ROW,
-    LEASE_ROW,
-    OWNERSHIP_TABLE,
-    LeaseRecord,
-    decode_lease,
-)
+from fireflydeck.core.rows import ABSENT_VERSION, RowKey, RowStore, RowWrite, StoredRow
+from fireflydeck.kernel import Event, EventLog, Registry, Service, keep_running
+from fireflydeck.ownership.candidacy import lease_free_at_ms
+from fireflydeck.ownership.lease_rows import CALL_TIMEOUT_MS, LeaseRows
+from fireflydeck.ownership.records import COMMIT_ROW, LEASE_ROW, LeaseRecord, Tenure, decode_lease
 from fireflydeck.ownership.succession import Successors
 
-__all__ = ["LeaseKeeper", "Tenure"]
+__all__ = ["LeaseKeeper"]
 
 _TTL_MS = 1500
 _MAX_TTL_MS = 4000
 _TTL_LATENCIES = 5
 """A renewal may take this many times as long as the last one before the lease lapses."""
 _RENEWAL_MS = 400
-_TAKE_OVER_SLACK_MS = 150
-"""Added to the holder's time to live, for the difference between two clocks' rates."""
 _WATCH_PAUSE_MS = 200
 _WATCH_WAIT_MS = 500
 _RETRY_MS = 100
 _MS_PER_S = 1000
-_CALL_TIMEOUT_MS = 1200
 _MIN_TIMEOUT_MS = 50
 _HAND_OVER_SHARE = 0.4
 """Part of the time to live without a confirmed renewal after which a successor is looked for."""
@@ -53,15 +37,6 @@
 """A late renewal of the holder before may come in between."""
 
 
-@frozen
-class Tenure:
-    """One holding of the lease: its term, and the store's version from which it holds."""
-
-    term: int
-    since_version: int
-    since_ms: int
-
-
 class LeaseKeeper(Service):
     """Keeps one process of the system in charge of the fleet.
 
@@ -86,16 +61,13 @@
         address: str,
         candidate_delay_ms: int = 0,
     ) -> None:
-        self._store = store
+        self._rows = LeaseRows(store, log)
         self._clock = clock
         self._log = log
         self._name_of_process = name
         self._address = address
         self._candidate_delay_ms = candidate_delay_ms
         self._record: LeaseRecord | None = None
-        self._lease_version = ABSENT_VERSION
-        self._commit_version = ABSENT_VERSION
-        self._seen_version = 0
         self._standing_since_ms = clock.now_ms()
         self._renewal: tuple[int, int] | None = None
         self._renewal_took_ms = 0
@@ -104,7 +76,6 @@
         self._tenure: Tenure | None = None
         self._ttl_ms = _TTL_MS
         self._stopping = False
-        self._health = StoreHealth(log, OWNERSHIP_TABLE)
         self._commit_lock = anyio.Lock()
         self._take_over_lock = anyio.Lock()
         self._on_change: list[Callable[[Tenure | None], None]] = []
@@ -166,7 +137,7 @@
             return
         self._leave("released")
         record = evolve(self._record, holder="", sequence=self._record.sequence + 1)
-        await self._write_lease(record, self._lease_version, _CALL_TIMEOUT_MS)
+        await self._rows.write_lease(record, CALL_TIMEOUT_MS)
 
     def resign(self, tenure: Tenure, why: str) -> None:
         """End a tenure at once, for another process is known to hold the lease."""
@@ -181,7 +152,7 @@
         if self._stopping or self._tenure is not None:
             return False
         with anyio.move_on_after(_SUCCESSION_READ_MS / _MS_PER_S):
-            rows = await self._read_rows()
+            rows = await self._rows.read()
             if rows is None:
                 return False
             self._note_rows(rows)
@@ -203,7 +174,7 @@
                     return
                 await self._take_over()
             if self._tenure is None:
-                rows = await self._read_rows()
+                rows = await self._rows.read()
                 self._note_rows(rows or {})
 
     async def commit(self, writes: list[RowWrite], removals: list[RowKey]) -> Failure | None:
@@ -216,18 +187,12 @@
             self._commits += 1
             while tenure is not None and self._tenure is tenure:
                 marker = f"{tenure.term}.{self._commits}".encode()
-                transaction = RowTransaction(
-                    conditions=(RowCondition(COMMIT_ROW, self._commit_version),),
-                    writes=(RowWrite(COMMIT_ROW, marker), *writes),
-                    removals=tuple(removals),
-                )
-                result = await self._store.commit(transaction, timeout_ms=_CALL_TIMEOUT_MS)
-                if result.is_ok():
-                    self._commit_version = result.ok
+                failure = await self._rows.commit(marker, writes, removals)
+                if failure is None:
                     return None
-                if result.error.reason != Reason.CONFLICT:
-                    self._health.note_failure(result.error)
-                if result.error.ran != Ran.UNKNOWN and result.error.reason != Reason.CONFLICT:
+                if failure.reason != Reason.CONFLICT:
+                    self._rows.health.note_failure(failure)
+                if failure.ran != Ran.UNKNOWN and failure.reason != Reason.CONFLICT:
                     await self._clock.sleep_ms(_RETRY_MS)
                 elif await self._refresh_commit_version() == marker:
                     return None
@@ -238,7 +203,7 @@
 
         Returns the marker of the last commit that took effect.
         """
-        rows = await self._read_rows()
+        rows = await self._rows.read()
         if rows is None or self._tenure is None:
             await self._clock.sleep_ms(_RETRY_MS)
             return b""
@@ -247,7 +212,7 @@
             self._leave("taken by another process")
             return b""
         commits = rows.get(COMMIT_ROW)
-        self._commit_version = commits.version if commits else ABSENT_VERSION
+        self._rows.commit_version = commits.version if commits else ABSENT_VERSION
         return commits.value if commits else b""
 
     async def _run(self) -> None:
@@ -268,7 +233,7 @@
         )
         if self._renewal is None or self._renewal[0] != renewed.sequence:
             self._renewal = (renewed.sequence, sent_ms)
-        result = await self._write_lease(renewed, self._lease_version, self._call_timeout_ms())
+        result = await self._rows.write_lease(renewed, self._call_timeout_ms())
         if self._tenure is not tenure:
             return
         if result is None:
@@ -279,7 +244,7 @@
             await self._clock.sleep_ms(max(_RETRY_MS, _RENEWAL_MS - took_ms))
             return
         if result.reason != Reason.CONFLICT:
-            self._health.note_failure(result)
+            self._rows.health.note_failure(result)
         is_unsettled = result.reason == Reason.CONFLICT or result.ran == Ran.UNKNOWN
         if is_unsettled and await self._settle_soon():
             return
@@ -317,7 +282,7 @@
         A renewal that took effect without an answer holds from when it was first sent: no other
         process can have seen it earlier.
         """
-        rows = await self._read_rows()
+        rows = await self._rows.read()
         lease = rows.get(LEASE_ROW) if rows is not None else None
         if lease is None or self._tenure is None:
             return False
@@ -326,23 +291,23 @@
             self._observe(record, lease.version)
             self._leave("taken by another process")
             return True
-        has_effect = lease.version != self._lease_version
-        self._lease_version = lease.version
+        has_effect = lease.version != self._rows.lease_version
+        self._rows.lease_version = lease.version
         self._record = record
         if has_effect and self._renewal is not None and self._renewal[0] == record.sequence:
             self._confirm(record, self._renewal[1])
         return True
 
     def _call_timeout_ms(self) -> int:
-        return max(_MIN_TIMEOUT_MS, min(_CALL_TIMEOUT_MS, self._ttl_ms - _RENEWAL_MS))
+        return max(_MIN_TIMEOUT_MS, min(CALL_TIMEOUT_MS, self._ttl_ms - _RENEWAL_MS))
 
     def _confirm(self, record: LeaseRecord, sent_ms: int) -> None:
-        self._health.note_answer()
+        self._rows.health.note_answer()
         self._record = record
         self._valid_until_ms = max(self._valid_until_ms, sent_ms + record.ttl_ms)
 
     async def _watch(self) -> None:
-        rows = await self._read_rows()
+        rows = await self._rows.read()
         if rows is None:
             await self._clock.sleep_ms(_WATCH_PAUSE_MS)
             return
@@ -354,14 +319,10 @@
                         await self._take_over()
                 return
             await self._clock.sleep_ms(_WATCH_PAUSE_MS)
-            changes = await self._store.changes(
-                OWNERSHIP_TABLE, after=self._seen_version, wait_ms=self._watch_wait_ms()
-            )
-            if changes.is_error():
-                self._health.note_failure(changes.error)
+            changed = await self._rows.changes(self._watch_wait_ms())
+            if changed is None:
                 return
-            self._seen_version = max(self._seen_version, changes.ok.version)
-            self._note_rows({row.id: row for row in changes.ok.rows})
+            self._note_rows(changed)
 
     def _watch_wait_ms(self) -> int:
         return max(1, min(_WATCH_WAIT_MS, self._free_at_ms() - self._clock.now_ms()))
@@ -371,18 +332,12 @@
         return self._clock.now_ms() >= self._free_at_ms()
 
     def _free_at_ms(self) -> int:
-        """Return when this process may take the lease, unless its row changes before.
-
-        A lease under this process's own name belongs to an earlier life of it, which is over.
-        """
-        record = self._record
-        if record is not None and record.holder == self._name_of_process:
-            return self._standing_since_ms
-        if record is None:
-            return self._standing_since_ms + self._candidate_delay_ms
-        delay_ms = max(0, self._candidate_delay_ms - record.candidate_delay_ms)
-        lapse_ms = record.ttl_ms + _TAKE_OVER_SLACK_MS + 1 if record.holder else 0
-        return self._standing_since_ms + lapse_ms + delay_ms
+        return lease_free_at_ms(
+            self._record,
+            name=self._name_of_process,
+            standing_since_ms=self._standing_since_ms,
+            candidate_delay_ms=self._candidate_delay_ms,
+        )
 
     async def _take_over(self) -> None:
         sent_ms = self._clock.now_ms()
@@ -396,17 +351,7 @@
             pending=previous.pending if previous else {},
             candidate_delay_ms=self._candidate_delay_ms,
         )
-        transaction = RowTransaction(
-            conditions=(
-                RowCondition(LEASE_ROW, self._lease_version),
-                RowCondition(COMMIT_ROW, self._commit_version),
-            ),
-            writes=(
-                RowWrite(LEASE_ROW, record.encode()),
-                RowWrite(COMMIT_ROW, str(record.term).encode()),
-            ),
-        )
-        result = await self._store.commit(transaction, timeout_ms=_CALL_TIMEOUT_MS)
+        result = await self._rows.take(record)
         if result.is_error():
             self._log.emit(
                 Event.LEASE_NOT_TAKEN,
@@ -416,7 +361,6 @@
             )
             await self._clock.sleep_ms(_RETRY_MS)
             return
-        self._lease_version = self._commit_version = result.ok
         self._enter(record, result.ok, sent_ms)
 
     def _enter(self, record: LeaseRecord, version: int, sent_ms: int) -> None:
@@ -439,42 +383,17 @@
         for listener in self._on_change:
             listener(self._tenure)
 
-    async def _write_lease(
-        self, record: LeaseRecord, version: int, timeout_ms: int
-    ) -> Failure | None:
-        transaction = RowTransaction(
-            conditions=(RowCondition(LEASE_ROW, version),),
-            writes=(RowWrite(LEASE_ROW, record.encode()),),
-        )
-        result = await self._store.commit(transaction, timeout_ms=timeout_ms)
-        if result.is_error():
-            return result.error
-        self._lease_version = result.ok
-        return None
-
-    async def _read_rows(self) -> dict[RowKey, StoredRow] | None:
-        result = await self._store.read(
-            OWNERSHIP_TABLE, LEASE_ROW.partition, timeout_ms=_CALL_TIMEOUT_MS
-        )
-        if result.is_error():
-            self._health.note_failure(result.error)
-            return None
-        changes: RowChanges = result.ok
-        self._health.note_answer()
-        self._seen_version = changes.version
-        return {row.id: row for row in changes.rows}
-
     def _note_rows(self, rows: dict[RowKey, StoredRow]) -> None:
         commits = rows.get(COMMIT_ROW)
         if commits is not None:
-            self._commit_version = max(self._commit_version, commits.version)
+            self._rows.commit_version = max(self._rows.commit_version, commits.version)
         lease = rows.get(LEASE_ROW)
-        if lease is not None and lease.version > self._lease_version:
+        if lease is not None and lease.version > self._rows.lease_version:
             self._observe(decode_lease(lease.value), lease.version)
 
     def _observe(self, record: LeaseRecord, version: int) -> None:
         if self._record is None or record.holder != self._record.holder:
             self._log.emit(Event.LEASE_HOLDER_SEEN, holder=record.holder, term=record.term)
         self._record = record
-        self._lease_version = version
+        self._rows.lease_version = version
         self._standing_since_ms = self._clock.now_ms()
--- a/fireflydeck/ownership/records.py
+++ b/fireflydeck/ownership/records.py
@@ -13,6 +13,7 @@
     "OWNERSHIP_TABLE",
     "ROSTER_ROW",
     "LeaseRecord",
+    "Tenure",
     "decode_lease",
 ]
 
@@ -28,6 +29,15 @@
 """VMs that were ordered lately, had their maintenance, or came from standby."""
 
 
+@frozen
+class Tenure:
+    """One holding of the lease: its term, and the store's version from which it holds."""
+
+    term: int
+    since_version: int
+    since_ms: int
+
+
 @frozen(kw_only=True)
 class LeaseRecord:
     """Who holds the lease.
--- a/fireflydeck/scheduling/scheduler.py
+++ b/fireflydeck/scheduling/scheduler.py
@@ -9,7 +9,8 @@
 from fireflydeck.core.vm_orders import VmOrders
 from fireflydeck.kernel import EventLog, Metrics, Registry, Service, keep_running
 from fireflydeck.observation.operators import OperatorDocuments
-from fireflydeck.ownership.lease import LeaseKeeper, Tenure
+from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.ownership.records import Tenure
 from fireflydeck.scheduling.tenure_run import OrdersFactory, TenureRun
 from fireflydeck.scheduling.vm_fleet import DutyTimes
 
--- a/fireflydeck/scheduling/server_reports.py
+++ b/fireflydeck/scheduling/server_reports.py
@@ -7,7 +7,8 @@
 from fireflydeck.core import Clock, Failure
 from fireflydeck.core.backend_orders import HoldReport
 from fireflydeck.kernel import Event, EventLog
-from fireflydeck.ownership.lease import LeaseKeeper, Tenure
+from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.ownership.records import Tenure
 from fireflydeck.scheduling.pacing import Pacer
 from fireflydeck.scheduling.runs import RunLedger
 from fireflydeck.scheduling.servers import Server
--- a/fireflydeck/scheduling/tenure_run.py
+++ b/fireflydeck/scheduling/tenure_run.py
@@ -22,7 +22,8 @@
 )
 from fireflydeck.observation.operators import OperatorDocuments
 from fireflydeck.observation.registrations import Registrations
-from fireflydeck.ownership.lease import LeaseKeeper, Tenure
+from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.ownership.records import Tenure
 from fireflydeck.scheduling.advice import AdviceBook
 from fireflydeck.scheduling.dispatch import Dispatch
 from fireflydeck.scheduling.duties import FleetDuties
--- a/fireflydeck/scheduling/vm_fleet.py
+++ b/fireflydeck/scheduling/vm_fleet.py
@@ -6,7 +6,8 @@
 from fireflydeck.core import Clock, Failure
 from fireflydeck.core.vm_orders import DutyOutcome, ListedVm, VmListState, VmOrders
 from fireflydeck.kernel import Event, EventLog
-from fireflydeck.ownership.lease import LeaseKeeper, Tenure
+from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.ownership.records import Tenure
 from fireflydeck.scheduling.duty_record import DutyRecord
 from fireflydeck.scheduling.servers import Server
 
