Messages between entry processes that can't be read are answered, also these two

Seen failing: a forwarded request that is not one raised in the handler (500, a library's trace in the log) and a state of a job that is no state raised in the process that asked, so its caller got 500. The first is refused with 400 now; after the second the store is asked. The state is a typed message.

--- a/fireflydeck/entry/peer_link.py
+++ b/fireflydeck/entry/peer_link.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable, Callable
 
-import msgpack
 from aiohttp import (
     ClientConnectorError,
     ClientError,
@@ -18,7 +17,7 @@
 from fireflydeck.core import Clock, Ran
 from fireflydeck.core.rows import StoredRow
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
-from fireflydeck.entry.peer_messages import StateQuery, SubmissionNotice
+from fireflydeck.entry.peer_messages import StateAnswer, StateQuery, SubmissionNotice
 from fireflydeck.entry.state_source import (
     ForwardResult,
     RequestForwarder,
@@ -118,7 +117,7 @@
             return None
         content = StateQuery(job_id, self._address).encode()
         received = await self.post(holder, _STATE_PATH, content, _STATE_TIMEOUT_MS)
-        return msgpack.unpackb(received.ok) if received.is_ok() else None
+        return received.map(_decode_state).default_value(None)
 
     async def forward(self, request: CallerRequest, *, timeout_ms: int) -> ForwardResult:
         """Let the holder answer, or another process that called lately."""
@@ -194,10 +193,10 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         content = await request.read()
-        if request.path == _FORWARD_PATH and self._answer is not None:
-            answer = await self._answer(CallerRequest.decode(content))
-            return web.Response(body=answer.encode())
         try:
+            if request.path == _FORWARD_PATH and self._answer is not None:
+                answer = await self._answer(CallerRequest.decode(content))
+                return web.Response(body=answer.encode())
             if request.path == _SUBMISSION_PATH:
                 return self._serve_submission(SubmissionNotice.decode(content))
             if request.path in self._handlers:
@@ -210,7 +209,7 @@
         self._seen_ms[query.sender] = self._clock.now_ms()
         run = self._scheduler.current if self._scheduler else None
         state = run.job_state(query.job_id) if run is not None else None
-        return web.Response(body=msgpack.packb(state))
+        return web.Response(body=StateAnswer(state).encode())
 
     def _serve_submission(self, notice: SubmissionNotice) -> web.StreamResponse:
         run = self._scheduler.current if self._scheduler else None
@@ -219,6 +218,14 @@
         return web.Response()
 
 
+def _decode_state(content: bytes) -> str | None:
+    try:
+        return StateAnswer.decode(content).state
+    except ValueError:
+        # A process of another version answers in its own way; the store is asked then.
+        return None
+
+
 def _decode_answer(content: bytes) -> Result[CallerAnswer, Ran]:
     try:
         return Ok(CallerAnswer.decode(content))
--- a/fireflydeck/entry/peer_messages.py
+++ b/fireflydeck/entry/peer_messages.py
@@ -8,7 +8,7 @@
 from fireflydeck.core.rows import StoredRow
 from fireflydeck.workload.records import job_id_of, job_key
 
-__all__ = ["StateQuery", "SubmissionNotice", "SuccessionNotice", "SuccessionQuery"]
+__all__ = ["StateAnswer", "StateQuery", "SubmissionNotice", "SuccessionNotice", "SuccessionQuery"]
 
 
 @frozen
@@ -49,6 +49,13 @@
     sender: str
 
 
+@frozen
+class StateAnswer(_Message):
+    """Tells the state of a job; `None` if it is not known here."""
+
+    state: str | None
+
+
 @frozen
 class SuccessionQuery(_Message):
     """Asks whether a process could hold the lease after the term of the asking one."""
--- a/fireflydeck/entry/tests/test_peer_link.py
+++ b/fireflydeck/entry/tests/test_peer_link.py
@@ -71,6 +71,10 @@
         return await link.forward(_REQUEST, timeout_ms=400)
 
 
+async def _refuse(request):
+    return CallerAnswer(503, b"{}")
+
+
 class _Registry(Registry):
     """Hands out services that are not started."""
 
@@ -86,7 +90,7 @@
     ("path", "content"),
     [
         *product(
-            ["/submission", "/job-state", "/succession", "/succession-query"],
+            ["/submission", "/job-state", "/succession", "/succession-query", "/forward"],
             [b"", b"\xc1", b"\x01", b"\x94\x01\x01\x01\x01"],
         ),
         ("/submission", b"\x91\xa1a"),
@@ -96,6 +100,7 @@
 async def test_unreadable_messages_are_refused(path, content):
     link = PeerLink(free_address(), SystemClock())
     SuccessionLink(link, _Lease(""))
+    link.serve_forwarded(_refuse)
     async with (
         local_server(link._serve) as address,
         ClientSession() as session,
@@ -155,3 +160,9 @@
     async with _linked(handler) as (link, address):
         successors = SuccessionLink(link, link._lease)
         assert await successors.find(1) == (address if is_found else None)
+
+
+@pytest.mark.parametrize("content", [b"", b"\xc1", b"\x93", b"\x01", b"\xc0"])
+async def test_unreadable_state_of_a_job_is_none(content):
+    async with _linked(_telling(content)) as (link, _):
+        assert await link.job_state(JOB_ID) is None
