No hand-over of the lease to a process that the store answers slowly

The holder could have kept the lease with longer timeouts. Change: a successor reads the row within 50 ms (usual: under 10). Test: fails with 200 ms.

--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -28,7 +28,8 @@
 _MIN_TIMEOUT_MS = 50
 _HAND_OVER_SHARE = 0.4
 """Part of the time to live without a confirmed renewal after which a successor is looked for."""
-_SUCCESSION_READ_MS = 200
+_SUCCESSION_READ_MS = 50
+"""While the store is slow, a successor's first reads would take longer than the lease lasts."""
 _LEAST_SETTLE_MS = 200
 _SETTLE_LATENCIES = 4
 """The outcome of a renewal is asked for this many times as long as the last renewal took, before
@@ -147,19 +148,20 @@
     async def may_succeed(self, term: int) -> bool:
         """Whether this process could hold the lease in place of the holder of the term.
 
-        The store must answer it now, and its VM be as large as the holder's.
+        The store must answer it quickly, and its VM be as large as the holder's.
         """
         if self._stopping or self._tenure is not None:
             return False
+        sent_ms = self._clock.now_ms()
         with anyio.move_on_after(_SUCCESSION_READ_MS / _MS_PER_S):
             rows = await self._rows.read()
-            if rows is None:
+            if rows is None or self._clock.now_ms() - sent_ms > _SUCCESSION_READ_MS:
                 return False
             self._note_rows(rows)
             record = self._record
-            if record is None or self._candidate_delay_ms > record.candidate_delay_ms:
+            if record is None or record.term != term:
                 return False
-            return record.term == term
+            return self._candidate_delay_ms <= record.candidate_delay_ms
         return False
 
     def _record_term(self) -> int:
--- a/fireflydeck/ownership/tests/test_succession.py
+++ b/fireflydeck/ownership/tests/test_succession.py
@@ -71,6 +71,23 @@
         assert holders(members) == [first]
 
 
+async def test_no_hand_over_while_the_store_is_slow_for_all():
+    """Pattern: a slow store; the successor read the fleet's rows for 2 s, and nothing started."""
+    clock = FakeClock()
+    async with running_members(clock, "a", "b", hand_over=True) as members:
+        await clock.advance_ms(_SETTLED_MS)
+        first = holders(members)[0]
+        first.store.outage = Ran.UNKNOWN
+        for member in members:
+            member.store.read_delay_ms = 120
+        await _advance(clock, members, 1000)
+        assert first.successors.asked > 0
+        assert holders(members) == [first]
+        first.store.outage = None
+        await _advance(clock, members, 1000)
+        assert holders(members) == [first]
+
+
 async def test_renewal_that_takes_effect_late_does_not_keep_the_successor_out():
     clock = FakeClock()
     async with running_members(clock, "a", "b", hand_over=True) as members:
--- a/fireflydeck/testing/rows.py
+++ b/fireflydeck/testing/rows.py
@@ -40,6 +40,8 @@
         Faults of the next commits, first one first.
     answer_delay_ms
         How long answers to transactions that took effect take.
+    read_delay_ms
+        How long answers to reads of partitions take.
     are_changes_silent
         While set, calls for changes answer that there are none.
     stale_reads
@@ -54,6 +56,7 @@
         self.rows = rows or MemoryRows()
         self.outage: Ran | None = None
         self.answer_delay_ms = 0
+        self.read_delay_ms = 0
         self.are_changes_silent = False
         self.stale_reads: dict[str, int] = {}
         self.next_commits: list[RowStoreFault | None] = []
@@ -100,6 +103,8 @@
         await anyio.lowlevel.checkpoint()
         if self.outage is not None:
             return Error(_unavailable("store.read", self.outage))
+        if self.read_delay_ms > 0:
+            await self._clock.sleep_ms(self.read_delay_ms)
         found = self.rows.read(table, partition, first, before)
         if table not in self.stale_reads or before:
             return Ok(found)
