Odd entries of other writers stop no reader

Cause: a value nested some 1,000 levels deep parses, but the text of the error about it raised RecursionError past the decoders; a wave's duration of 1e306 raised OverflowError; ports out of range and other than ASCII, hosts with a path, user or line end and ids that no header can carry were taken and failed in the HTTP client, past its handlers. Each ended the loop that read the table or served the server, again and again. Rows of jobs with fields of other types, unreadable progress, outcomes and rosters ended the whole tenure of every holder.

Change: fields are checked for range (addresses are an IPv4 address and a port, ids fit in a header, amounts are not negative, numbers at most 10^15), the text of an error leaves the content of lists out, the client returns a failure for what can't be sent. A job whose progress or outcome can't be read is not started, since its tasks may be done. Whatever else a row raises is logged as event 1114 and the other rows of its batch are applied. A conflict with an odd reason no longer leaves a start in its first phase for good. The end of an occurrence that is not due by the holder's own wall clock is stored instead of being acknowledged and forgotten, after which it ran again.

--- a/fireflydeck/entry/peer_messages.py
+++ b/fireflydeck/entry/peer_messages.py
@@ -6,6 +6,7 @@
 from attrs import astuple, frozen
 
 from fireflydeck.core.rows import StoredRow
+from fireflydeck.core.typed_values import mistyped_fields
 from fireflydeck.workload.records import job_id_of, job_key
 
 __all__ = ["StateAnswer", "StateQuery", "SubmissionNotice", "SuccessionNotice", "SuccessionQuery"]
@@ -30,9 +31,12 @@
         """
         try:
             fields: Any = msgpack.unpackb(content)
-            return cls(*fields)
-        except (TypeError, msgpack.UnpackException) as error:
-            raise ValueError(f"not a {cls.__name__}: {error}") from error
+            message = cls(*fields)
+        except (TypeError, ValueError) as error:
+            raise ValueError(f"not a {cls.__name__}: {type(error).__name__}") from error
+        if mistyped_fields(message):
+            raise ValueError(f"not a {cls.__name__}: a field is invalid")
+        return message
 
 
 @frozen
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -48,6 +48,12 @@
         action="Inspect the entry; another writer may use the table.",
         fields=("server", "version", "detail"),
     ),
+    1114: EventNote(
+        trigger="Applying one row of a followed table raised an error; the other rows of its "
+        "batch are applied.",
+        action="Inspect the row that `key` names, and report the trace as a defect.",
+        fields=("table", "key", "version", "error", "trace"),
+    ),
     1220: EventNote(
         trigger="Operators evacuated a data centre (`evacuated` true) or returned it to service.",
         fields=("data_centre", "evacuated", "version"),
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -93,6 +93,7 @@
     REGISTRATION_UNREADABLE = _Definition(
         1113, "warning", "registration cannot be decoded, ignored"
     )
+    ROW_NOT_APPLIED = _Definition(1114, "error", "unexpected error while a row was applied")
     EVACUATION_CHANGED = _Definition(1220, "info", "data centre evacuated or in service again")
     WAVE_REQUESTED = _Definition(1221, "info", "maintenance wave requested")
     LEASE_TAKEN = _Definition(6001, "info", "lease of the fleet acquired")
--- a/fireflydeck/observation/table_follower.py
+++ b/fireflydeck/observation/table_follower.py
@@ -1,5 +1,6 @@
 """Base class of services that keep a copy of a table of the store."""
 
+import traceback
 from abc import ABC, abstractmethod
 
 import anyio
@@ -7,7 +8,7 @@
 
 from fireflydeck.core import Clock
 from fireflydeck.core.rows import RowKey, RowStore, StoredRow, VersionedRows
-from fireflydeck.kernel import EventLog, Registry, Service, StoreHealth, keep_running
+from fireflydeck.kernel import Event, EventLog, Registry, Service, StoreHealth, keep_running
 
 __all__ = ["TableFollower"]
 
@@ -154,7 +155,17 @@
             self._versions.pop(row.id, None)
         else:
             self._versions[row.id] = row.version
-        self.apply(row)
+        try:
+            self.apply(row)
+        except Exception as error:  # the other rows of the batch must still be applied
+            self._log.emit(
+                Event.ROW_NOT_APPLIED,
+                table=self._table,
+                key=row.id.key,
+                version=row.version,
+                error=type(error).__name__,
+                trace=traceback.format_exc(limit=-6),
+            )
 
     def _confirm(self, sent_ms: int) -> None:
         self._confirmed_ms = sent_ms
--- a/fireflydeck/ownership/records.py
+++ b/fireflydeck/ownership/records.py
@@ -4,6 +4,7 @@
 from attrs import Factory, asdict, fields_dict, frozen
 
 from fireflydeck.core.rows import RowKey
+from fireflydeck.core.typed_values import mistyped_fields
 from fireflydeck.workload.records import FLEET_PARTITION
 
 __all__ = [
@@ -95,6 +96,9 @@
     try:
         document = msgpack.unpackb(content)
         known = {name: document[name] for name in fields_dict(LeaseRecord) if name in document}
-        return LeaseRecord(**known)
-    except (TypeError, ValueError, msgpack.UnpackException) as error:
-        raise ValueError(f"not a lease: {error}") from error
+        record = LeaseRecord(**known)
+    except (TypeError, ValueError) as error:
+        raise ValueError(f"not a lease: {type(error).__name__}") from error
+    if mistyped_fields(record):
+        raise ValueError("not a lease: a field is invalid")
+    return record
--- a/fireflydeck/platform/backend_server_client.py
+++ b/fireflydeck/platform/backend_server_client.py
@@ -165,7 +165,7 @@
 
     def _decode_start_outcome(self, answer: HttpAnswer) -> Result[StartOutcome, Failure]:
         if answer.status == _CONFLICT:
-            outcome = _START_OUTCOMES_BY_REASON.get(answer.body.get("reason", ""))
+            outcome = _START_OUTCOMES_BY_REASON.get(answer.text("reason"))
         else:
             outcome = _START_OUTCOMES_BY_STATUS.get(answer.status)
         return Error(self._refusal("start", answer)) if outcome is None else Ok(outcome)
@@ -183,7 +183,7 @@
         reason = Reason.BACKEND_REFUSED
         if answer.status == _OTHER_INSTANCE:
             reason = Reason.BACKEND_LOST
-        if answer.status == _CONFLICT and answer.body.get("reason") == _FENCE_REASON:
+        if answer.status == _CONFLICT and answer.text("reason") == _FENCE_REASON:
             reason = Reason.NOT_OWNER
         return self._failure(reason, step, f"status {answer.status}")
 
--- a/fireflydeck/platform/documents.py
+++ b/fireflydeck/platform/documents.py
@@ -20,7 +20,9 @@
 from fireflydeck.platform.fields import (
     FIELD_ERRORS,
     address,
+    amount,
     exact_int,
+    header_text,
     number,
     string,
     strings,
@@ -102,7 +104,7 @@
     try:
         labels = strings(document.get("labels", []))
         return Registration(
-            server_id=server_id,
+            server_id=header_text(server_id),
             pool=string(document["service"]),
             address=address(document["address"]),
             data_centre=string(document["zone"]),
@@ -124,13 +126,13 @@
 
     Raises
     ------
-    TypeError
-        If a field is not an integer.
+    TypeError, ValueError
+        If a field is not an integer, or negative or out of range.
     """
     return Resources(
-        exact_int(document.get("cpu", 0)),
-        exact_int(document.get("mem_mb", 0)),
-        exact_int(document.get("gpus", 0)),
+        amount(document.get("cpu", 0)),
+        amount(document.get("mem_mb", 0)),
+        amount(document.get("gpus", 0)),
     )
 
 
--- a/fireflydeck/platform/job_documents.py
+++ b/fireflydeck/platform/job_documents.py
@@ -5,11 +5,9 @@
 from typing import Any
 
 import orjson
-from attrs import astuple
 
-from fireflydeck.core.placement import Resources
 from fireflydeck.platform.documents import DocumentError, decode_resources
-from fireflydeck.platform.fields import FIELD_ERRORS, number
+from fireflydeck.platform.fields import FIELD_ERRORS, number, string
 from fireflydeck.workload.specification import JobSpec, StepSpec
 
 __all__ = [
@@ -29,8 +27,6 @@
 _MAX_PAYLOAD_BYTES = 4000
 _MAX_STEPS = 100
 _MAX_TASKS = 10_000
-_MAX_VALUE = 10**15
-"""Far beyond any meaningful amount or time; integers in rows are limited to 64 bits."""
 
 
 def decode_submission(
@@ -98,18 +94,18 @@
     max_unavailable = item.get("max_unavailable")
     return StepSpec(
         count=count,
-        demand=_decode_demand(item),
+        demand=decode_resources(item),
         estimated_ms=_non_negative_int(item, "estimated_ms"),
         depends_on=depends_on,
         checkpointing=bool(item.get("checkpointing")),
         gang=bool(item.get("gang")),
         same_rack=bool(item.get("same_rack")),
-        required_label=str(item.get("requirements") or ""),
-        data_rack=str(item.get("affinity") or ""),
+        required_label=string(item.get("requirements") or ""),
+        data_rack=string(item.get("affinity") or ""),
         max_per_server=_non_negative_int(item, "anti_affinity"),
         speculative=bool(item.get("speculative")),
         long_running=bool(item.get("long_running")),
-        image=str(item.get("image") or ""),
+        image=string(item.get("image") or ""),
         target_tail_ms=_non_negative_int(item, "target_ms"),
         fill=bool(item.get("fill_ratio")),
         max_unavailable=max_unavailable if type(max_unavailable) is int else None,
@@ -119,13 +115,6 @@
 def _non_negative_int(item: Mapping[str, Any], name: str) -> int:
     """Return a field without its fractional part, or 0 if it is missing or empty."""
     value = number(item.get(name) or 0)
-    if not 0 <= value <= _MAX_VALUE:
-        raise ValueError(f"{name} is out of range")
+    if value < 0:
+        raise ValueError(f"{name} is negative")
     return int(value)
-
-
-def _decode_demand(item: Mapping[str, Any]) -> Resources:
-    demand = decode_resources(item)
-    if not all(0 <= amount <= _MAX_VALUE for amount in astuple(demand)):
-        raise ValueError("a demand is out of range")
-    return demand
--- a/fireflydeck/platform/json_http_client.py
+++ b/fireflydeck/platform/json_http_client.py
@@ -18,6 +18,7 @@
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Failure, Ran, Reason
+from fireflydeck.platform.fields import FIELD_ERRORS, header_text, split_address
 
 __all__ = ["HttpAnswer", "JsonHttpClient"]
 
@@ -35,6 +36,11 @@
     status: int
     body: Mapping[str, Any]
 
+    def text(self, name: str) -> str:
+        """Return a text field of the body; empty if it is missing or no text."""
+        value = self.body.get(name)
+        return value if isinstance(value, str) else ""
+
 
 class JsonHttpClient:
     """HTTP client that exchanges JSON with one address, with its own connection pool.
@@ -106,6 +112,9 @@
             The answer, whatever its status, or a failure with `Ran.NO` if the connection could not
             be made and `Ran.UNKNOWN` otherwise.
         """
+        unusable = self._invalid_request(headers or {})
+        if unusable is not None:
+            return Error(self._failure(step, Ran.NO, unusable))
         session = self._acquire_session()
         timeout = _client_timeout(timeout_ms, read_timeout_ms)
         payload = None if body is None else orjson.dumps(body)
@@ -128,6 +137,16 @@
         finally:
             await self._release_session(session)
 
+    def _invalid_request(self, headers: Mapping[str, str]) -> Exception | None:
+        """Return why no request with these headers can be sent to the address, or `None`."""
+        try:
+            split_address(self._address)
+            for value in headers.values():
+                header_text(value)
+        except FIELD_ERRORS as error:
+            return error
+        return None
+
     def _acquire_session(self) -> ClientSession:
         if self._session is None:
             self._session = ClientSession(
--- a/fireflydeck/platform/tests/test_backend_server_client.py
+++ b/fireflydeck/platform/tests/test_backend_server_client.py
@@ -1,6 +1,7 @@
 """Client of a backend server: orders, rejections and each fault of the connection."""
 
 import pytest
+from aiohttp import web
 
 from fireflydeck.core import Ran, Reason, SystemClock
 from fireflydeck.core.backend_orders import RunEnd, StartOrder, StartOutcome
@@ -120,3 +121,16 @@
         client = BackendServerClient("i-1", address)
         assert (await _send_heartbeat(client)).error.reason == Reason.ANSWER_INVALID
         await client.close()
+
+
+@pytest.mark.parametrize("reason", [[], {"a": 1}, None, 5, "unknown"])
+async def test_conflict_without_a_known_reason(reason):
+    async def answer(_):
+        return web.json_response({"reason": reason}, status=409)
+
+    async with local_server(answer) as address:
+        client = BackendServerClient("i-1", address)
+        result = await client.start(_order(_server()), timeout_ms=_TIMEOUT_MS)
+        assert result.error.reason == Reason.BACKEND_REFUSED
+        assert (await _send_heartbeat(client)).error.reason == Reason.BACKEND_REFUSED
+        await client.close()
--- a/fireflydeck/platform/tests/test_mutated_documents.py
+++ b/fireflydeck/platform/tests/test_mutated_documents.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from fireflydeck.core.fleet_configuration import AdvisorTimes
+from fireflydeck.core.typed_values import mistyped_fields
 from fireflydeck.platform.backend_server_client import decode_report
 from fireflydeck.platform.documents import (
     DocumentError,
@@ -18,7 +19,6 @@
 from fireflydeck.platform.standin.documents import configuration_document, registration_document
 from fireflydeck.platform.vm_client import decode_vm
 from fireflydeck.testing.mutations import mutated
-from fireflydeck.testing.typed_values import mistyped_fields
 from fireflydeck.workload.specification import encode_job_spec
 
 _EXAMPLES = 400
--- a/fireflydeck/platform/vm_client.py
+++ b/fireflydeck/platform/vm_client.py
@@ -79,7 +79,7 @@
                 vms.extend(decode_vm(item) for item in answer.ok.body["machines"])
             except FIELD_ERRORS:
                 return Error(self._failure("list", answer.ok.status))
-            page = answer.ok.body.get("next_page_token") or ""
+            page = answer.ok.text("next_page_token")
             if not page:
                 return Ok(tuple(vms))
 
@@ -111,7 +111,7 @@
         if answer.is_error():
             return Error(answer.error)
         if answer.ok.status == _CONFLICT:
-            outcome = _OUTCOMES_BY_REASON.get(answer.ok.body.get("reason", ""))
+            outcome = _OUTCOMES_BY_REASON.get(answer.ok.text("reason"))
         else:
             outcome = _OUTCOMES_BY_STATUS.get(answer.ok.status)
         return Error(self._failure(call, answer.ok.status)) if outcome is None else Ok(outcome)
--- a/fireflydeck/scheduling/job_tracker.py
+++ b/fireflydeck/scheduling/job_tracker.py
@@ -69,6 +69,8 @@
         self._outcomes: dict[str, JobOutcome] = {}
         self._ended_ms: dict[str, int] = {}
         self._progress: dict[str, JobProgress] = {}
+        # Jobs whose outcome or progress can't be read: their tasks may have been done.
+        self._unreadable: set[str] = set()
 
     @property
     def name(self) -> str:
@@ -118,13 +120,28 @@
         )
         if progress.is_error():
             return progress.error
-        self._outcomes = {row.id.key: decode_outcome(row.value) for row in outcomes.ok.rows}
-        self._ended_ms = {row.id.key: decode_outcome_time_ms(row.value) for row in outcomes.ok.rows}
-        self._progress = {
-            row.id.key: decode_progress(row.id.key, row.value) for row in progress.ok.rows
-        }
+        for row in outcomes.ok.rows:
+            self._load_row(row, self._load_outcome)
+        for row in progress.ok.rows:
+            self._load_row(row, self._load_progress)
         return None
 
+    def _load_row(self, row: StoredRow, load: Callable[[str, bytes], None]) -> None:
+        """Load the outcome or the progress of a job; without it the job must not be started."""
+        job_id = row.id.key
+        try:
+            load(job_id, row.value)
+        except ValueError as error:
+            self._unreadable.add(job_id)
+            self._log_unreadable(job_id, row, error)
+
+    def _load_outcome(self, job_id: str, content: bytes) -> None:
+        self._ended_ms[job_id] = decode_outcome_time_ms(content)
+        self._outcomes[job_id] = decode_outcome(content)
+
+    def _load_progress(self, job_id: str, content: bytes) -> None:
+        self._progress[job_id] = decode_progress(job_id, content)
+
     def apply(self, row: StoredRow) -> None:
         """Apply a submission, a cancellation or a removal."""
         job_id = job_id_of(row.id)
@@ -166,7 +183,11 @@
             if ended is not None:
                 self._outcomes[job_id] = ended
                 return
+            if job_id in self._unreadable:
+                return
             spec = decode_job_spec(row.value)
+            if spec.job_id != job_id:
+                raise ValueError("the row of another job")
         except ValueError as error:
             self._log_unreadable(job_id, row, error)
             return
--- a/fireflydeck/scheduling/roster.py
+++ b/fireflydeck/scheduling/roster.py
@@ -8,7 +8,8 @@
 
 from fireflydeck.core import Failure
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
-from fireflydeck.core.rows import RowStore, RowWrite
+from fireflydeck.core.rows import RowStore, RowWrite, StoredRow
+from fireflydeck.kernel import Event, EventLog
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.ownership.records import ROSTER_ROW
 from fireflydeck.scheduling.servers import Server
@@ -33,6 +34,7 @@
     store: RowStore
     lease: LeaseKeeper
     servers: dict[str, Server]
+    log: EventLog
     on_stored: Callable[[], None]
     _wake: anyio.Event = field(factory=anyio.Event, init=False)
 
@@ -49,10 +51,23 @@
         if result.is_error():
             return result.error
         if result.ok is not None:
-            for server_id, pool, address in msgpack.unpackb(result.ok.value):
-                add(_placeholder(server_id, pool, address))
+            self._add_servers(result.ok, add)
         return None
 
+    def _add_servers(self, row: StoredRow, add: Callable[[Registration], None]) -> None:
+        try:
+            entries = [_decode_entry(entry) for entry in msgpack.unpackb(row.value)]
+        except (TypeError, ValueError) as error:
+            self.log.emit(
+                Event.DOCUMENT_UNREADABLE,
+                document=row.id.key,
+                version=row.version,
+                detail=type(error).__name__,
+            )
+            return
+        for entry in entries:
+            add(entry)
+
     async def store_changes(self) -> None:
         """Store the roster after each request, until the lease is lost."""
         while True:
@@ -71,6 +86,14 @@
             self.on_stored()
 
 
+def _decode_entry(entry: list[str]) -> Registration:
+    """Decode an entry of the roster: the server's id, pool and address."""
+    server_id, pool, address = entry
+    if not all(isinstance(text, str) for text in (server_id, pool, address)):
+        raise TypeError("not a roster entry")
+    return _placeholder(server_id, pool, address)
+
+
 def _placeholder(server_id: str, pool: str, address: str) -> Registration:
     """Return a placeholder registration for a server that an earlier holder knew.
 
--- a/fireflydeck/scheduling/run_tracker.py
+++ b/fireflydeck/scheduling/run_tracker.py
@@ -20,7 +20,7 @@
     Job,
     Task,
     confirm_attempt,
-    create_due_occurrences,
+    create_occurrence_of,
     record_run_end,
     remove_attempt,
 )
@@ -213,7 +213,8 @@
         if job is None:
             return None
         if name not in job.tasks:
-            create_due_occurrences(job, self.clock.wall_ms())
+            # A holder whose wall clock was ahead may have started an occurrence already.
+            create_occurrence_of(job, name)
         return job.tasks.get(name)
 
     def _max_attempts(self, job: Job) -> int:
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -110,7 +110,11 @@
         self._tasks: TaskGroup | None = None
         self._plan_wake = anyio.Event()
         self._roster = Roster(
-            store=store, lease=lease, servers=self._servers, on_stored=self.request_planning
+            store=store,
+            lease=lease,
+            servers=self._servers,
+            log=log,
+            on_stored=self.request_planning,
         )
         self._registrations = Registrations(store, clock, log, self._on_registration)
         self._shortener = JobRowShortener(store, clock, log)
--- a/fireflydeck/scheduling/tests/fleet.py
+++ b/fireflydeck/scheduling/tests/fleet.py
@@ -95,7 +95,8 @@
     def add_server(self, server_id, **fields):
         """Add a backend server and register it."""
         self.servers[server_id] = TaskServer(self.clock, SERVER_CAPACITY)
-        put_registration(self.rows, server_id, **{"address": f"{server_id}:1", **fields})
+        address = f"127.0.0.1:{len(self.servers)}"
+        put_registration(self.rows, server_id, **{"address": address, **fields})
 
     def add_vms(self, *server_ids, pool="paint"):
         """Add the VMs of backend servers to the platform's list of VMs."""
--- a/fireflydeck/scheduling/tests/test_runs.py
+++ b/fireflydeck/scheduling/tests/test_runs.py
@@ -84,10 +84,10 @@
         fleet.servers[name].crash()
         if is_registered_first:
             fleet.leader.orders[name].lost_heartbeats = 5
-            put_registration(fleet.rows, name, address=f"{name}:1", born_ms=2)
+            put_registration(fleet.rows, name, address="127.0.0.1:1", born_ms=2)
         fleet.leader.orders[name].deliver_late()
         await fleet.advance_ms(1000, check=no_duplicate_runs(fleet))
-        put_registration(fleet.rows, name, address=f"{name}:1", born_ms=2)
+        put_registration(fleet.rows, name, address="127.0.0.1:1", born_ms=2)
         await fleet.advance_ms(6000, check=no_duplicate_runs(fleet))
         assert fleet.outcome(JOB_ID) == "completed"
 
@@ -180,7 +180,7 @@
 )
 async def test_no_start_on_a_server_that_drains_or_is_not_readable(fields):
     async with running_fleet(servers=1) as fleet:
-        put_registration(fleet.rows, "s1", **{"address": "s1:1", **fields})
+        put_registration(fleet.rows, "s1", **{"address": "127.0.0.1:1", **fields})
         await fleet.advance_ms(1500)
         accept_job(fleet.rows, build_spec())
         await fleet.advance_ms(1000)
--- a/fireflydeck/workload/lifecycle.py
+++ b/fireflydeck/workload/lifecycle.py
@@ -5,6 +5,7 @@
 a repeated end of a run does not change the progress again.
 """
 
+import re
 from collections.abc import Iterator
 from enum import StrEnum
 
@@ -20,6 +21,7 @@
     "JobOutcome",
     "Task",
     "confirm_attempt",
+    "create_occurrence_of",
     "create_due_occurrences",
     "is_finished",
     "job_state",
@@ -31,6 +33,7 @@
     "start_attempt",
 ]
 
+_TASK_NAME_PATTERN = re.compile(r"[0-9a-f]+\.(?P<occurrence>[0-9]{1,9})\.[0-9]+\.[0-9]+")
 _MAX_OPEN_TASKS = 10_000
 """A job with this many open tasks gets no further occurrences, to bound the use of memory."""
 
@@ -193,6 +196,16 @@
         _create_occurrence(job, number)
 
 
+def create_occurrence_of(job: Job, task_name: str) -> None:
+    """Create the tasks up to the occurrence of a task that is known to have run."""
+    match = _TASK_NAME_PATTERN.fullmatch(task_name)
+    if match is None:
+        return
+    total = min(max(1, job.spec.occurrences), int(match["occurrence"]) + 1)
+    while job.created_occurrences < total and job.open_task_count < _MAX_OPEN_TASKS:
+        _create_occurrence(job, job.created_occurrences)
+
+
 def occurrence_due_ms(job: Job, number: int) -> int:
     """Return the scheduled time of an occurrence, on the clock of `accepted_at_ms`."""
     spec = job.spec
@@ -318,10 +331,11 @@
 
 
 def restore_progress(job: Job, done: list[str], failed_runs: dict[str, list[int]]) -> None:
-    """Apply the stored progress of a job."""
+    """Apply the stored progress of a job; names that are no tasks of the job are ignored."""
     for name in [*done, *failed_runs]:
-        while name not in job.tasks and job.created_occurrences < max(1, job.spec.occurrences):
-            _create_occurrence(job, job.created_occurrences)
+        create_occurrence_of(job, name)
+    done = [name for name in done if name in job.tasks]
+    failed_runs = {name: runs for name, runs in failed_runs.items() if name in job.tasks}
     for name, runs in failed_runs.items():
         job.tasks[name].failed_runs.update(runs)
     for name in done:
--- a/fireflydeck/workload/records.py
+++ b/fireflydeck/workload/records.py
@@ -12,6 +12,7 @@
 from attrs import frozen
 
 from fireflydeck.core.rows import RowKey
+from fireflydeck.core.typed_values import mistyped_fields
 from fireflydeck.workload.lifecycle import Job, JobOutcome
 
 __all__ = [
@@ -107,12 +108,24 @@
 
 
 def decode_progress(job_id: str, content: bytes) -> JobProgress:
-    """Decode the progress of a job; the job's id is added to the names of the tasks."""
-    done, failed_runs = msgpack.unpackb(content)
-    return JobProgress(
-        [job_id + name for name in done],
-        {job_id + name: runs for name, runs in failed_runs.items()},
-    )
+    """Decode the progress of a job; the job's id is added to the names of the tasks.
+
+    Raises
+    ------
+    ValueError
+        If the content is not the progress of a job.
+    """
+    try:
+        done, failed_runs = msgpack.unpackb(content)
+        progress = JobProgress(
+            [job_id + name for name in done],
+            {job_id + name: runs for name, runs in failed_runs.items()},
+        )
+    except (TypeError, ValueError, AttributeError) as error:
+        raise ValueError(f"not a job's progress: {type(error).__name__}") from error
+    if mistyped_fields(progress):
+        raise ValueError("not a job's progress: a field is invalid")
+    return progress
 
 
 def encode_ended_row(outcome: JobOutcome) -> bytes:
@@ -135,7 +148,7 @@
     """
     try:
         value = msgpack.unpackb(content)
-    except msgpack.UnpackException as error:
+    except ValueError as error:
         raise ValueError(f"not a job's row: {error!r}") from error
     return JobOutcome(value) if isinstance(value, str) else None
 
@@ -146,13 +159,33 @@
 
 
 def decode_outcome(content: bytes) -> JobOutcome:
-    """Decode the outcome of a job."""
-    return JobOutcome(msgpack.unpackb(content)[0])
+    """Decode the outcome of a job.
+
+    Raises
+    ------
+    ValueError
+        If the content is not an outcome.
+    """
+    return _decode_outcome_row(content)[0]
 
 
 def decode_outcome_time_ms(content: bytes) -> int:
-    """Decode the time when the outcome was reached, as Unix time in milliseconds."""
-    return msgpack.unpackb(content)[1]
+    """Decode the time when the outcome was reached, as Unix time in milliseconds.
+
+    Raises
+    ------
+    ValueError
+        If the content is not an outcome.
+    """
+    return _decode_outcome_row(content)[1]
+
+
+def _decode_outcome_row(content: bytes) -> tuple[JobOutcome, int]:
+    try:
+        outcome, ended_ms = msgpack.unpackb(content)
+        return JobOutcome(outcome), int(ended_ms)
+    except (TypeError, ValueError, RecursionError) as error:
+        raise ValueError(f"not an outcome: {type(error).__name__}") from error
 
 
 def _job_partition(job_id: str) -> str:
--- a/fireflydeck/workload/specification.py
+++ b/fireflydeck/workload/specification.py
@@ -6,6 +6,7 @@
 from attrs import asdict, frozen
 
 from fireflydeck.core.placement import Resources
+from fireflydeck.core.typed_values import mistyped_fields
 
 __all__ = [
     "JobSpec",
@@ -15,6 +16,9 @@
     "encode_job_spec",
 ]
 
+_MAX_TASKS = 10_000
+"""Largest number of tasks of a step."""
+
 
 @frozen(kw_only=True)
 class StepSpec:
@@ -128,17 +132,26 @@
     Raises
     ------
     ValueError
-        If the row does not hold a job.
+        If the row does not hold a job: a field is missing, unknown or of another type, or a step
+        can't be carried out.
     """
     try:
         document = msgpack.unpackb(content)
         steps = tuple(_decode_step(step) for step in document.pop("steps"))
-        return JobSpec(**{"organisation": "", "payload": "", **document}, steps=steps)
+        spec = JobSpec(**{"organisation": "", "payload": "", **document}, steps=steps)
     except (TypeError, KeyError, AttributeError, ValueError) as error:
-        raise ValueError(f"not a job's row: {error!r}") from error
+        raise ValueError(f"not a job's row: {type(error).__name__}") from error
+    if mistyped_fields(spec) or not all(map(_is_valid_step, steps, range(len(steps)))):
+        raise ValueError("not a job's row: a field is invalid")
+    return spec
 
 
 def _decode_step(document: dict[str, Any]) -> StepSpec:
     demand = Resources(**document.pop("demand", {}))
     depends_on = tuple(document.pop("depends_on", ()))
     return StepSpec(**document, demand=demand, depends_on=depends_on)
+
+
+def _is_valid_step(step: StepSpec, number: int) -> bool:
+    """Return whether a step has tasks, and waits only for steps with a smaller number."""
+    return 0 < step.count <= _MAX_TASKS and all(0 <= other < number for other in step.depends_on)
