Planning cost no longer grows with the waiting tasks of a full pool

Change: a demand that fits nowhere rules out all that are as large for the rest of the pass (PoolRoom); after a task that finds no place the other tasks of its step wait too; preferences are computed once a candidate, loads only where a step asks for them; ranks sort as tuples.

--- a/fireflydeck/policy/job_order.py
+++ b/fireflydeck/policy/job_order.py
@@ -7,12 +7,16 @@
 from fireflydeck.core.fleet_configuration import JobQueue
 from fireflydeck.workload.specification import StepSpec
 
-__all__ = ["JobRank", "longest_chain_ms", "objective_ms", "rank_job"]
+__all__ = ["JobRank", "SortKey", "longest_chain_ms", "objective_ms", "rank_job"]
 
 _NEW_JOB_TIME_FACTOR = 1.2
 """Factor on the remaining time of a job that has not started, when its deadline is checked."""
 
 
+SortKey = tuple[int, int, float]
+"""Group, priority and deadline of a job."""
+
+
 @frozen(order=True)
 class JobRank:
     """Sort key of a job; the job with the smallest rank is served first.
@@ -26,6 +30,11 @@
     priority: int
     deadline_ms: float
 
+    @property
+    def sort_key(self) -> SortKey:
+        """Return the rank as a tuple, which sorts faster."""
+        return self.group, self.priority, self.deadline_ms
+
 
 def longest_chain_ms(steps: Sequence[StepSpec], durations_ms: Sequence[float]) -> float:
     """Return the duration of the longest chain of dependent steps, in milliseconds.
--- a/fireflydeck/policy/server_choice.py
+++ b/fireflydeck/policy/server_choice.py
@@ -1,6 +1,7 @@
 """Choice of the backend server on which a task is started."""
 
 from collections.abc import Iterable
+from functools import partial
 
 from attrs import frozen
 
@@ -50,12 +51,12 @@
     the least free CPU is chosen, so that other servers become idle and their VMs can move.
     """
     demand = step.demand.without_cpu() if step.fill else step.demand
-    best: Candidate | None = None
-    for candidate in candidates:
-        if not _is_allowed(step, candidate) or not candidate.free.covers(demand):
-            continue
-        if best is None or _preference(step, candidate) < _preference(step, best):
-            best = candidate
+    allowed = [
+        candidate
+        for candidate in candidates
+        if _is_allowed(step, candidate) and candidate.free.covers(demand)
+    ]
+    best = min(allowed, key=partial(_preference, step), default=None)
     return best.server_id if best else None
 
 
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -10,7 +10,7 @@
 from fireflydeck.workload.lifecycle import Attempt
 from fireflydeck.workload.specification import StepSpec
 
-__all__ = ["Server"]
+__all__ = ["Server", "reserved_resources"]
 
 _MIN_CLOCK_RATE = 0.98
 """Rate of the slowest clock that a backend server may have."""
@@ -133,13 +133,13 @@
     def add(self, attempt: Attempt) -> None:
         """Reserve the capacity of an attempt."""
         self.attempts[attempt.task.name, attempt.run] = attempt
-        self.used = self.used + _reserved(attempt)
+        self.used = self.used + reserved_resources(attempt.task.step)
         self.session_wake.set()
 
     def remove(self, attempt: Attempt) -> None:
         """Free the capacity of an attempt."""
         if self.attempts.pop((attempt.task.name, attempt.run), None) is not None:
-            self.used = self.used - _reserved(attempt)
+            self.used = self.used - reserved_resources(attempt.task.step)
 
     def clock_at(self, now_ms: int) -> int:
         """Estimate the server's clock, which runs at most 2% slow."""
@@ -172,6 +172,6 @@
             self.stored_end = self.unstored_ends.popleft()[0]
 
 
-def _reserved(attempt: Attempt) -> Resources:
-    step = attempt.task.step
+def reserved_resources(step: StepSpec) -> Resources:
+    """Return what a task of the step reserves; fill tasks reserve no processor time."""
     return step.demand.without_cpu() if step.fill else step.demand
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -8,7 +8,7 @@
 from fireflydeck.core.backend_orders import EndedRun, RunEnd
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
 from fireflydeck.observation.operator_documents import OperatorDocuments
-from fireflydeck.policy.job_order import JobRank, rank_job
+from fireflydeck.policy.job_order import SortKey, rank_job
 from fireflydeck.policy.server_choice import Candidate, choose_server
 from fireflydeck.scheduling.demand import (
     Inflow,
@@ -24,9 +24,10 @@
     OrderSender,
 )
 from fireflydeck.scheduling.organisation_usage import OrganisationUsage
+from fireflydeck.scheduling.pool_room import PoolRoom
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.ticket_cache import TicketCache
-from fireflydeck.scheduling.work_estimates import WorkEstimates
+from fireflydeck.scheduling.work_estimates import StepKey, WorkEstimates
 from fireflydeck.workload.lifecycle import (
     Attempt,
     Job,
@@ -188,16 +189,31 @@
         if configuration is None or not self.sender.has_fresh_documents():
             return []
         now_ms = self.clock.now_ms()
-        available_servers = self._available_servers(servers, now_ms)
+        rooms = self._rooms(servers, now_ms)
         starts: list[tuple[Server, Attempt]] = []
         for queue, queued in self._ranked_jobs(configuration, now_ms):
-            pool = available_servers.get(queue.pool)
-            if not pool:
+            room = rooms.get(queue.pool)
+            if room is None:
                 continue
             if queue.pool in unresolved_pools and queued.job.stored_version <= since_version:
                 continue
-            for tasks in self._start_units(queued, now_ms):
-                starts.extend(self._place_all_or_none(configuration, tasks, pool))
+            starts.extend(self._place_job(configuration, queued, room, now_ms))
+        return starts
+
+    def _place_job(
+        self, configuration: FleetConfiguration, queued: _QueuedJob, room: PoolRoom, now_ms: int
+    ) -> list[tuple[Server, Attempt]]:
+        """Place the ready tasks of a job; after one that finds no place its step waits."""
+        starts: list[tuple[Server, Attempt]] = []
+        waiting_steps: set[StepKey] = set()
+        for tasks in self._start_units(queued, now_ms):
+            step = (tasks[0].key.occurrence, tasks[0].key.step)
+            if step in waiting_steps:
+                continue
+            placed = self._place_all_or_none(configuration, tasks, room)
+            if not placed:
+                waiting_steps.add(step)
+            starts.extend(placed)
         return starts
 
     def _start_units(self, queued: _QueuedJob, now_ms: int) -> list[list[Task]]:
@@ -215,35 +231,36 @@
         return units + whole
 
     def _place_all_or_none(
-        self, configuration: FleetConfiguration, tasks: list[Task], pool: list[Server]
+        self, configuration: FleetConfiguration, tasks: list[Task], room: PoolRoom
     ) -> list[tuple[Server, Attempt]]:
         """Reserve capacity for all tasks under one run number, or for none of them."""
         first_run = (self.term - 1) * _RUN_NUMBERS_PER_TERM + 1
         min_run = max([first_run, *(task.last_run + 1 for task in tasks)])
         starts: list[tuple[Server, Attempt]] = []
         for task in tasks:
-            start = self._place(configuration, task, pool, min_run)
+            start = self._place(configuration, task, room, min_run)
             if start is None:
                 for _, attempt in starts:
                     self.drop(attempt)
+                if starts:
+                    room.forget_full()
                 return []
             starts.append(start)
         return starts
 
-    def _available_servers(
-        self, servers: dict[str, Server], now_ms: int
-    ) -> dict[str, list[Server]]:
+    def _rooms(self, servers: dict[str, Server], now_ms: int) -> dict[str, PoolRoom]:
+        """Return the servers that accept starts, by pool."""
         evacuated = self.operators.evacuated_data_centres
         by_pool: dict[str, list[Server]] = {}
         for server in servers.values():
             if server.accepts_starts(now_ms) and server.registration.data_centre not in evacuated:
                 by_pool.setdefault(server.registration.pool, []).append(server)
-        return by_pool
+        return {pool: PoolRoom(members) for pool, members in by_pool.items()}
 
     def _ranked_jobs(
         self, configuration: FleetConfiguration, now_ms: int
     ) -> list[tuple[JobQueue, _QueuedJob]]:
-        ranked: list[tuple[JobRank, str, JobQueue, _QueuedJob]] = []
+        ranked: list[tuple[SortKey, str, JobQueue, _QueuedJob]] = []
         for queued in self._queued.values():
             queue = configuration.queue(queued.job.spec.queue)
             if queue is None or not queued.job.is_open:
@@ -258,7 +275,7 @@
                 has_started=queued.job.has_started,
                 now_ms=now_ms,
             )
-            ranked.append((job_rank, queued.job.id, queue, queued))
+            ranked.append((job_rank.sort_key, queued.job.id, queue, queued))
         ranked.sort(key=lambda item: item[:2])
         return [(queue, queued) for _, _, queue, queued in ranked]
 
@@ -278,23 +295,23 @@
         return queued.ready
 
     def _place(
-        self, configuration: FleetConfiguration, task: Task, pool: list[Server], min_run: int
+        self, configuration: FleetConfiguration, task: Task, room: PoolRoom, min_run: int
     ) -> tuple[Server, Attempt] | None:
         step = task.step
+        usable = room.servers_with_room(step)
         queue = configuration.queue(task.job.spec.queue)
         if queue is not None and queue.advisor is not None:
-            pool = self.ticket_cache.servers_with_ticket(task, pool, queue.advisor)
-        if not any(server.fits(step) for server in pool):
-            return None
+            with_ticket = self.ticket_cache.servers_with_ticket(task, room.servers, queue.advisor)
+            usable = [server for server in usable if server in with_ticket]
         organisation = task.job.spec.organisation
-        if not self.usage.allows(configuration, organisation, step.demand):
+        if not usable or not self.usage.allows(configuration, organisation, step.demand):
             return None
-        racks = _racks_of_step(task, pool) if step.same_rack else set()
-        candidates = [self._candidate(server, task, racks) for server in pool if server.fits(step)]
+        racks = _racks_of_step(task, room.servers) if step.same_rack else set()
+        candidates = [self._candidate(server, task, racks) for server in usable]
         server_id = choose_server(step, candidates)
         if server_id is None:
             return None
-        server = next(server for server in pool if server.id == server_id)
+        server = next(server for server in usable if server.id == server_id)
         now_ms = self.clock.now_ms()
         attempt = start_attempt(task, server_id, min_run=min_run, now_ms=now_ms)
         self.reserve(attempt)
@@ -304,7 +321,8 @@
         step = task.step
         same_step_tasks = 0
         interferes = False
-        for attempt in server.attempts.values():
+        is_load_relevant = step.max_per_server > 0 or step.fill or step.target_tail_ms > 0
+        for attempt in server.attempts.values() if is_load_relevant else ():
             other = attempt.task
             if other.job is task.job and other.key.step == task.key.step:
                 same_step_tasks += other.key.occurrence == task.key.occurrence
