Leaner HTTP client for the platform's JSON interfaces

Cause: next to planning, the client of the HTTP library was the largest cost of the holder: some 1,200 exchanges a second in a busy turn of the large site.

Change: connections on httptools, a kept parser library, with a pool of our own: one exchange at a time, failures and cancelled exchanges abort the connection, what was not sent is told as not run (also when all connections are in use until the timeout), a failure after that retires the idle connections. The server side and the links between entry processes stay with the library.

--- a/fireflydeck/platform/json_http_client.py
+++ b/fireflydeck/platform/json_http_client.py
@@ -2,31 +2,21 @@
 
 from collections.abc import Mapping
 from typing import Any
+from urllib.parse import urlencode
 
 import orjson
-from aiohttp import (
-    ClientConnectorError,
-    ClientError,
-    ClientResponse,
-    ClientSession,
-    ClientTimeout,
-    ConnectionTimeoutError,
-    DummyCookieJar,
-    TCPConnector,
-)
 from attrs import frozen
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Failure, Ran, Reason
 from fireflydeck.platform.fields import FIELD_ERRORS, header_text, split_address
+from fireflydeck.platform.http_connection import ConnectionPool, RawAnswer
 
 __all__ = ["HttpAnswer", "JsonHttpClient"]
 
 _MS_PER_S = 1000
 _CONNECT_TIMEOUT_FRACTION = 0.5
 """Fraction of the read timeout that is allowed for establishing a connection."""
-_KEEP_ALIVE_S = 10.0
-_JSON_HEADERS = {"Content-Type": "application/json"}
 
 
 @frozen
@@ -45,9 +35,8 @@
 class JsonHttpClient:
     """HTTP client that exchanges JSON with one address, with its own connection pool.
 
-    An exchange that fails after the connection was made retires the whole pool, since its idle
-    connections may be unresponsive too. Later exchanges use a new pool, and the old one is closed
-    once its last exchange has ended.
+    An exchange that fails after the connection was made retires all connections, since the idle
+    ones may be unresponsive too. Exchanges in progress on them are not interrupted.
 
     Parameters
     ----------
@@ -56,15 +45,14 @@
     failure_reason
         Reason of the failures that `exchange` returns.
     max_connections
-        Maximum number of open connections.
+        Maximum number of connections in use.
     """
 
     def __init__(self, address: str, *, failure_reason: Reason, max_connections: int) -> None:
         self._address = address
         self._failure_reason = failure_reason
         self._max_connections = max_connections
-        self._session: ClientSession | None = None
-        self._in_flight: dict[ClientSession, int] = {}
+        self._pool: ConnectionPool | None = None
 
     @property
     def address(self) -> str:
@@ -73,12 +61,8 @@
 
     async def close(self) -> None:
         """Close all connections, including those with exchanges in progress."""
-        sessions = set(self._in_flight)
-        if self._session is not None:
-            sessions.add(self._session)
-        self._session = None
-        for session in sessions:
-            await session.close()
+        if self._pool is not None:
+            self._pool.close()
 
     async def exchange(
         self,
@@ -109,88 +93,68 @@
         Returns
         -------
         Result[HttpAnswer, Failure]
-            The answer, whatever its status, or a failure with `Ran.NO` if the connection could not
-            be made and `Ran.UNKNOWN` otherwise.
+            The answer, whatever its status, or a failure with `Ran.NO` if the request was not
+            sent and `Ran.UNKNOWN` otherwise.
         """
-        unusable = self._invalid_request(headers or {})
-        if unusable is not None:
-            return Error(self._failure(step, Ran.NO, unusable))
-        session = self._acquire_session()
-        timeout = _client_timeout(timeout_ms, read_timeout_ms)
-        payload = None if body is None else orjson.dumps(body)
+        timeout_s = timeout_ms / _MS_PER_S
+        read_timeout_s = timeout_s if read_timeout_ms is None else read_timeout_ms / _MS_PER_S
         try:
-            async with session.request(
-                method,
-                f"http://{self._address}{path}",
-                data=payload,
-                params=params,
-                headers={**_JSON_HEADERS, **(headers or {})},
-                timeout=timeout,
-                allow_redirects=False,
-            ) as response:
-                return Ok(await _read(response))
-        except (ClientConnectorError, ConnectionTimeoutError) as error:
+            request = self._encode_request(method, path, body, params, headers or {})
+            pool = self._open_pool()
+            connection = await pool.acquire(read_timeout_s * _CONNECT_TIMEOUT_FRACTION)
+        except (OSError, *FIELD_ERRORS) as error:
             return Error(self._failure(step, Ran.NO, error))
-        except (ClientError, TimeoutError, OSError) as error:
-            self._retire_session(session)
-            return Error(self._failure(step, Ran.UNKNOWN, error))
-        finally:
-            await self._release_session(session)
-
-    def _invalid_request(self, headers: Mapping[str, str]) -> Exception | None:
-        """Return why no request with these headers can be sent to the address, or `None`."""
         try:
-            split_address(self._address)
-            for value in headers.values():
-                header_text(value)
-        except FIELD_ERRORS as error:
-            return error
-        return None
-
-    def _acquire_session(self) -> ClientSession:
-        if self._session is None:
-            self._session = ClientSession(
-                connector=TCPConnector(
-                    limit=self._max_connections,
-                    keepalive_timeout=_KEEP_ALIVE_S,
-                    use_dns_cache=False,
-                ),
-                cookie_jar=DummyCookieJar(),
-                auto_decompress=False,
+            raw = await connection.exchange(
+                request, timeout_s=timeout_s, read_timeout_s=read_timeout_s
             )
-        self._in_flight[self._session] = self._in_flight.get(self._session, 0) + 1
-        return self._session
+        except OSError as error:
+            pool.retire()
+            return Error(self._failure(step, Ran.UNKNOWN, error))
+        finally:
+            pool.release(connection)
+        return Ok(_decode(raw))
 
-    def _retire_session(self, session: ClientSession) -> None:
-        if self._session is session:
-            self._session = None
+    def _open_pool(self) -> ConnectionPool:
+        if self._pool is None:
+            host, port = split_address(self._address)
+            self._pool = ConnectionPool(host, port, self._max_connections)
+        return self._pool
 
-    async def _release_session(self, session: ClientSession) -> None:
-        self._in_flight[session] -= 1
-        if self._in_flight[session] > 0:
-            return
-        del self._in_flight[session]
-        if self._session is not session:
-            await session.close()
+    def _encode_request(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        params: Mapping[str, str] | None,
+        headers: Mapping[str, str],
+    ) -> bytes:
+        """Return the bytes of a request.
+
+        Raises
+        ------
+        ValueError
+            If the value of a header can't be sent.
+        """
+        target = f"{path}?{urlencode(params)}" if params else path
+        content = b"" if body is None else orjson.dumps(body)
+        lines = [
+            f"{method} {target} HTTP/1.1",
+            f"Host: {self._address}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(content)}",
+        ]
+        lines += [f"{name}: {header_text(value)}" for name, value in headers.items()]
+        return "\r\n".join([*lines, "", ""]).encode() + content
 
     def _failure(self, step: str, ran: Ran, error: BaseException) -> Failure:
         detail = f"{type(error).__name__}: {error}"
         return Failure(self._failure_reason, step, peer=self._address, detail=detail, ran=ran)
 
 
-def _client_timeout(timeout_ms: int, read_timeout_ms: int | None) -> ClientTimeout:
-    read_timeout_s = (timeout_ms if read_timeout_ms is None else read_timeout_ms) / _MS_PER_S
-    return ClientTimeout(
-        total=timeout_ms / _MS_PER_S,
-        sock_connect=read_timeout_s * _CONNECT_TIMEOUT_FRACTION,
-        sock_read=read_timeout_s,
-    )
-
-
-async def _read(response: ClientResponse) -> HttpAnswer:
-    content = await response.read()
+def _decode(raw: RawAnswer) -> HttpAnswer:
     try:
-        body = orjson.loads(content) if content else {}
+        body = orjson.loads(raw.content) if raw.content else {}
     except orjson.JSONDecodeError:
         body = {}
-    return HttpAnswer(response.status, body if isinstance(body, dict) else {})
+    return HttpAnswer(raw.status, body if isinstance(body, dict) else {})
