A holder that loads the jobs keeps the published pending counts

Change: without a count the renewal keeps the previous holder's.

Result: test_pending_counts_stay_published... fails before, passes now.

--- a/fireflydeck/observation/table_follower.py
+++ b/fireflydeck/observation/table_follower.py
@@ -58,6 +58,11 @@
         """Wait until the whole table has been read once."""
         await self._loaded.wait()
 
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether the whole table has been read once."""
+        return self._loaded.is_set()
+
     @property
     def age_ms(self) -> int | None:
         """Return the age of the copy in milliseconds, or `None` before the first full read."""
--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -82,7 +82,7 @@
         self._commit_lock = anyio.Lock()
         self._take_over_lock = anyio.Lock()
         self._change_listeners: list[Callable[[Tenure | None], None]] = []
-        self._pending_source: Callable[[], dict[str, int]] = dict
+        self._pending_source: Callable[[], dict[str, int] | None] = dict
         self._successors: Successors | None = None
 
     @property
@@ -113,8 +113,11 @@
         """Call `listener` with the new tenure, or `None`, whenever the tenure changes."""
         self._change_listeners.append(listener)
 
-    def set_pending_source(self, source: Callable[[], dict[str, int]]) -> None:
-        """Set the function that returns the pending jobs by queue, which renewals publish."""
+    def set_pending_source(self, source: Callable[[], dict[str, int] | None]) -> None:
+        """Set the function that returns the pending jobs by queue, which renewals publish.
+
+        While it returns `None`, the counts of the previous holder stay published.
+        """
         self._pending_source = source
 
     def set_successors(self, successors: Successors) -> None:
@@ -239,11 +242,12 @@
         if record is None or tenure is None:
             return
         sent_ms = self._clock.now_ms()
+        pending = self._pending_source()
         renewed = evolve(
             record,
             sequence=record.sequence + 1,
             ttl_ms=self._ttl_ms,
-            pending=self._pending_source(),
+            pending=record.pending if pending is None else pending,
         )
         if self._sent_renewal is None or self._sent_renewal[0] != renewed.sequence:
             self._sent_renewal = (renewed.sequence, sent_ms)
--- a/fireflydeck/scheduling/scheduler.py
+++ b/fireflydeck/scheduling/scheduler.py
@@ -98,8 +98,8 @@
         self._lease.set_pending_source(self._pending)
         tasks.start_soon(keep_running, self._clock, self._log, self.name, self._run_tenures)
 
-    def _pending(self) -> dict[str, int]:
-        return self._current.pending() if self._current is not None else {}
+    def _pending(self) -> dict[str, int] | None:
+        return self._current.pending() if self._current is not None else None
 
     def _on_lease_change(self, tenure: Tenure | None) -> None:
         self._changed.set()
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -221,8 +221,13 @@
         """Return the known backend servers by id."""
         return self._servers
 
-    def pending(self) -> dict[str, int]:
-        """Return the number of open jobs without a started task, by queue."""
+    def pending(self) -> dict[str, int] | None:
+        """Return the number of open jobs without a started task, by queue.
+
+        Returns `None` until the accepted jobs are loaded.
+        """
+        if not self._job_tracker.is_loaded:
+            return None
         counts: dict[str, int] = {}
         for job in self._job_tracker.jobs.values():
             if not job.has_started and job.is_open:
--- a/fireflydeck/scheduling/tests/test_take_over.py
+++ b/fireflydeck/scheduling/tests/test_take_over.py
@@ -137,3 +137,23 @@
         await fleet.advance_ms(_LONG_MS, check=no_duplicate_runs(fleet))
         assert fleet.outcome(JOB_ID) == "completed"
         assert len(fleet.starts()) == 1
+
+
+async def test_pending_counts_stay_published_while_the_next_holder_loads_the_jobs():
+    """A holder that does not know the jobs yet must not publish that none waits."""
+    async with running_fleet(servers=0, members=2) as fleet:
+        for number in range(9):
+            accept_job(fleet.rows, build_spec(job_id=f"{number:016x}"))
+        await fleet.advance_ms(1000)
+        first = fleet.leader
+        second = next(member for member in fleet.members if member is not first)
+        second.store.read_delay_ms = 600
+        published = []
+
+        def record_published():
+            published.append(second.lease.last_record.pending)
+
+        await first.lease.stop()
+        await fleet.advance_ms(4000, check=record_published)
+        assert fleet.leader is second
+        assert all(pending == {"swatches": 9} for pending in published)
