Need of a pool in its turn follows from the rate of arrivals

Change: the need is at least what the jobs of the last 600 ms need if they go on arriving so, where at least 16 of them came, spread over that time.

--- a/fireflydeck/scheduling/demand.py
+++ b/fireflydeck/scheduling/demand.py
@@ -1,5 +1,7 @@
 """Pending work and the cores that it needs, by pool."""
 
+from collections import deque
+
 from attrs import frozen
 
 from fireflydeck.scheduling.work_estimates import WorkEstimates
@@ -20,10 +22,23 @@
 """Shortest time over which the work of a job is spread; about the time that a VM move takes."""
 _OVERDUE_PLANNING_TIME_S = 4.0
 """Time over which the work of a job that missed its deadline is spread."""
+_RATE_WINDOW_MS = 600
+_MIN_ARRIVALS = 16
+"""Fewer jobs in the window say too little about their rate."""
+_MIN_HALF_FRACTION = 0.25
+"""Smallest part of the jobs that must have arrived in each half of the window."""
 _RUNNING_REMAINING_FRACTION = 0.5
 """Part of the work of a running task that is left on average."""
 
 
+@frozen
+class _Arrival:
+    """An accepted job: time of its acceptance and its work in core-seconds."""
+
+    at_ms: int
+    core_s: float
+
+
 @frozen
 class PoolDemand:
     """Demand on a pool.
@@ -35,6 +50,9 @@
     needed_cores
         Cores with which both the open jobs and jobs at the current arrival rate would be completed
         in time: the larger of the two needs.
+    steady_cores
+        Cores that the jobs of the last moments need if they go on arriving so; see
+        `Inflow.steady_cores`.
     min_vms
         Minimum number of VMs for the open jobs, from their limits on tasks per backend server.
     required_labels
@@ -43,6 +61,7 @@
 
     waiting_core_s: float = 0.0
     needed_cores: float = 0.0
+    steady_cores: float = 0.0
     min_vms: int = 0
     required_labels: frozenset[str] = frozenset()
 
@@ -104,14 +123,32 @@
 
     def __init__(self) -> None:
         self._jobs: dict[str, list[tuple[int, float]]] = {}
+        self._arrivals: dict[str, deque[_Arrival]] = {}
 
     def add(self, pool: str, cores: float, *, objective_ms: float, now_ms: int) -> None:
         """Count an accepted job that needs `cores` to be completed in time."""
-        until_ms = now_ms + max(int(_MIN_PLANNING_TIME_S * _MS_PER_S), int(objective_ms))
-        self._jobs.setdefault(pool, []).append((until_ms, cores))
+        duration_ms = max(int(_MIN_PLANNING_TIME_S * _MS_PER_S), int(objective_ms))
+        self._jobs.setdefault(pool, []).append((now_ms + duration_ms, cores))
+        arrival = _Arrival(now_ms, cores * duration_ms / _MS_PER_S)
+        self._arrivals.setdefault(pool, deque()).append(arrival)
 
     def cores(self, pool: str, now_ms: int) -> float:
         """Return the cores that jobs need at the current arrival rate, and drop expired entries."""
         current = [item for item in self._jobs.get(pool, []) if item[0] > now_ms]
         self._jobs[pool] = current
         return sum(cores for _, cores in current)
+
+    def steady_cores(self, pool: str, now_ms: int) -> float:
+        """Return the cores that the jobs of the last moments need if they go on arriving so.
+
+        Unlike `cores`, this does not rise over the jobs' objective time when a burst begins. It is
+        0 while too few jobs arrive for a rate, or while they arrive at one instant.
+        """
+        arrivals = self._arrivals.get(pool, deque())
+        while arrivals and arrivals[0].at_ms <= now_ms - _RATE_WINDOW_MS:
+            arrivals.popleft()
+        late = sum(arrival.at_ms > now_ms - _RATE_WINDOW_MS // 2 for arrival in arrivals)
+        smaller_half = min(late, len(arrivals) - late)
+        if len(arrivals) < _MIN_ARRIVALS or smaller_half < len(arrivals) * _MIN_HALF_FRACTION:
+            return 0.0
+        return sum(arrival.core_s for arrival in arrivals) * _MS_PER_S / _RATE_WINDOW_MS
--- a/fireflydeck/scheduling/pool_rebalancer.py
+++ b/fireflydeck/scheduling/pool_rebalancer.py
@@ -124,7 +124,9 @@
         lead_time_ms = self.fleet.times.migration_ms + _ARRIVAL_SLACK_MS
         return PoolLoad(
             name=pool.name,
-            needed_cores=self._forecast.expected_cores(pool.name, lead_time_ms),
+            needed_cores=max(
+                self._forecast.expected_cores(pool.name, lead_time_ms), demand.steady_cores
+            ),
             available_cores=sum(map(_available_cores, servers)),
             incoming_cores=sum(vm.capacity.cpu for vm in incoming_vms) / _MILLICORES_PER_CORE,
             min_vms=demand.min_vms,
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -138,7 +138,10 @@
             return {}
         now_ms = self.clock.now_ms()
         demand = {
-            pool.name: PoolDemand(needed_cores=self._inflow.cores(pool.name, now_ms))
+            pool.name: PoolDemand(
+                needed_cores=self._inflow.cores(pool.name, now_ms),
+                steady_cores=self._inflow.steady_cores(pool.name, now_ms),
+            )
             for pool in configuration.pools
         }
         open_cores: dict[str, float] = {}
--- a/fireflydeck/scheduling/tests/test_demand.py
+++ b/fireflydeck/scheduling/tests/test_demand.py
@@ -49,6 +49,29 @@
     assert inflow.cores("paint", 4000) == 0
 
 
+def _inflow_of(times_ms):
+    inflow = Inflow()
+    for at_ms in times_ms:
+        inflow.add("paint", 6.0, objective_ms=2000, now_ms=at_ms)
+    return inflow
+
+
+def test_turn_of_a_queue_is_known_by_its_rate_soon_after_it_began():
+    """Eighty jobs a second of twelve core-seconds need 960 cores; VMs take two seconds to come."""
+    inflow = _inflow_of(range(10_000, 10_600, 12))
+    assert inflow.cores("paint", 10_599) < 320
+    assert inflow.steady_cores("paint", 10_599) == pytest.approx(1000, rel=0.05)
+
+
+@pytest.mark.parametrize(
+    "times_ms",
+    [[10_000] * 60, range(10_000, 10_600, 50), range(9000, 9900, 12)],
+    ids=["burst at one instant", "too few for a rate", "turn that is over"],
+)
+def test_what_is_no_steady_rate(times_ms):
+    assert _inflow_of(times_ms).steady_cores("paint", 10_599) == 0
+
+
 def test_large_job_counts_over_its_own_time():
     inflow = Inflow()
     cores = needed_cores(_job(), _ESTIMATES, left_ms=12_000)
