--- a/fireflydeck/scheduling/roster.py
+++ b/fireflydeck/scheduling/roster.py
@@ -55,18 +55,27 @@
         return None
 
     def _add_servers(self, row: StoredRow, add: Callable[[Registration], None]) -> None:
+        """Pass each readable entry to `add`, and log the others."""
         try:
-            entries = [_decode_entry(entry) for entry in msgpack.unpackb(row.value)]
+            entries = list(msgpack.unpackb(row.value))
         except (TypeError, ValueError) as error:
-            self.log.emit(
-                Event.DOCUMENT_UNREADABLE,
-                document=row.id.key,
-                version=row.version,
-                detail=type(error).__name__,
-            )
+            self._log_unreadable(row, error)
             return
         for entry in entries:
-            add(entry)
+            try:
+                registration = _decode_entry(entry)
+            except (TypeError, ValueError) as error:
+                self._log_unreadable(row, error)
+            else:
+                add(registration)
+
+    def _log_unreadable(self, row: StoredRow, error: Exception) -> None:
+        self.log.emit(
+            Event.DOCUMENT_UNREADABLE,
+            document=row.id.key,
+            version=row.version,
+            detail=type(error).__name__,
+        )
 
     async def store_changes(self) -> None:
         """Store the roster after each request, until the lease is lost."""
--- a/fireflydeck/workload/lifecycle.py
+++ b/fireflydeck/workload/lifecycle.py
@@ -21,8 +21,8 @@
     "JobOutcome",
     "Task",
     "confirm_attempt",
-    "create_occurrence_of",
     "create_due_occurrences",
+    "create_occurrence_of",
     "is_finished",
     "job_state",
     "occurrence_due_ms",
@@ -196,13 +196,21 @@
         _create_occurrence(job, number)
 
 
-def create_occurrence_of(job: Job, task_name: str) -> None:
-    """Create the tasks up to the occurrence of a task that is known to have run."""
+def create_occurrence_of(
+    job: Job, task_name: str, *, max_open_tasks: int = _MAX_OPEN_TASKS
+) -> None:
+    """Create the tasks up to the occurrence of a task that is known to have run.
+
+    Parameters
+    ----------
+    max_open_tasks
+        Number of open tasks at which no further occurrences are created.
+    """
     match = _TASK_NAME_PATTERN.fullmatch(task_name)
     if match is None:
         return
     total = min(max(1, job.spec.occurrences), int(match["occurrence"]) + 1)
-    while job.created_occurrences < total and job.open_task_count < _MAX_OPEN_TASKS:
+    while job.created_occurrences < total and job.open_task_count < max_open_tasks:
         _create_occurrence(job, job.created_occurrences)
 
 
@@ -332,8 +340,10 @@
 
 def restore_progress(job: Job, done: list[str], failed_runs: dict[str, list[int]]) -> None:
     """Apply the stored progress of a job; names that are no tasks of the job are ignored."""
+    # All tasks count as open until the stored ones are marked as done below.
+    max_open_tasks = _MAX_OPEN_TASKS + len(done)
     for name in [*done, *failed_runs]:
-        create_occurrence_of(job, name)
+        create_occurrence_of(job, name, max_open_tasks=max_open_tasks)
     done = [name for name in done if name in job.tasks]
     failed_runs = {name: runs for name, runs in failed_runs.items() if name in job.tasks}
     for name, runs in failed_runs.items():
--- a/fireflydeck/workload/tests/test_life.py
+++ b/fireflydeck/workload/tests/test_life.py
@@ -242,3 +242,13 @@
     max_examples=60, stateful_step_count=25, derandomize=True, deadline=None, database=None
 )
 TestLifecycle = LifecycleMachine.TestCase
+
+
+def test_progress_of_more_tasks_than_may_be_open_is_restored():
+    """A done task that is left out would run again."""
+    spec = build_spec(build_step(count=4), occurrences=3000, interval_ms=1)
+    done = [f"{JOB_ID}.{number}.0.{index}" for number in range(2900) for index in range(4)]
+    job = Job(spec, stored_version=1, accepted_at_ms=0)
+    restore_progress(job, done, {})
+    assert job.created_occurrences == 2900
+    assert job.open_task_count == 0
