An outdated configuration refuses no queue or key for good

Change: after 3 s without the store an unknown queue or key is answered with 503 and Retry-After; only a newer configuration could tell.

Result: test_outdated_configuration_refuses_nothing_for_good fails before (404, 401), passes now.

--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -25,7 +25,8 @@
 _TIMEOUT_FRACTION = 0.8
 """Fraction of the caller's timeout within which an answer must be found."""
 _MAX_STORE_SILENCE_MS = 3000
-"""If the store has not answered for this long, submissions are refused immediately."""
+"""If the store has not answered for this long, submissions are refused immediately, and unknown
+queues and keys may only be missing in an outdated configuration."""
 _RETRY_AFTER_S = 1
 _MAX_LOGGED_JOB_ID_CHARS = 32
 """Callers may send a long text in place of a job's id."""
@@ -169,13 +170,13 @@
             return _unavailable(Reason.NOT_READY, "no configuration yet")
         queue = self._find_queue(configuration, request)
         if queue is None:
-            return _refusal(404, Reason.UNKNOWN_QUEUE, "no such queue")
+            return self._refuse_by_configuration(404, Reason.UNKNOWN_QUEUE, "no such queue")
         organisation = ""
         owner = configuration.organisation_of_key(request.key) if request.key else None
         if owner is not None:
             organisation = owner.name
         elif not queue.public:
-            return _refusal(401, Reason.WRONG_KEY, "unknown key")
+            return self._refuse_by_configuration(401, Reason.WRONG_KEY, "unknown key")
         job_id = request.path[len(queue.path_prefix) :]
         deadline_ms = started_ms + int(request.timeout_ms * _TIMEOUT_FRACTION)
         routed = _RoutedRequest(queue, organisation, job_id, deadline_ms)
@@ -185,6 +186,17 @@
             return _refusal(404, Reason.UNKNOWN_JOB, "not a job's id")
         return await self._answer_job_request(request, routed, configuration)
 
+    def _is_store_silent(self) -> bool:
+        """Return whether the store has not answered for so long that documents may be outdated."""
+        age_ms = self._operators.age_ms
+        return age_ms is None or age_ms > _MAX_STORE_SILENCE_MS
+
+    def _refuse_by_configuration(self, status: int, reason: Reason, detail: str) -> CallerAnswer:
+        """Refuse what the configuration does not allow; a newer one that is not read yet may."""
+        if self._is_store_silent():
+            return _unavailable(Reason.STORE_UNAVAILABLE, "the configuration may be outdated")
+        return _refusal(status, reason, detail)
+
     def _find_queue(
         self, configuration: FleetConfiguration, request: CallerRequest
     ) -> JobQueue | None:
@@ -210,8 +222,7 @@
         limit = configuration.limits.max_body_bytes
         if len(request.body) > limit:
             return _refusal(413, Reason.BODY_TOO_LARGE, f"more than {limit} bytes")
-        age_ms = self._operators.age_ms
-        if age_ms is None or age_ms > _MAX_STORE_SILENCE_MS:
+        if self._is_store_silent():
             return _unavailable(Reason.STORE_UNAVAILABLE, "the store does not answer")
         try:
             spec = decode_submission(
--- a/fireflydeck/entry/tests/interface_client.py
+++ b/fireflydeck/entry/tests/interface_client.py
@@ -28,6 +28,16 @@
         return None
 
 
+class _ShiftedClock(SystemClock):
+    """Clock that a test sets ahead."""
+
+    def __init__(self):
+        self.ahead_ms = 0
+
+    def now_ms(self):
+        return super().now_ms() + self.ahead_ms
+
+
 class _NoWaitClock(SystemClock):
     """Clock whose sleeps return immediately, so that the listener stops without a wait."""
 
@@ -53,8 +63,9 @@
 class InterfaceClient:
     """HTTP client of a running interface, with the parts that a test controls or inspects."""
 
-    def __init__(self, address, store, interface, forwarder, log):
+    def __init__(self, address, clock, store, interface, forwarder, log):
         self._address = address
+        self.clock = clock
         self.store = store
         self.interface = interface
         self.forwarder = forwarder
@@ -83,7 +94,7 @@
 @asynccontextmanager
 async def running_interface(*, configured=True, **configuration):
     """Run the interface with a configuration, and yield a client of it."""
-    clock, log = SystemClock(), RecordingLog()
+    clock, log = _ShiftedClock(), RecordingLog()
     store = FakeRowStore(clock)
     if configured:
         put_configuration(store.rows, **configuration)
@@ -109,6 +120,6 @@
         address = free_address()
         server = CallerServer(address, interface, operators, _NoWaitClock(), log)
         await server.start(Registry(), tasks)
-        yield InterfaceClient(address, store, interface, forwarder, log)
+        yield InterfaceClient(address, clock, store, interface, forwarder, log)
         await server.stop()
         tasks.cancel_scope.cancel()
--- a/fireflydeck/entry/tests/test_caller_interface.py
+++ b/fireflydeck/entry/tests/test_caller_interface.py
@@ -75,6 +75,22 @@
         assert (await client.call("GET", "/swatch/"))[0] == 200
 
 
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [("/other/", {}, 404), ("/swatch/", {"Api-Key": "key-2"}, 401)],
+    ids=["unknown queue", "unknown key"],
+)
+async def test_outdated_configuration_refuses_nothing_for_good(path, headers, status):
+    """A queue or key may have been added since; a peer answered by it a second before."""
+    async with running_interface() as client:
+        assert (await client.call("GET", path, **headers))[0] == status
+        client.store.outage = Ran.NO
+        client.clock.ahead_ms = 4000
+        answer = await client.call("GET", path, **headers)
+        assert answer[0] == 503
+        assert "Retry-After" in answer[2]
+
+
 @pytest.mark.parametrize(("outage", "status"), [(Ran.NO, 503), (Ran.UNKNOWN, 504)])
 async def test_store_outage(outage, status):
     async with running_interface() as client:
