Logs tell which configuration decided an answer or a start

RequestLog takes log and metrics out of the caller interface; Message is the one base of messages between entry processes, so that a mistyped request or answer is refused where it is decoded. No decision changes. The tests of unreadable messages match the new text of the error.

--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -7,8 +7,8 @@
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.peer_interfaces import ForwardResult, JobStateSource, RequestForwarder
+from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.routing import QueueIndex
-from fireflydeck.kernel import Event, EventLog, Metrics
 from fireflydeck.observation.operator_documents import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.platform.documents import DocumentError
@@ -28,8 +28,6 @@
 """If the store has not answered for this long, submissions are refused immediately, and unknown
 queues and keys may only be missing in an outdated configuration."""
 _RETRY_AFTER_S = 1
-_MAX_LOGGED_JOB_ID_CHARS = 32
-"""Callers may send a long text in place of a job's id."""
 _MIN_FORWARD_MS = 100
 """A request is not forwarded if less time than this is left."""
 
@@ -70,8 +68,7 @@
         forwarder: RequestForwarder,
         intake: Intake,
         clock: Clock,
-        log: EventLog,
-        metrics: Metrics,
+        request_log: RequestLog,
     ) -> None:
         self._operators = operators
         self._lease = lease
@@ -79,8 +76,7 @@
         self._forwarder = forwarder
         self._intake = intake
         self._clock = clock
-        self._log = log
-        self._metrics = metrics
+        self._request_log = request_log
         self._index: QueueIndex | None = None
         self._indexed_configuration: FleetConfiguration | None = None
 
@@ -88,44 +84,15 @@
         """Answer one request, and record the answer."""
         started_ms = self._clock.now_ms()
         answer = await self._answer_or_forward(request, started_ms)
-        self.record_answer(
+        self._request_log.record_answer(
             method=request.method,
-            job_id=request.job_id,
-            status=answer.status,
+            path=request.path,
+            answer=answer,
             duration_ms=self._clock.now_ms() - started_ms,
             was_forwarded=request.was_forwarded,
         )
         return answer
 
-    def record_answer(
-        self,
-        *,
-        method: str,
-        job_id: str,
-        status: int,
-        duration_ms: int,
-        was_forwarded: bool = False,
-    ) -> None:
-        """Record an answer in the metrics and the log.
-
-        Successful GET requests are only counted.
-        """
-        self._metrics.observe_ms("request_ms", duration_ms, method=method)
-        self._metrics.count("requests_total", method=method, status=str(status))
-        if method == "GET" and status == 200:
-            return
-        configuration = self._operators.configuration
-        self._log.emit(
-            Event.REQUEST_ANSWERED,
-            method=method,
-            job=job_id[:_MAX_LOGGED_JOB_ID_CHARS],
-            status=status,
-            took_ms=duration_ms,
-            forwarded=was_forwarded,
-            configuration=configuration.version if configuration else 0,
-            configuration_age_ms=self._operators.age_ms,
-        )
-
     async def _answer_or_forward(self, request: CallerRequest, started_ms: int) -> CallerAnswer:
         """Answer the request here, or forward it if the store is unavailable."""
         if request.was_forwarded:
@@ -153,14 +120,7 @@
         if remaining_ms < _MIN_FORWARD_MS:
             return ForwardResult()
         result = await self._forwarder.forward(request, timeout_ms=remaining_ms)
-        self._log.emit(
-            Event.REQUEST_FORWARDED,
-            job=request.job_id,
-            peer=result.peer,
-            status=result.answer.status if result.answer else 0,
-            uncertain=result.is_uncertain,
-            store_age_ms=self._operators.age_ms,
-        )
+        self._request_log.record_forward(request, result)
         return result
 
     async def _answer_locally(self, request: CallerRequest, started_ms: int) -> CallerAnswer:
@@ -168,6 +128,13 @@
         configuration = self._operators.configuration
         if configuration is None:
             return _unavailable(Reason.NOT_READY, "no configuration yet")
+        answer = await self._answer_by(configuration, request, started_ms)
+        return evolve(answer, configuration_version=configuration.version)
+
+    async def _answer_by(
+        self, configuration: FleetConfiguration, request: CallerRequest, started_ms: int
+    ) -> CallerAnswer:
+        """Answer the request as a configuration allows."""
         queue = self._find_queue(configuration, request)
         if queue is None:
             return self._refuse_by_configuration(404, Reason.UNKNOWN_QUEUE, "no such queue")
@@ -272,14 +239,7 @@
 
         Refuse it if it certainly had no effect; otherwise, answer that the outcome is unknown.
         """
-        self._log.emit(
-            Event.REQUEST_STORE_FAILED,
-            job=routed.job_id,
-            step=failure.step,
-            reason=failure.reason,
-            ran=failure.ran,
-            detail=failure.detail,
-        )
+        self._request_log.record_store_failure(routed.job_id, failure)
         if failure.ran == Ran.NO:
             refusal = _unavailable(failure.reason, "the store took nothing")
             is_overloaded = failure.reason == Reason.TOO_MANY_REQUESTS
--- a/fireflydeck/entry/caller_request.py
+++ b/fireflydeck/entry/caller_request.py
@@ -1,7 +1,8 @@
 """Callers' requests and their answers, independent of the connection they came over."""
 
-import msgpack
-from attrs import astuple, frozen
+from attrs import frozen
+
+from fireflydeck.entry.message import Message
 
 __all__ = ["CallerAnswer", "CallerRequest", "job_id_of_path"]
 
@@ -12,7 +13,7 @@
 
 
 @frozen(kw_only=True)
-class CallerRequest:
+class CallerRequest(Message):
     """One complete request of a caller.
 
     Parameters
@@ -38,37 +39,9 @@
         """Return the job's id, or an empty string."""
         return job_id_of_path(self.path)
 
-    def encode(self) -> bytes:
-        """Return the request encoded for another entry process."""
-        fields = (self.method, self.host, self.path, self.key, self.timeout_ms, self.body)
-        return msgpack.packb(fields)
-
-    @classmethod
-    def decode(cls, content: bytes) -> "CallerRequest":
-        """Decode a request that another entry process forwarded.
-
-        Raises
-        ------
-        ValueError
-            If the content is not an encoded request.
-        """
-        try:
-            method, host, path, key, timeout_ms, body = msgpack.unpackb(content)
-        except (TypeError, msgpack.UnpackException) as error:
-            raise ValueError(f"not a caller's request: {error}") from error
-        return cls(
-            method=method,
-            host=host,
-            path=path,
-            key=key,
-            timeout_ms=timeout_ms,
-            body=body,
-            was_forwarded=True,
-        )
-
 
 @frozen
-class CallerAnswer:
+class CallerAnswer(Message):
     """An answer to a caller.
 
     Parameters
@@ -79,27 +52,13 @@
         Whether the request was not served because the store was unavailable to the process, so
         that another entry process may serve it; sent between entry processes, but not to the
         caller.
+    configuration_version
+        Version of the configuration that decided the answer; `None` if none did, or if the process
+        that answered is of a build that does not tell.
     """
 
     status: int
     body: bytes
     retry_after_s: int | None = None
     is_store_unavailable: bool = False
-
-    def encode(self) -> bytes:
-        """Return the answer encoded for another entry process."""
-        return msgpack.packb(astuple(self))
-
-    @classmethod
-    def decode(cls, content: bytes) -> "CallerAnswer":
-        """Decode the answer of another entry process.
-
-        Raises
-        ------
-        ValueError
-            If the content is not an encoded answer.
-        """
-        try:
-            return cls(*msgpack.unpackb(content))
-        except (TypeError, msgpack.UnpackException) as error:
-            raise ValueError(f"not an answer: {error}") from error
+    configuration_version: int | None = None
--- a/fireflydeck/entry/peer_link.py
+++ b/fireflydeck/entry/peer_link.py
@@ -16,6 +16,7 @@
     web,
 )
 from anyio.abc import TaskGroup
+from attrs import evolve
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Clock, Ran
@@ -220,7 +221,8 @@
         content = await request.read()
         try:
             if request.path == _FORWARD_PATH and self._request_handler is not None:
-                answer = await self._request_handler(CallerRequest.decode(content))
+                forwarded = evolve(CallerRequest.decode(content), was_forwarded=True)
+                answer = await self._request_handler(forwarded)
                 return web.Response(body=answer.encode())
             if request.path == _SUBMISSION_PATH:
                 return self._serve_submission(SubmissionNotice.decode(content))
--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -9,6 +9,7 @@
 from fireflydeck.entry.caller_interface import CallerInterface
 from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.peer_link import EntryPeerLink
+from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.server import CallerServer, StatusServer
 from fireflydeck.entry.settings_watch import SettingsWatch
 from fireflydeck.entry.succession_link import SuccessionLink
@@ -95,6 +96,7 @@
         candidate_delay_ms=candidate_delay_ms(settings.cores, settings.link_mbps),
     )
     link = EntryPeerLink(link_address, clock)
+    request_log = RequestLog(operators, log, metrics)
     interface = CallerInterface(
         operators=operators,
         lease=lease,
@@ -102,8 +104,7 @@
         forwarder=link,
         intake=Intake(store, clock, link),
         clock=clock,
-        log=log,
-        metrics=metrics,
+        request_log=request_log,
     )
     link.set_request_handler(interface.answer)
     lease.set_successors(SuccessionLink(link, lease))
@@ -137,7 +138,16 @@
             dump_state=lambda: dump_state(kernel),
         )
     )
-    kernel.add(CallerServer(settings.caller_address, interface, operators, clock, log))
+    kernel.add(
+        CallerServer(
+            settings.caller_address,
+            interface,
+            operators=operators,
+            clock=clock,
+            log=log,
+            request_log=request_log,
+        )
+    )
     kernel.add(lease)
     return kernel
 
--- a/fireflydeck/entry/server.py
+++ b/fireflydeck/entry/server.py
@@ -11,9 +11,9 @@
 from fireflydeck.core import Clock
 from fireflydeck.core.fleet_configuration import RequestLimits
 from fireflydeck.entry.caller_interface import CallerInterface
-from fireflydeck.entry.caller_request import job_id_of_path
 from fireflydeck.entry.http_requests import build_response, receive_request
 from fireflydeck.entry.http_server_log import http_server_logger
+from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.kernel import EventLog, Metrics, Registry, Service
 from fireflydeck.kernel.accept_queue import accept_pending_connections
 from fireflydeck.observation.operator_documents import OperatorDocuments
@@ -39,9 +39,11 @@
         self,
         address: str,
         interface: CallerInterface,
+        *,
         operators: OperatorDocuments,
         clock: Clock,
         log: EventLog,
+        request_log: RequestLog,
     ) -> None:
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
@@ -49,6 +51,7 @@
         self._operators = operators
         self._clock = clock
         self._log = log
+        self._request_log = request_log
         self._is_stopping = False
         self._runner: web.ServerRunner | None = None
         self._site: web.SockSite | None = None
@@ -105,10 +108,10 @@
         received = await receive_request(request, limits)
         if received.is_error():
             answer = received.error
-            self._interface.record_answer(
+            self._request_log.record_answer(
                 method=request.method,
-                job_id=job_id_of_path(request.path),
-                status=answer.status,
+                path=request.path,
+                answer=answer,
                 duration_ms=self._clock.now_ms() - started_ms,
             )
         else:
--- a/fireflydeck/entry/tests/interface_client.py
+++ b/fireflydeck/entry/tests/interface_client.py
@@ -9,6 +9,7 @@
 from fireflydeck.entry.caller_interface import CallerInterface
 from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.peer_interfaces import ForwardResult, JobStateSource, RequestForwarder
+from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.server import CallerServer
 from fireflydeck.kernel import Metrics, Registry
 from fireflydeck.observation import OperatorDocuments
@@ -63,10 +64,11 @@
 class InterfaceClient:
     """HTTP client of a running interface, with the parts that a test controls or inspects."""
 
-    def __init__(self, address, clock, store, interface, forwarder, log):
+    def __init__(self, address, clock, store, operators, interface, forwarder, log):
         self._address = address
         self.clock = clock
         self.store = store
+        self.operators = operators
         self.interface = interface
         self.forwarder = forwarder
         self.log = log
@@ -101,6 +103,7 @@
     operators = OperatorDocuments(store, clock, log)
     lease = LeaseKeeper(store, clock, log, name="m1", address="m1:1")
     forwarder = FakeForwarder()
+    request_log = RequestLog(operators, log, Metrics())
     interface = CallerInterface(
         operators=operators,
         lease=lease,
@@ -108,8 +111,7 @@
         forwarder=forwarder,
         intake=Intake(store, clock, FakeAnnouncer()),
         clock=clock,
-        log=log,
-        metrics=Metrics(),
+        request_log=request_log,
     )
     async with anyio.create_task_group() as tasks:
         await operators.start(Registry(), tasks)
@@ -118,8 +120,15 @@
         while lease.last_record is None:
             await anyio.sleep(0.01)
         address = free_address()
-        server = CallerServer(address, interface, operators, _NoWaitClock(), log)
+        server = CallerServer(
+            address,
+            interface,
+            operators=operators,
+            clock=_NoWaitClock(),
+            log=log,
+            request_log=request_log,
+        )
         await server.start(Registry(), tasks)
-        yield InterfaceClient(address, clock, store, interface, forwarder, log)
+        yield InterfaceClient(address, clock, store, operators, interface, forwarder, log)
         await server.stop()
         tasks.cancel_scope.cancel()
--- a/fireflydeck/entry/tests/test_caller_interface.py
+++ b/fireflydeck/entry/tests/test_caller_interface.py
@@ -1,11 +1,13 @@
 """The callers' interface over HTTP: routing, keys, bad input, refusals and states."""
 
 import anyio
+import msgpack
 import pytest
 
 from fireflydeck.core import Ran
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 from fireflydeck.entry.tests.interface_client import running_interface
+from fireflydeck.kernel import Event
 from fireflydeck.platform.job_documents import DEADLINE_HEADER, KEY_HEADER
 from fireflydeck.platform.standin.documents import (
     put_configuration,
@@ -173,10 +175,38 @@
         assert client.forwarder.forwarded == []
 
 
+async def test_log_names_the_configuration_that_decided_a_relayed_answer():
+    async with running_interface() as client:
+        client.store.outage = Ran.NO
+        client.forwarder.answer = CallerAnswer(200, b"{}", configuration_version=7)
+        await _wait_for_outage(client)
+        assert (await client.call("GET", "/swatch/"))[0] == 200
+        lines = [
+            (event, fields["path"], fields["status"], fields["decided_by"], fields["configuration"])
+            for event, fields in client.log.events
+            if "decided_by" in fields
+        ]
+        assert lines == [
+            (Event.REQUEST_FORWARDED, "/swatch/", 200, 7, 3),
+            (Event.REQUEST_ANSWERED, "/swatch/", 200, 7, 3),
+        ]
+
+
+async def _wait_for_outage(client):
+    """Wait until the process has noticed that the store does not answer it."""
+    with anyio.fail_after(5):
+        while not client.operators.is_store_unreachable:
+            await anyio.sleep(0.01)
+
+
 async def test_answers_between_processes():
     answer = CallerAnswer(503, b"{}", 1, is_store_unavailable=True)
     assert CallerAnswer.decode(answer.encode()) == answer
-    with pytest.raises(ValueError, match="not an answer"):
+    of_older_build = msgpack.packb((200, b"{}", None, False))
+    assert CallerAnswer.decode(of_older_build).configuration_version is None
+    with pytest.raises(ValueError, match="not a CallerAnswer"):
+        CallerAnswer.decode(msgpack.packb(("200", b"{}")))
+    with pytest.raises(ValueError, match="not a CallerAnswer"):
         CallerAnswer.decode(b"\xc1")
-    with pytest.raises(ValueError, match="not a caller's request"):
+    with pytest.raises(ValueError, match="not a CallerRequest"):
         CallerRequest.decode(b"\x01")
--- a/fireflydeck/entry/tests/test_server.py
+++ b/fireflydeck/entry/tests/test_server.py
@@ -7,8 +7,9 @@
 
 from fireflydeck.core import SystemClock
 from fireflydeck.entry.caller_request import CallerAnswer
+from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.server import CallerServer
-from fireflydeck.kernel import Registry
+from fireflydeck.kernel import Metrics, Registry
 from fireflydeck.testing.ports import free_address
 from fireflydeck.testing.recording_log import RecordingLog
 
@@ -49,7 +50,15 @@
     """Guard against a reset of connections that wait to be accepted when the listener closes."""
     address = free_address()
     clock = _BusyProcessClock(address)
-    server = CallerServer(address, _Interface(), _Operators(), clock, RecordingLog())
+    log = RecordingLog()
+    server = CallerServer(
+        address,
+        _Interface(),
+        operators=_Operators(),
+        clock=clock,
+        log=log,
+        request_log=RequestLog(_Operators(), log, Metrics()),
+    )
     async with anyio.create_task_group() as tasks:
         await server.start(Registry(), tasks)
         await server.stop()
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -153,6 +153,7 @@
             "outcome",
             "took_ms",
             "free_cpu",
+            "configuration",
             "operators_age_ms",
             "waited_ms",
         ),
@@ -229,20 +230,36 @@
     6504: EventNote(trigger="The status of a wave was written.", fields=("wave", "state")),
     6403: EventNote(
         trigger="This process cannot reach the store and forwarded a caller's request to another "
-        "entry process; `status` is its answer, or 0 if none answered.",
+        "entry process; `status` is its answer, or 0 if none answered. `decided_by` is the version "
+        "of the configuration that decided the answer (null if the other process does not tell), "
+        "`configuration` this process's own version.",
         action="If `peer` is empty: no other process was known or could reach the store; see 1110.",
-        fields=("job", "peer", "status", "uncertain", "store_age_ms"),
+        fields=(
+            "method",
+            "path",
+            "job",
+            "peer",
+            "status",
+            "decided_by",
+            "configuration",
+            "uncertain",
+            "store_age_ms",
+        ),
     ),
     6401: EventNote(
-        trigger="A caller's request was answered; successful reads (GET with status 200) are not "
-        "logged.",
+        trigger="A caller's request was answered; successful reads (GET with status 200) are only "
+        "logged while the store cannot be reached. `decided_by` is the version of the "
+        "configuration that decided the answer, also if another process gave it (see 6403); "
+        "`configuration` is this process's own version.",
         action="If `status` is 503: see 1110 and 6402 of the same time.",
         fields=(
             "method",
+            "path",
             "job",
             "status",
             "took_ms",
             "forwarded",
+            "decided_by",
             "configuration",
             "configuration_age_ms",
         ),
--- a/fireflydeck/observation/operator_documents.py
+++ b/fireflydeck/observation/operator_documents.py
@@ -39,6 +39,11 @@
         """Return the newest configuration, or `None` if none was read yet."""
         return self._configuration
 
+    @property
+    def version(self) -> int:
+        """Return the version of the newest configuration; 0 if none was read yet."""
+        return self._configuration.version if self._configuration else 0
+
     @property
     def evacuated_data_centres(self) -> frozenset[str]:
         """Return the evacuated data centres, which get no new work."""
@@ -52,7 +57,7 @@
     def state(self) -> dict[str, object]:
         """Return the state to dump."""
         return {
-            "version": self._configuration.version if self._configuration else 0,
+            "version": self.version,
             "age_ms": self.age_ms,
             "evacuated": sorted(self._evacuated),
             "waves": [wave.number for wave in self.waves],
--- a/fireflydeck/scheduling/order_sender.py
+++ b/fireflydeck/scheduling/order_sender.py
@@ -101,6 +101,7 @@
             outcome=outcome,
             took_ms=took_ms,
             free_cpu=server.free.cpu,
+            configuration=self.operators.version,
             operators_age_ms=self.operators.age_ms,
             waited_ms=now_ms - (task.waiting_since_ms or task.job.accepted_at_ms),
         )
