--- a/fireflydeck/entry/peer_link.py
+++ b/fireflydeck/entry/peer_link.py
@@ -221,9 +221,7 @@
         content = await request.read()
         try:
             if request.path == _FORWARD_PATH and self._request_handler is not None:
-                forwarded = evolve(CallerRequest.decode(content), was_forwarded=True)
-                answer = await self._request_handler(forwarded)
-                return web.Response(body=answer.encode())
+                return web.Response(body=await self.answer_forwarded(content))
             if request.path == _SUBMISSION_PATH:
                 return self._serve_submission(SubmissionNotice.decode(content))
             if request.path in self._handlers:
@@ -232,6 +230,18 @@
         except ValueError as error:
             return web.Response(status=400, text=str(error))
 
+    async def answer_forwarded(self, content: bytes) -> bytes:
+        """Return the encoded answer to a request that another process forwarded.
+
+        Raises
+        ------
+        ValueError
+            If the content is not a request.
+        """
+        request = evolve(CallerRequest.decode(content), was_forwarded=True)
+        answer = await self._request_handler(request)
+        return answer.encode()
+
     def _serve_state(self, query: StateQuery) -> web.StreamResponse:
         self._last_call_ms[query.sender] = self._clock.now_ms()
         current = self._scheduler.current if self._scheduler else None
--- a/fireflydeck/observation/table_follower.py
+++ b/fireflydeck/observation/table_follower.py
@@ -98,12 +98,12 @@
     async def follow(self) -> None:
         """Follow the table until cancelled."""
         while True:
-            version = await self._read_all()
+            version = await self.read_all()
             if version is not None:
                 await self._follow_changes(version)
             await self._clock.sleep_ms(_RETRY_DELAY_MS)
 
-    async def _read_all(self) -> int | None:
+    async def read_all(self) -> int | None:
         """Read all partitions; return the oldest of their versions, or `None` after a failure."""
         sent_ms = self._clock.now_ms()
         pages: list[VersionedRows] = []
--- a/fireflydeck/platform/standin/documents.py
+++ b/fireflydeck/platform/standin/documents.py
@@ -51,6 +51,7 @@
     *,
     version: int = 3,
     keys: tuple[str, ...] = (_API_KEY,),
+    further_queues: tuple[str, ...] = (),
     advisor: AdvisorTimes | None = None,
     idle_timeout_ms: int | None = None,
     cpu_limit: int = 64_000,
@@ -61,6 +62,8 @@
     ----------
     keys
         Keys of the organisation.
+    further_queues
+        Names of queues beside the sample queue; the path prefix of each is its name.
     advisor
         Times of the queue's placement advisor; `None` for a queue without one.
     idle_timeout_ms
@@ -103,7 +106,7 @@
     return orjson.dumps(
         {
             "version": version,
-            "routes": [route],
+            "routes": [route, *(_further_route(route, name) for name in further_queues)],
             "services": services,
             "limits": limits,
             "tenants": [organisation],
@@ -111,6 +114,10 @@
     )
 
 
+def _further_route(route: dict[str, Any], name: str) -> dict[str, Any]:
+    return {**route, "name": name, "path_prefix": f"/{name}/"}
+
+
 def registration_document(**fields: Any) -> bytes:
     """Return a backend server's registration; `fields` replace or extend the sample fields."""
     document = {
