No answer by an older configuration than one that was shown

Cause: lost monotonic read. Answers between entry processes told no configuration version, so a process did not know that it had shown more than its own copy holds, nor that a second peer knew less than the first one.

Change: ShownConfiguration keeps the newest version that this process's answers have shown. A copy that is older decides no answer: the request is forwarded, with the least version by which it may be answered, or refused with 503 and Retry-After. A process that has shown nothing newer answers by its copy as before. An answer without a version (older build) counts as newer until a call to the store sent after it confirms the copy. No exchange is added: the least version is a parameter of the forwarded call, which older builds ignore, and an older build is sent answers in the format that it reads.

Why it works: a version is recorded before the answer that shows it is sent, and a copy is compared when a request arrives, so each request that comes after an answer is decided by no less.

--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -9,6 +9,7 @@
 from fireflydeck.entry.peer_interfaces import ForwardResult, JobStateSource, RequestForwarder
 from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.routing import QueueIndex
+from fireflydeck.entry.shown_configuration import ShownConfiguration
 from fireflydeck.observation.operator_documents import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.platform.documents import DocumentError
@@ -77,6 +78,7 @@
         self._intake = intake
         self._clock = clock
         self._request_log = request_log
+        self._shown = ShownConfiguration(operators, clock)
         self._index: QueueIndex | None = None
         self._indexed_configuration: FleetConfiguration | None = None
 
@@ -84,6 +86,7 @@
         """Answer one request, and record the answer."""
         started_ms = self._clock.now_ms()
         answer = await self._answer_or_forward(request, started_ms)
+        self._shown.record(answer)
         self._request_log.record_answer(
             method=request.method,
             path=request.path,
@@ -119,7 +122,10 @@
         )
         if remaining_ms < _MIN_FORWARD_MS:
             return ForwardResult()
-        result = await self._forwarder.forward(request, timeout_ms=remaining_ms)
+        result = await self._forwarder.forward(
+            evolve(request, min_configuration_version=self._shown.version),
+            timeout_ms=remaining_ms,
+        )
         self._request_log.record_forward(request, result)
         return result
 
@@ -128,9 +134,18 @@
         configuration = self._operators.configuration
         if configuration is None:
             return _unavailable(Reason.NOT_READY, "no configuration yet")
+        if self._is_outdated(configuration, request):
+            return _unavailable(Reason.STORE_UNAVAILABLE, "the configuration is outdated")
         answer = await self._answer_by(configuration, request, started_ms)
         return evolve(answer, configuration_version=configuration.version)
 
+    def _is_outdated(self, configuration: FleetConfiguration, request: CallerRequest) -> bool:
+        """Return whether callers have been shown a newer configuration, here or elsewhere."""
+        return (
+            configuration.version < request.min_configuration_version
+            or self._shown.is_newer_than_copy()
+        )
+
     async def _answer_by(
         self, configuration: FleetConfiguration, request: CallerRequest, started_ms: int
     ) -> CallerAnswer:
--- a/fireflydeck/entry/caller_request.py
+++ b/fireflydeck/entry/caller_request.py
@@ -13,7 +13,7 @@
 
 
 @frozen(kw_only=True)
-class CallerRequest(Message):
+class CallerRequest:
     """One complete request of a caller.
 
     Parameters
@@ -24,6 +24,8 @@
         How long the caller waits for the answer, in milliseconds from the arrival of the request.
     was_forwarded
         Whether another entry process forwarded it.
+    min_configuration_version
+        Least configuration version by which it may be answered.
     """
 
     method: str
@@ -33,6 +35,7 @@
     timeout_ms: int
     body: bytes = b""
     was_forwarded: bool = False
+    min_configuration_version: int = 0
 
     @property
     def job_id(self) -> str:
--- a/fireflydeck/entry/message.py
+++ b/fireflydeck/entry/message.py
@@ -14,12 +14,18 @@
 class Message:
     """A message whose fields are packed by msgpack in order.
 
-    A process of an older build may send fewer fields; those that it lacks need a default value.
+    A field that an older build does not know comes last and is `None` by default; it is not sent
+    while it is `None`.
     """
 
     def encode(self) -> bytes:
         """Return the encoded message."""
-        return msgpack.packb(astuple(self))
+        values = list(astuple(self))
+        for field in reversed(fields(type(self))):
+            if field.default is not None or values[-1] is not None:
+                break
+            values.pop()
+        return msgpack.packb(values)
 
     @classmethod
     def decode(cls, content: bytes) -> Self:
--- a/fireflydeck/entry/peer_link.py
+++ b/fireflydeck/entry/peer_link.py
@@ -4,7 +4,7 @@
 handlers, such as those that hand the lease over.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 from aiohttp import (
     ClientConnectorError,
@@ -28,7 +28,12 @@
     RequestForwarder,
     SubmissionAnnouncer,
 )
-from fireflydeck.entry.peer_messages import StateAnswer, StateQuery, SubmissionNotice
+from fireflydeck.entry.peer_messages import (
+    ForwardedRequest,
+    StateAnswer,
+    StateQuery,
+    SubmissionNotice,
+)
 from fireflydeck.kernel import Registry, Service
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.scheduling.scheduler import Scheduler
@@ -42,6 +47,7 @@
 _FORWARD_TIMEOUT_MS = 1500
 _STATE_PATH = "/job-state"
 _FORWARD_PATH = "/forward"
+_MIN_VERSION_PARAMETER = "min-configuration-version"
 _SUBMISSION_PATH = "/submission"
 _MAX_ANNOUNCEMENTS = 32
 """Beyond this number of unanswered announcements, the holder reads new jobs from the store only."""
@@ -136,9 +142,11 @@
         Stop when one gives a final answer, or after `_MAX_FORWARD_PEERS` peers.
         """
         peer_timeout_ms = min(_FORWARD_TIMEOUT_MS, timeout_ms // _MAX_FORWARD_PEERS)
+        path = f"{_FORWARD_PATH}?{_MIN_VERSION_PARAMETER}={request.min_configuration_version}"
+        content = ForwardedRequest.from_request(request).encode()
         is_uncertain = False
         for peer in self.peers()[:_MAX_FORWARD_PEERS]:
-            received = await self.post(peer, _FORWARD_PATH, request.encode(), peer_timeout_ms)
+            received = await self.post(peer, path, content, peer_timeout_ms)
             answer = received.bind(_decode_answer)
             if answer.is_ok() and not answer.ok.is_store_unavailable:
                 return ForwardResult(peer=peer, answer=answer.ok, is_uncertain=is_uncertain)
@@ -221,7 +229,7 @@
         content = await request.read()
         try:
             if request.path == _FORWARD_PATH and self._request_handler is not None:
-                return web.Response(body=await self.answer_forwarded(content))
+                return await self._serve_forwarded(request.query, content)
             if request.path == _SUBMISSION_PATH:
                 return self._serve_submission(SubmissionNotice.decode(content))
             if request.path in self._handlers:
@@ -230,17 +238,19 @@
         except ValueError as error:
             return web.Response(status=400, text=str(error))
 
-    async def answer_forwarded(self, content: bytes) -> bytes:
-        """Return the encoded answer to a request that another process forwarded.
+    async def _serve_forwarded(
+        self, query: Mapping[str, str], content: bytes
+    ) -> web.StreamResponse:
+        """Serve a request that another process forwarded.
 
-        Raises
-        ------
-        ValueError
-            If the content is not a request.
+        A process of an older build names no least version, and does not read that of the answer.
         """
-        request = evolve(CallerRequest.decode(content), was_forwarded=True)
+        min_version = query.get(_MIN_VERSION_PARAMETER)
+        request = ForwardedRequest.decode(content).to_request(int(min_version or 0))
         answer = await self._request_handler(request)
-        return answer.encode()
+        if min_version is None:
+            answer = evolve(answer, configuration_version=None)
+        return web.Response(body=answer.encode())
 
     def _serve_state(self, query: StateQuery) -> web.StreamResponse:
         self._last_call_ms[query.sender] = self._clock.now_ms()
--- a/fireflydeck/entry/peer_messages.py
+++ b/fireflydeck/entry/peer_messages.py
@@ -1,14 +1,59 @@
-"""Messages between entry processes, apart from forwarded requests and their answers."""
+"""Messages between entry processes, apart from answers to forwarded requests."""
 
 from typing import Self
 
 from attrs import frozen
 
 from fireflydeck.core.rows import StoredRow
+from fireflydeck.entry.caller_request import CallerRequest
 from fireflydeck.entry.message import Message
 from fireflydeck.workload.records import job_id_of, job_key
 
-__all__ = ["StateAnswer", "StateQuery", "SubmissionNotice", "SuccessionNotice", "SuccessionQuery"]
+__all__ = [
+    "ForwardedRequest",
+    "StateAnswer",
+    "StateQuery",
+    "SubmissionNotice",
+    "SuccessionNotice",
+    "SuccessionQuery",
+]
+
+
+@frozen
+class ForwardedRequest(Message):
+    """A caller's request that the sender can't serve; see `CallerRequest` for its fields."""
+
+    method: str
+    host: str
+    path: str
+    key: str
+    timeout_ms: int
+    body: bytes
+
+    @classmethod
+    def from_request(cls, request: CallerRequest) -> Self:
+        """Return the message that forwards a request."""
+        return cls(
+            request.method,
+            request.host,
+            request.path,
+            request.key,
+            request.timeout_ms,
+            request.body,
+        )
+
+    def to_request(self, min_configuration_version: int) -> CallerRequest:
+        """Return the request."""
+        return CallerRequest(
+            method=self.method,
+            host=self.host,
+            path=self.path,
+            key=self.key,
+            timeout_ms=self.timeout_ms,
+            body=self.body,
+            was_forwarded=True,
+            min_configuration_version=min_configuration_version,
+        )
 
 
 @frozen
--- a/fireflydeck/entry/tests/interface_client.py
+++ b/fireflydeck/entry/tests/interface_client.py
@@ -9,6 +9,7 @@
 from fireflydeck.entry.caller_interface import CallerInterface
 from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.peer_interfaces import ForwardResult, JobStateSource, RequestForwarder
+from fireflydeck.entry.peer_messages import ForwardedRequest
 from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.server import CallerServer
 from fireflydeck.kernel import Metrics, Registry
@@ -56,7 +57,7 @@
 
     async def forward(self, request, *, timeout_ms):
         self.forwarded.append(request)
-        request.encode()
+        ForwardedRequest.from_request(request).encode()
         peer = "m2:1" if self.answer else ""
         return ForwardResult(peer=peer, answer=self.answer, is_uncertain=self.is_uncertain)
 
@@ -81,6 +82,12 @@
             async with session.request(method, url, data=body, headers=sent) as response:
                 return response.status, await response.read(), response.headers
 
+    async def wait_for_outage(self):
+        """Wait until the process has noticed that the store does not answer it."""
+        with anyio.fail_after(5):
+            while not self.operators.is_store_unreachable:
+                await anyio.sleep(0.01)
+
     async def send(self, content):
         """Send bytes on a new connection; return what is received until it is closed."""
         host, _, port = self._address.rpartition(":")
--- a/fireflydeck/entry/tests/interface_fleet.py
+++ b/fireflydeck/entry/tests/interface_fleet.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field, frozen
 from expression import Error, Ok
+from yarl import URL
 
 from fireflydeck.core import Ran, SystemClock
 from fireflydeck.entry.caller_interface import CallerInterface
@@ -34,7 +35,7 @@
     async def post(self, peer, path, content, timeout_ms):
         if frozenset((self._name, peer)) in self._fleet.cut:
             return Error(Ran.NO)
-        return Ok(await self._fleet.processes[peer].serve(content))
+        return Ok(await self._fleet.processes[peer].serve(URL(path).query, content))
 
 
 class EntryInterface:
@@ -70,9 +71,10 @@
             )
         )
 
-    async def serve(self, content):
+    async def serve(self, query, content):
         """Answer a message that another process forwarded, as the link does."""
-        return await self._link.answer_forwarded(content)
+        response = await self._link._serve_forwarded(query, content)
+        return response.body
 
 
 @frozen
--- a/fireflydeck/entry/tests/test_caller_interface.py
+++ b/fireflydeck/entry/tests/test_caller_interface.py
@@ -6,6 +6,7 @@
 
 from fireflydeck.core import Ran
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
+from fireflydeck.entry.peer_messages import ForwardedRequest
 from fireflydeck.entry.tests.interface_client import running_interface
 from fireflydeck.kernel import Event
 from fireflydeck.platform.job_documents import DEADLINE_HEADER, KEY_HEADER
@@ -124,7 +125,8 @@
         assert status == 200
         request = client.forwarder.forwarded[0]
         assert (request.method, request.path, request.body) == ("POST", f"/swatch/{JOB_ID}", _BODY)
-        assert CallerRequest.decode(request.encode()).key == "key-1"
+        message = ForwardedRequest.from_request(request).encode()
+        assert ForwardedRequest.decode(message).to_request(0).key == "key-1"
 
 
 @pytest.mark.parametrize("peer_status", [None, 401, 503])
@@ -179,7 +181,7 @@
     async with running_interface() as client:
         client.store.outage = Ran.NO
         client.forwarder.answer = CallerAnswer(200, b"{}", configuration_version=7)
-        await _wait_for_outage(client)
+        await client.wait_for_outage()
         assert (await client.call("GET", "/swatch/"))[0] == 200
         lines = [
             (event, fields["path"], fields["status"], fields["decided_by"], fields["configuration"])
@@ -192,13 +194,6 @@
         ]
 
 
-async def _wait_for_outage(client):
-    """Wait until the process has noticed that the store does not answer it."""
-    with anyio.fail_after(5):
-        while not client.operators.is_store_unreachable:
-            await anyio.sleep(0.01)
-
-
 async def test_answers_between_processes():
     answer = CallerAnswer(503, b"{}", 1, is_store_unavailable=True)
     assert CallerAnswer.decode(answer.encode()) == answer
@@ -208,5 +203,5 @@
         CallerAnswer.decode(msgpack.packb(("200", b"{}")))
     with pytest.raises(ValueError, match="not a CallerAnswer"):
         CallerAnswer.decode(b"\xc1")
-    with pytest.raises(ValueError, match="not a CallerRequest"):
-        CallerRequest.decode(b"\x01")
+    with pytest.raises(ValueError, match="not a ForwardedRequest"):
+        ForwardedRequest.decode(b"\x01")
--- a/fireflydeck/entry/tests/test_configuration_regression.py
+++ b/fireflydeck/entry/tests/test_configuration_regression.py
@@ -2,9 +2,12 @@
 
 import random
 
+import anyio
 import pytest
 
 from fireflydeck.core import Ran
+from fireflydeck.entry.caller_request import CallerAnswer
+from fireflydeck.entry.tests.interface_client import running_interface
 from fireflydeck.entry.tests.interface_fleet import InterfaceFleet
 
 pytestmark = pytest.mark.anyio
@@ -85,19 +88,22 @@
 async def _process_that_relayed(*, relayed_queue):
     """Return a fleet and its first process, whose copy lacks version 2, after it relayed a count.
 
-    The store then still refuses the process, and no peer answers it.
+    The second process answered it. The third, whose copy lacks version 2 as well, is reached by the
+    store but not yet by the first process. In the end the first process reaches nobody.
     """
-    fleet = InterfaceFleet(2)
+    fleet = InterfaceFleet(3)
     fleet.configure(["q0", "q1"], ["key-0"])
-    first, second = fleet.processes.values()
+    first, second, third = fleet.processes.values()
     await first.operators.read_all()
+    await third.operators.read_all()
     fleet.configure(["q1", "q2"], ["key-0"])
     await second.operators.read_all()
     first.store.outage = Ran.NO
     await first.operators.read_all()
+    fleet.cut = {frozenset(("m0", "m2"))}
     if relayed_queue is not None:
         assert (await first.count_pending(relayed_queue, "key-0")).status == 200
-    fleet.cut = {frozenset(fleet.processes)}
+    fleet.cut |= {frozenset(("m0", "m1"))}
     return fleet, first
 
 
@@ -115,6 +121,43 @@
     assert (await first.count_pending("q0", "key-0")).status == 200
 
 
+# Guards against refusals after a relayed answer of the version that the process has itself.
+async def test_relayed_answer_of_the_same_version_bars_nothing():
+    fleet = InterfaceFleet(2)
+    fleet.configure(["q0"], ["key-0"])
+    first, second = fleet.processes.values()
+    await first.operators.read_all()
+    await second.operators.read_all()
+    first.store.outage = Ran.NO
+    await first.operators.read_all()
+    assert (await first.count_pending("q0", "key-0")).status == 200
+    fleet.cut = {frozenset(fleet.processes)}
+    assert (await first.count_pending("q0", "key-0")).status == 200
+
+
+# Guards against a relayed answer of a peer whose copy is older than one shown before.
+async def test_peer_with_an_older_copy_is_passed_over():
+    fleet, first = await _process_that_relayed(relayed_queue="q2")
+    fleet.cut = {frozenset(("m0", "m1"))}
+    answer = await first.count_pending("q0", "key-0")
+    assert (answer.status, answer.retry_after_s) == (503, 1)
+
+
+# Guards against the older copy's answers after a relayed answer that does not tell its version.
+async def test_relayed_answer_of_an_unknown_version_counts_as_newer():
+    async with running_interface() as client:
+        client.store.outage = Ran.NO
+        await client.wait_for_outage()
+        client.forwarder.answer = CallerAnswer(200, b"{}")
+        assert (await client.call("GET", "/swatch/"))[0] == 200
+        client.forwarder.answer = None
+        assert (await client.call("GET", "/swatch/"))[0] == 503
+        client.store.outage = None
+        with anyio.fail_after(5):
+            while (await client.call("GET", "/swatch/"))[0] != 200:
+                await anyio.sleep(0.02)
+
+
 # Guards against refusals that last longer than the copy is outdated.
 async def test_copy_that_caught_up_answers_again():
     _, first = await _process_that_relayed(relayed_queue="q2")
--- a/fireflydeck/entry/tests/test_peer_link.py
+++ b/fireflydeck/entry/tests/test_peer_link.py
@@ -4,13 +4,16 @@
 from itertools import product
 
 import anyio
+import msgpack
 import pytest
 from aiohttp import ClientSession, web
+from attrs import evolve
 
 from fireflydeck.core import SystemClock
 from fireflydeck.core.rows import StoredRow
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 from fireflydeck.entry.peer_link import EntryPeerLink
+from fireflydeck.entry.peer_messages import ForwardedRequest
 from fireflydeck.entry.succession_link import SuccessionLink
 from fireflydeck.kernel import EventLog, Registry
 from fireflydeck.ownership import LeaseKeeper
@@ -96,6 +99,7 @@
             ["/submission", "/job-state", "/succession", "/succession-query", "/forward"],
             [b"", b"\xc1", b"\x01", b"\x94\x01\x01\x01\x01"],
         ),
+        ("/forward?min-configuration-version=x", ForwardedRequest.from_request(_REQUEST).encode()),
         ("/submission", b"\x91\xa1a"),
         ("/job-state", b"\x91\xa1a"),
     ],
@@ -144,6 +148,28 @@
     assert (result.answer, result.is_uncertain) == (answer, is_uncertain)
 
 
+@pytest.mark.parametrize(
+    ("query", "version", "fields"), [("", 0, 4), ("?min-configuration-version=6", 6, 5)]
+)
+async def test_process_of_an_older_build_gets_an_answer_that_it_can_read(query, version, fields):
+    link = EntryPeerLink(free_address(), SystemClock())
+    served = []
+
+    async def serve(request):
+        served.append(request)
+        return CallerAnswer(200, b"{}", configuration_version=7)
+
+    link.set_request_handler(serve)
+    content = ForwardedRequest.from_request(_REQUEST).encode()
+    async with (
+        local_server(link._serve) as address,
+        ClientSession() as session,
+        session.post(f"http://{address}/forward{query}", data=content) as response,
+    ):
+        assert len(msgpack.unpackb(await response.read())) == fields
+    assert served == [evolve(_REQUEST, was_forwarded=True, min_configuration_version=version)]
+
+
 def _answer_with_bytes(content):
     async def handle(_):
         return web.Response(body=content)
