A stale read brings no deleted row back

What operators would see: after a read of the store that is behind, an evacuation that had ended, a wave that was withdrawn or a server that had left was in force again in one process, until the next change.

Change: RowVersions keeps the versions of deleted rows for a minute and decides what is newer.

--- a/fireflydeck/observation/table_follower.py
+++ b/fireflydeck/observation/table_follower.py
@@ -7,8 +7,9 @@
 from anyio.abc import TaskGroup
 
 from fireflydeck.core import Clock
-from fireflydeck.core.rows import RowKey, RowStore, StoredRow, VersionedRows
+from fireflydeck.core.rows import RowStore, StoredRow, VersionedRows
 from fireflydeck.kernel import Event, EventLog, Registry, Service, StoreHealth, keep_running
+from fireflydeck.observation.row_versions import RowVersions
 
 __all__ = ["TableFollower"]
 
@@ -49,7 +50,7 @@
         self._table = table
         self._partitions = partitions
         self._pause_ms = pause_ms
-        self._versions: dict[RowKey, int] = {}
+        self._versions = RowVersions(clock)
         self._confirmed_ms: int | None = None
         self._health = StoreHealth(log, table)
         self._loaded = anyio.Event()
@@ -115,11 +116,9 @@
             return None
         found = {row.id: row for page in pages for row in page.rows}
         version = min(page.version for page in pages)
-        missing = [
-            key for key, known in self._versions.items() if key not in found and known <= version
-        ]
-        for key in missing:
-            self._apply_if_newer(StoredRow(key, b"", version, deleted=True))
+        for key in self._versions.keys_up_to(version):
+            if key not in found:
+                self._apply_if_newer(StoredRow(key, b"", version, deleted=True))
         for row in found.values():
             self._apply_if_newer(row)
         self._confirm(sent_ms)
@@ -152,14 +151,10 @@
             await self._clock.sleep_ms(self._pause_ms)
 
     def _apply_if_newer(self, row: StoredRow) -> None:
-        """Apply a row if its version is newer than the known one, or the same and it is deleted."""
-        known = self._versions.get(row.id, 0)
-        if row.version < known or (row.version == known and not row.deleted):
+        """Apply a row if it is newer than the known one, or its deletion."""
+        if not self._versions.is_newer(row):
             return
-        if row.deleted:
-            self._versions.pop(row.id, None)
-        else:
-            self._versions[row.id] = row.version
+        self._versions.record(row)
         try:
             self.apply(row)
         except Exception as error:  # the other rows of the batch must still be applied
@@ -174,5 +169,6 @@
 
     def _confirm(self, sent_ms: int) -> None:
         self._confirmed_ms = sent_ms
+        self._versions.forget_old_deletions()
         self._health.record_answer()
         self.on_batch_applied()
--- a/fireflydeck/observation/tests/test_operators.py
+++ b/fireflydeck/observation/tests/test_operators.py
@@ -16,6 +16,7 @@
     put_wave,
     remove_configuration,
     remove_evacuation,
+    remove_wave,
 )
 from fireflydeck.testing.clock import FakeClock
 from fireflydeck.testing.recording_log import RecordingLog
@@ -101,6 +102,35 @@
         assert followed.documents.evacuated_data_centres == {"zvolen"}
 
 
+# Guards against documents that were removed and come back with a read that is behind.
+@pytest.mark.parametrize("is_history_kept", [True, False])
+async def test_stale_read_does_not_bring_removed_documents_back(is_history_kept):
+    async with _followed() as followed:
+        put_evacuation(followed.rows, "zvolen")
+        put_wave(followed.rows, 4, ["vm-1"], max_at_once=1)
+        await followed.advance()
+        page = followed.rows.read(OPERATOR_TABLE, "", "", "")
+        remove_evacuation(followed.rows, "zvolen")
+        remove_wave(followed.rows, 4)
+        await followed.advance()
+        assert followed.documents.evacuated_data_centres == set()
+        followed.store.stale_pages[OPERATOR_TABLE] = page
+        followed.store.outage = Ran.NO
+        await followed.advance()
+        followed.log.events.clear()
+        if not is_history_kept:
+            followed.rows.forget_history()
+        followed.store.outage = None
+        await followed.advance()
+        assert followed.documents.evacuated_data_centres == set()
+        assert followed.documents.waves == ()
+        assert Event.EVACUATION_CHANGED not in followed.log.emitted()
+        followed.store.stale_pages.clear()
+        put_evacuation(followed.rows, "zvolen")
+        await followed.advance()
+        assert followed.documents.evacuated_data_centres == {"zvolen"}
+
+
 async def test_evacuation_and_its_end():
     async with _followed() as followed:
         put_evacuation(followed.rows, "zvolen")
--- a/fireflydeck/platform/standin/documents.py
+++ b/fireflydeck/platform/standin/documents.py
@@ -31,6 +31,7 @@
     "remove_configuration",
     "remove_evacuation",
     "remove_registration",
+    "remove_wave",
     "settings_document",
     "submission_document",
 ]
@@ -185,6 +186,11 @@
     _put(rows, OPERATOR_TABLE, f"{WAVE_PREFIX}{number}", orjson.dumps(document))
 
 
+def remove_wave(rows: MemoryRows, number: int) -> None:
+    """Withdraw a maintenance wave."""
+    _remove(rows, OPERATOR_TABLE, f"{WAVE_PREFIX}{number}")
+
+
 def put_registration(
     rows: MemoryRows,
     server_id: str,
--- a/fireflydeck/testing/rows.py
+++ b/fireflydeck/testing/rows.py
@@ -47,6 +47,8 @@
     stale_reads
         Versions, by table, that reads of partitions without an upper bound return instead of the
         newest one.
+    stale_pages
+        Pages, by table, that reads of whole partitions return instead of the current rows.
     commits
         Transactions that took effect, without those applied by `deliver_late`.
     on_commit
@@ -60,6 +62,7 @@
         self.read_delay_ms = 0
         self.are_changes_hidden = False
         self.stale_reads: dict[str, int] = {}
+        self.stale_pages: dict[str, VersionedRows] = {}
         self.next_commits: list[RowStoreFault | None] = []
         self.commits: list[RowTransaction] = []
         self.on_commit: Callable[[RowTransaction], None] | None = None
@@ -106,6 +109,8 @@
             return Error(_unavailable("store.read", self.outage))
         if self.read_delay_ms > 0:
             await self._clock.sleep_ms(self.read_delay_ms)
+        if table in self.stale_pages and not before:
+            return Ok(self.stale_pages[table])
         found = self.rows.read(table, partition, first, before)
         if table not in self.stale_reads or before:
             return Ok(found)
