Limits of an older configuration refuse no request that a newer one may allow

What callers would see: a body refused with 413 by limits that a relayed answer had shown to be outdated.

Change: such a refusal becomes 503 with Retry-After while the copy is older than what was shown.

Result: test_relayed_newer_configuration_bars_refusals_by_older_limits failed (413), passes now.

--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -96,6 +96,15 @@
         )
         return answer
 
+    def refuse(self, refusal: CallerAnswer) -> CallerAnswer:
+        """Return the answer to a request that could not be received within the configured limits.
+
+        Newer limits may allow it.
+        """
+        if self._shown.is_newer_than_copy():
+            return _outdated()
+        return refusal
+
     async def _answer_or_forward(self, request: CallerRequest, started_ms: int) -> CallerAnswer:
         """Answer the request here, or forward it if the store is unavailable."""
         if request.was_forwarded:
@@ -135,7 +144,7 @@
         if configuration is None:
             return _unavailable(Reason.NOT_READY, "no configuration yet")
         if self._is_outdated(configuration, request):
-            return _unavailable(Reason.STORE_UNAVAILABLE, "the configuration is outdated")
+            return _outdated()
         answer = await self._answer_by(configuration, request, started_ms)
         return evolve(answer, configuration_version=configuration.version)
 
@@ -273,6 +282,10 @@
     )
 
 
+def _outdated() -> CallerAnswer:
+    return _unavailable(Reason.STORE_UNAVAILABLE, "the configuration is outdated")
+
+
 def _unknown_outcome(reason: Reason) -> CallerAnswer:
     return CallerAnswer(
         504, encode_refusal(reason, "the outcome is unknown"), is_store_unavailable=True
--- a/fireflydeck/entry/server.py
+++ b/fireflydeck/entry/server.py
@@ -107,7 +107,7 @@
         started_ms = self._clock.now_ms()
         received = await receive_request(request, limits)
         if received.is_error():
-            answer = received.error
+            answer = self._interface.refuse(received.error)
             self._request_log.record_answer(
                 method=request.method,
                 path=request.path,
--- a/fireflydeck/entry/tests/test_configuration_regression.py
+++ b/fireflydeck/entry/tests/test_configuration_regression.py
@@ -9,6 +9,7 @@
 from fireflydeck.entry.caller_request import CallerAnswer
 from fireflydeck.entry.tests.interface_client import running_interface
 from fireflydeck.entry.tests.interface_fleet import InterfaceFleet
+from fireflydeck.testing.job_builders import JOB_ID
 
 pytestmark = pytest.mark.anyio
 
@@ -158,6 +159,19 @@
                 await anyio.sleep(0.02)
 
 
+# Guards against a refusal by the older copy's limits after a relayed answer of a newer version.
+async def test_relayed_newer_configuration_bars_refusals_by_older_limits():
+    async with running_interface() as client:
+        path, body = f"/swatch/{JOB_ID}", b"x" * 2001
+        assert (await client.call("POST", path, body))[0] == 413
+        client.store.outage = Ran.NO
+        await client.wait_for_outage()
+        client.forwarder.answer = CallerAnswer(200, b"{}", configuration_version=4)
+        assert (await client.call("GET", "/swatch/"))[0] == 200
+        status, _, headers = await client.call("POST", path, body)
+        assert (status, headers["Retry-After"]) == (503, "1")
+
+
 # Guards against refusals that last longer than the copy is outdated.
 async def test_copy_that_caught_up_answers_again():
     _, first = await _process_that_relayed(relayed_queue="q2")
