A job shown as ended is not shown as running again

What callers would see: DELETE answered 200, then GET running; or completed, then running.

Change: ShownStates remembers the final states that a process has shown, and its own cancellations, for 30 s; a state of the holder that is not final does not replace them. It spares no call and adds none.

Result: test_cancelled_job_is_not_shown_as_running_again failed in both cases (running, queued), passes now.

--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -10,6 +10,7 @@
 from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.routing import QueueIndex
 from fireflydeck.entry.shown_configuration import ShownConfiguration
+from fireflydeck.entry.shown_states import ShownStates
 from fireflydeck.observation.operator_documents import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.platform.documents import DocumentError
@@ -20,6 +21,7 @@
     encode_refusal,
     encode_state,
 )
+from fireflydeck.workload.lifecycle import JobOutcome
 
 __all__ = ["CallerInterface"]
 
@@ -79,6 +81,7 @@
         self._clock = clock
         self._request_log = request_log
         self._shown = ShownConfiguration(operators, clock)
+        self._shown_states = ShownStates(clock)
         self._index: QueueIndex | None = None
         self._indexed_configuration: FleetConfiguration | None = None
 
@@ -239,6 +242,8 @@
             if found.ok is None:
                 return _refusal(410, Reason.UNKNOWN_JOB, "no such job")
             state = found.ok
+        state = self._shown_states.latest(routed.job_id, state)
+        self._shown_states.record(routed.job_id, state)
         return CallerAnswer(200, encode_state(state))
 
     async def _cancel(self, routed: _RoutedRequest) -> CallerAnswer:
@@ -247,6 +252,7 @@
             return self._answer_store_failure(routed, result.error)
         if not result.ok:
             return _refusal(410, Reason.UNKNOWN_JOB, "no such job")
+        self._shown_states.record(routed.job_id, JobOutcome.CANCELLED)
         return CallerAnswer(200, b"{}")
 
     def _count_pending(self, request: CallerRequest, routed: _RoutedRequest) -> CallerAnswer:
--- a/fireflydeck/entry/tests/interface_client.py
+++ b/fireflydeck/entry/tests/interface_client.py
@@ -25,9 +25,14 @@
 """Each answer in these tests closes its connection; the limit only stops a failing test."""
 
 
-class _NoStates(JobStateSource):
+class FakeStateSource(JobStateSource):
+    """Lease holder that knows the state that the test sets, of all jobs."""
+
+    def __init__(self):
+        self.state = None
+
     async def job_state(self, job_id):
-        return None
+        return self.state
 
 
 class _ShiftedClock(SystemClock):
@@ -65,13 +70,14 @@
 class InterfaceClient:
     """HTTP client of a running interface, with the parts that a test controls or inspects."""
 
-    def __init__(self, address, clock, store, operators, interface, forwarder, log):
+    def __init__(self, address, clock, store, operators, interface, forwarder, holder, log):
         self._address = address
         self.clock = clock
         self.store = store
         self.operators = operators
         self.interface = interface
         self.forwarder = forwarder
+        self.holder = holder
         self.log = log
 
     async def call(self, method, path, body=None, **headers):
@@ -109,12 +115,12 @@
         put_configuration(store.rows, **configuration)
     operators = OperatorDocuments(store, clock, log)
     lease = LeaseKeeper(store, clock, log, name="m1", address="m1:1")
-    forwarder = FakeForwarder()
+    forwarder, holder = FakeForwarder(), FakeStateSource()
     request_log = RequestLog(operators, log, Metrics())
     interface = CallerInterface(
         operators=operators,
         lease=lease,
-        state_source=_NoStates(),
+        state_source=holder,
         forwarder=forwarder,
         intake=Intake(store, clock, FakeAnnouncer()),
         clock=clock,
@@ -136,6 +142,6 @@
             request_log=request_log,
         )
         await server.start(Registry(), tasks)
-        yield InterfaceClient(address, clock, store, operators, interface, forwarder, log)
+        yield InterfaceClient(address, clock, store, operators, interface, forwarder, holder, log)
         await server.stop()
         tasks.cancel_scope.cancel()
--- a/fireflydeck/entry/tests/test_caller_interface.py
+++ b/fireflydeck/entry/tests/test_caller_interface.py
@@ -94,6 +94,24 @@
         assert "Retry-After" in answer[2]
 
 
+# Guards against a state that goes back when the lease holder lags behind the store.
+@pytest.mark.parametrize("holder_state", ["queued", "running"])
+async def test_cancelled_job_is_not_shown_as_running_again(holder_state):
+    async with running_interface() as client:
+        path = f"/swatch/{JOB_ID}"
+        assert (await client.call("POST", path, _BODY))[0] == 200
+        client.holder.state = holder_state
+        assert (await client.call("GET", path))[1] == f'{{"state":"{holder_state}"}}'.encode()
+        assert (await client.call("DELETE", path))[0] == 200
+        assert (await client.call("GET", path))[1] == b'{"state":"cancelled"}'
+        client.holder.state = "completed"
+        assert (await client.call("GET", path))[1] == b'{"state":"completed"}'
+        client.holder.state = holder_state
+        assert (await client.call("GET", path))[1] == b'{"state":"completed"}'
+        client.clock.ahead_ms = 31_000
+        assert (await client.call("GET", path))[1] == f'{{"state":"{holder_state}"}}'.encode()
+
+
 @pytest.mark.parametrize(("outage", "status"), [(Ran.NO, 503), (Ran.UNKNOWN, 504)])
 async def test_store_outage(outage, status):
     async with running_interface() as client:
