Caller interface split: job requests, refusals, and what decides where a request is answered

caller_interface held routing, keys, submissions, states and the choice between this process and others. JobRequests answers by this process's copies and the store, caller_answers builds refusals, CallerInterface forwards and keeps what was shown.

--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -8,6 +8,7 @@
 from fireflydeck.core.placement import Registration
 from fireflydeck.entry.caller_interface import CallerInterface
 from fireflydeck.entry.intake import Intake
+from fireflydeck.entry.job_requests import JobRequests
 from fireflydeck.entry.peer_link import EntryPeerLink
 from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.server import CallerServer, StatusServer
@@ -97,15 +98,21 @@
     )
     link = EntryPeerLink(link_address, clock)
     request_log = RequestLog(operators, log, metrics)
-    interface = CallerInterface(
+    job_requests = JobRequests(
         operators=operators,
         lease=lease,
         state_source=link,
-        forwarder=link,
         intake=Intake(store, clock, link),
         clock=clock,
         request_log=request_log,
     )
+    interface = CallerInterface(
+        operators=operators,
+        job_requests=job_requests,
+        forwarder=link,
+        clock=clock,
+        request_log=request_log,
+    )
     link.set_request_handler(interface.answer)
     lease.set_successors(SuccessionLink(link, lease))
     kernel.add(operators)
--- a/fireflydeck/entry/tests/interface_client.py
+++ b/fireflydeck/entry/tests/interface_client.py
@@ -6,17 +6,15 @@
 from aiohttp import ClientSession
 
 from fireflydeck.core import SystemClock
-from fireflydeck.entry.caller_interface import CallerInterface
-from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.peer_interfaces import ForwardResult, JobStateSource, RequestForwarder
 from fireflydeck.entry.peer_messages import ForwardedRequest
 from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.server import CallerServer
+from fireflydeck.entry.tests.builders import build_interface
 from fireflydeck.kernel import Metrics, Registry
 from fireflydeck.observation import OperatorDocuments
 from fireflydeck.ownership import LeaseKeeper
 from fireflydeck.platform.standin.documents import CALLER_HEADERS, put_configuration
-from fireflydeck.testing.fleet_fakes import FakeAnnouncer
 from fireflydeck.testing.ports import free_address
 from fireflydeck.testing.recording_log import RecordingLog
 from fireflydeck.testing.rows import FakeRowStore
@@ -117,12 +115,12 @@
     lease = LeaseKeeper(store, clock, log, name="m1", address="m1:1")
     forwarder, holder = FakeForwarder(), FakeStateSource()
     request_log = RequestLog(operators, log, Metrics())
-    interface = CallerInterface(
+    interface = build_interface(
+        store=store,
         operators=operators,
         lease=lease,
         state_source=holder,
         forwarder=forwarder,
-        intake=Intake(store, clock, FakeAnnouncer()),
         clock=clock,
         request_log=request_log,
     )
--- a/fireflydeck/entry/tests/interface_fleet.py
+++ b/fireflydeck/entry/tests/interface_fleet.py
@@ -5,18 +5,16 @@
 from yarl import URL
 
 from fireflydeck.core import Ran, SystemClock
-from fireflydeck.entry.caller_interface import CallerInterface
 from fireflydeck.entry.caller_request import CallerRequest
-from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.peer_link import EntryPeerLink
 from fireflydeck.entry.request_log import RequestLog
+from fireflydeck.entry.tests.builders import build_interface
 from fireflydeck.kernel import Metrics
 from fireflydeck.observation import OperatorDocuments
 from fireflydeck.ownership import LeaseKeeper
 from fireflydeck.ownership.records import LeaseRecord
 from fireflydeck.platform.standin.documents import CALLER_HEADERS, put_configuration
 from fireflydeck.standins.memory_rows import MemoryRows
-from fireflydeck.testing.fleet_fakes import FakeAnnouncer
 from fireflydeck.testing.recording_log import RecordingLog
 from fireflydeck.testing.rows import FakeRowStore
 
@@ -48,12 +46,12 @@
         self._link = _LocalLink(fleet, name)
         lease = LeaseKeeper(self.store, clock, log, name=name, address=name)
         lease._record = LeaseRecord(holder="", address="", term=1, sequence=1, ttl_ms=1)
-        self._interface = CallerInterface(
+        self._interface = build_interface(
+            store=self.store,
             operators=self.operators,
             lease=lease,
             state_source=self._link,
             forwarder=self._link,
-            intake=Intake(self.store, clock, FakeAnnouncer()),
             clock=clock,
             request_log=RequestLog(self.operators, log, Metrics()),
         )
