Soak: probes that tell whether an entry process goes back to an older configuration

Change: the operator of the soak stores a configuration with another queue every 0.2 to 1.5 s; probes ask each process for the queues of the newest versions, and check_configurations finds answers that only an older version allows than one shown before.

--- a/fireflydeck/soak/operator.py
+++ b/fireflydeck/soak/operator.py
@@ -1,4 +1,4 @@
-"""Operator of a soak run, who withdraws a key and evacuates data centres at random times."""
+"""Operator of a soak run, who changes the configuration and evacuates data centres at random."""
 
 from enum import StrEnum
 from random import Random
@@ -20,6 +20,7 @@
     "Operation",
     "OperationKind",
     "Operator",
+    "queue_of_version",
 ]
 
 DATA_CENTRES = ("zvolen", "brezno")
@@ -31,6 +32,12 @@
 """Configuration version that the fleet starts with."""
 _PAUSE_RANGE_MS = (500, 6000)
 _DURATION_RANGE_MS = (5500, 12_000)
+_VERSION_PAUSE_RANGE_MS = (200, 1500)
+
+
+def queue_of_version(version: int) -> str:
+    """Return the name of the queue that only one configuration version has."""
+    return f"q{version}"
 
 
 class OperationKind(StrEnum):
@@ -69,6 +76,8 @@
     ----------
     operations
         Completed operations.
+    version
+        Newest configuration version.
     """
 
     rows: MemoryRows
@@ -76,12 +85,20 @@
     seed: int
     length_ms: int
     operations: list[Operation] = field(factory=list)
-    _version: int = _INITIAL_VERSION
+    version: int = _INITIAL_VERSION
+    _keys: tuple[str, ...] = ()
 
     def grant_keys(self) -> None:
         """Grant both keys."""
         self._put_keys((PERMANENT_KEY, WITHDRAWN_KEY))
 
+    async def change_queues(self) -> None:
+        """Store a configuration with another queue again and again, until cancelled."""
+        random = Random(f"queues {self.seed}")
+        while True:
+            await self.clock.sleep_ms(random.randint(*_VERSION_PAUSE_RANGE_MS))
+            self._put_keys(self._keys)
+
     async def run(self) -> None:
         """Carry out operations; at the end both keys and all data centres are in use."""
         random = Random(self.seed)
@@ -109,5 +126,11 @@
             remove_evacuation(self.rows, target)
 
     def _put_keys(self, keys: tuple[str, ...]) -> None:
-        self._version += 1
-        put_configuration(self.rows, version=self._version, keys=keys)
+        self._keys = keys
+        self.version += 1
+        put_configuration(
+            self.rows,
+            version=self.version,
+            keys=keys,
+            further_queues=(queue_of_version(self.version),),
+        )
--- a/fireflydeck/soak/run.py
+++ b/fireflydeck/soak/run.py
@@ -16,6 +16,7 @@
 from fireflydeck.core import Clock, SystemClock
 from fireflydeck.kernel import Event, Registry
 from fireflydeck.soak.callers import Callers
+from fireflydeck.soak.configuration_probes import ConfigurationProber, check_configurations
 from fireflydeck.soak.fault_plan import MEAN_PAUSE_MS, PlannedFault, plan_faults
 from fireflydeck.soak.injector import FaultInjector
 from fireflydeck.soak.operator import DATA_CENTRES, Operation, Operator
@@ -49,6 +50,7 @@
     jobs: int = 0
     accepted: int = 0
     runs: int = 0
+    probes: int = 0
     operations: list[Operation] = field(factory=list)
     violations: list[Violation] = field(factory=list)
 
@@ -56,7 +58,8 @@
         verdict = "kept" if not self.violations else f"{len(self.violations)} violations"
         return (
             f"seed {self.seed}: {len(self.faults)} faults, {len(self.operations)} operations, "
-            f"{self.jobs} jobs, {self.accepted} accepted, {self.runs} runs: {verdict}"
+            f"{self.jobs} jobs, {self.accepted} accepted, {self.runs} runs, "
+            f"{self.probes} probes: {verdict}"
         )
 
 
@@ -90,16 +93,23 @@
             callers = Callers([entry.address for entry in fleet.entries], random, self.clock)
             operator = Operator(fleet.store.rows, self.clock, self.seed, self.length_ms)
             operator.grant_keys()
+            prober = ConfigurationProber(
+                callers.addresses, operator, Random(f"probes {self.seed}"), self.clock
+            )
             injector = self._injector(fleet)
             async with anyio.create_task_group() as background_tasks:
                 callers.start(background_tasks)
                 background_tasks.start_soon(operator.run)
+                background_tasks.start_soon(operator.change_queues)
+                prober.start(background_tasks)
                 await self._inject_faults(injector, report.faults)
                 callers.stop_submitting()
                 await self._wait_until_completed(callers)
                 background_tasks.cancel_scope.cancel()
             await callers.close()
             self._check_jobs(report, fleet, callers)
+            report.probes = len(prober.probes)
+            report.violations.extend(check_configurations(prober.probes))
             report.operations = operator.operations
             report.violations.extend(
                 check_operations(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,9 @@
     (36, 14_000): "the soak changed the servers' clocks after leases had been granted by them;"
     " later, by chance, a library logged an error at a stop that was not a structured line",
     (524, 10_000): "a submission was announced after the peer link had stopped",
+    (2002, 30_000): "an entry process answered by an older configuration than one it had relayed",
+    (2003, 30_000): "the same, twice within 0.2 s",
+    (2006, 30_000): "the same",
 }
 """Cause of the past failure by seed and run length in milliseconds; empty without a failure."""
 _MAX_PARALLEL_RUNS = 2
