A release of the lease that meets a renewal in flight is sent again

Cause: the release names the version of the lease's row that was last confirmed. A renewal in flight has changed the row, so the release was a conflict; its failure was not looked at, and the others waited for the lease to expire. On a slow machine or store a renewal is in flight for much of the time.

Change: after a failure the row is read, and the release is sent again while the row names this process and term, for as long as one call might take. A release that fails all the same is logged (6006).

--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -85,6 +85,12 @@
         "offered the lease; this process acquires it if the term it knows (`known`) is the same.",
         fields=("term", "known"),
     ),
+    6006: EventNote(
+        trigger="A process that stops could not mark its lease as free; other processes wait until "
+        "it expires.",
+        action="See 1110 of the same time: the store did not answer.",
+        fields=("term",),
+    ),
     6101: EventNote(
         trigger="A backend server appeared in the store.", fields=("server", "pool", "state")
     ),
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -100,6 +100,7 @@
     LEASE_NOT_TAKEN = _Definition(6002, "info", "lease of the fleet could not be acquired")
     LEASE_LOST = _Definition(6003, "warning", "lease of the fleet lost")
     LEASE_OFFERED = _Definition(6005, "info", "holder that lost the store offers its lease")
+    LEASE_NOT_RELEASED = _Definition(6006, "warning", "lease of the fleet could not be released")
     LEASE_HOLDER_SEEN = _Definition(6004, "info", "lease of the fleet has another holder")
     SERVER_SEEN = _Definition(6101, "info", "backend server registered")
     SERVER_STATE = _Definition(6102, "info", "backend server changed its state")
--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -35,6 +35,7 @@
 _RESOLVE_LATENCY_FACTOR = 4
 """The outcome of a renewal is queried for this many times as long as the last renewal took, but at
 least for `_MIN_RESOLVE_MS`, before a successor is sought."""
+_MAX_RELEASE_ATTEMPTS = 4
 _MAX_SUCCESSION_ATTEMPTS = 3
 """A delayed renewal of the previous holder may change the row between two attempts."""
 
@@ -139,11 +140,34 @@
     async def stop(self) -> None:
         """Release the lease, so that another process can take it over immediately."""
         self._stopping = True
-        if self._tenure is None or self._record is None:
+        tenure = self._tenure
+        if tenure is None:
             return
         self._end_tenure("released")
-        record = evolve(self._record, holder="", sequence=self._record.sequence + 1)
-        await self._rows.write_lease(record, CALL_TIMEOUT_MS)
+        is_released = False
+        with anyio.move_on_after(CALL_TIMEOUT_MS / _MS_PER_S):
+            is_released = await self._release(tenure.term)
+        if not is_released:
+            self._log.emit(Event.LEASE_NOT_RELEASED, term=tenure.term)
+
+    async def _release(self, term: int) -> bool:
+        """Mark the lease's row as free; return whether this process does not hold it any more.
+
+        A renewal that was in flight may have changed the row, which is then read again.
+        """
+        for _ in range(_MAX_RELEASE_ATTEMPTS):
+            record = self._record
+            if record is None or record.term != term or record.holder != self._process_name:
+                return True
+            released = evolve(record, holder="", sequence=record.sequence + 1)
+            failure = await self._rows.write_lease(released, CALL_TIMEOUT_MS)
+            if failure is None:
+                return True
+            if failure.reason != Reason.CONFLICT:
+                self._rows.health.record_failure(failure)
+                await self._clock.sleep_ms(_RETRY_DELAY_MS)
+            self._apply_rows(await self._rows.read() or {})
+        return False
 
     def resign(self, tenure: Tenure, why: str) -> None:
         """End a tenure immediately, because another process is known to hold the lease.
--- a/fireflydeck/ownership/tests/members.py
+++ b/fireflydeck/ownership/tests/members.py
@@ -19,10 +19,11 @@
 
     def __init__(self, name, clock, rows, members, delay_ms=0):
         self.store = FakeRowStore(clock, rows)
+        self.log = RecordingLog()
         self.lease = LeaseKeeper(
             self.store,
             clock,
-            RecordingLog(),
+            self.log,
             name=name,
             address=f"{name}:1",
             candidate_delay_ms=delay_ms,
--- a/fireflydeck/ownership/tests/test_lease.py
+++ b/fireflydeck/ownership/tests/test_lease.py
@@ -6,8 +6,8 @@
 
 from fireflydeck.core import Ran, Reason
 from fireflydeck.core.rows import RowKey, RowWrite
-from fireflydeck.kernel import Registry
-from fireflydeck.ownership.records import LeaseRecord, decode_lease
+from fireflydeck.kernel import Event, Registry
+from fireflydeck.ownership.records import LEASE_ROW, LeaseRecord, decode_lease
 from fireflydeck.ownership.tests.members import Member, holders, running_members
 from fireflydeck.testing.clock import FakeClock
 from fireflydeck.testing.rows import RowStoreFault
@@ -228,6 +228,51 @@
         assert first not in holders(members)
 
 
+# Guards against a fleet without a holder for a lease's whole duration after a planned stop.
+async def test_release_during_a_renewal_frees_the_lease():
+    clock = FakeClock()
+    async with running_members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = holders(members)[0]
+        first.store.answer_delay_ms = 200
+        while first.store.rows.get(LEASE_ROW).version == first.lease._rows.lease_version:
+            await clock.advance_ms(20)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(first.lease.stop)
+            await clock.advance_ms(1000)
+        assert holders(members) == [member for member in members if member is not first]
+
+
+# Guards against the same after a release that the store refused or did not answer.
+@pytest.mark.parametrize("fault", [RowStoreFault.REFUSED, RowStoreFault.NO_EFFECT])
+async def test_release_without_effect_is_sent_again(fault):
+    clock = FakeClock()
+    async with running_members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = holders(members)[0]
+        async with anyio.create_task_group() as tasks:
+            first.store.next_commits = [fault]
+            tasks.start_soon(first.lease.stop)
+            await clock.advance_ms(1000)
+        assert holders(members) == [member for member in members if member is not first]
+
+
+async def test_release_takes_no_lease_of_another_holder():
+    clock = FakeClock()
+    async with running_members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = holders(members)[0]
+        async with anyio.create_task_group() as tasks:
+            first.store.next_commits = [RowStoreFault.ANSWER_LOST]
+            tasks.start_soon(first.lease.stop)
+            await clock.advance_ms(3000)
+        second = holders(members)[0]
+        assert second is not first
+        assert Event.LEASE_NOT_RELEASED not in first.log.emitted()
+        term = decode_lease(first.store.rows.get(LEASE_ROW).value).term
+        assert term == second.lease.tenure.term
+
+
 async def test_lease_of_a_paused_holder_expires():
     """After a pause of the process, time has passed without a renewal."""
     clock = FakeClock()
