--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,11 +6,13 @@
 from functools import partial
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-
-from harness import (  # noqa: E402
+from fireflydeck.core import SystemClock
+from fireflydeck.core.backend_orders import RunEnd, StartOrder, StartOutcome
+from fireflydeck.platform.standin.documents import put_configuration
+from fireflydeck.standins.run_record import RunRecord
+from review.harness import (
     CAPACITY,
-    CaseNotRun,
+    CaseNotRunError,
     Fleet,
     PagingTaskServer,
     Record,
@@ -21,11 +23,6 @@
     wait_until,
 )
 
-from fireflydeck.core import SystemClock  # noqa: E402
-from fireflydeck.core.backend_orders import RunEnd, StartOrder, StartOutcome  # noqa: E402
-from fireflydeck.platform.standin.documents import put_configuration  # noqa: E402
-from fireflydeck.standins.run_record import RunRecord  # noqa: E402
-
 _ROUNDS = 3
 """Number of jobs, one after another; the case ends with the first that shows the fault."""
 _TASKS = 640
@@ -90,7 +87,7 @@
     await wait_until(started, _TIMEOUT_S, "all starts")
     freeze_ms = server.first_end_ms() - _FREEZE_LEAD_MS
     if now_ms() >= freeze_ms:
-        raise CaseNotRun("the starts took too long")
+        raise CaseNotRunError("the starts took too long")
     await wait_until(lambda: now_ms() >= freeze_ms, _TIMEOUT_S, "the first end")
     if has_trouble():
         await fleet.freeze_leader(_FREEZE_MS)
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # file. They are Python, so there is nothing else to build.
 cd "$(dirname "$0")/.." || exit 2
 PYTHONPATH="target/deps:." python3 -m compileall -q review fireflydeck/standins \
-    fireflydeck/platform && PYTHONPATH="target/deps:.:review" python3 -c "import harness"
+    fireflydeck/platform && PYTHONPATH="target/deps:." python3 -c "import review.harness"
--- a/review/harness.py
+++ b/review/harness.py
@@ -72,7 +72,7 @@
 """Number of ended runs that a backend server lists in one answer."""
 
 
-class CaseNotRun(Exception):
+class CaseNotRunError(Exception):
     """The case could not be brought to the point at which the rule is checked."""
 
 
@@ -190,7 +190,7 @@
             if status == _OK:
                 return
             await asyncio.sleep(_RETRY_S)
-        raise CaseNotRun(f"job {job_id} was not accepted: {status}")
+        raise CaseNotRunError(f"job {job_id} was not accepted: {status}")
 
     def leader(self) -> Entry | None:
         """Return the process that holds the lease, by the lease's row in the store."""
@@ -202,7 +202,7 @@
         """Kill the process that holds the lease."""
         leader = self.leader()
         if leader is None:
-            raise CaseNotRun("no process holds the lease")
+            raise CaseNotRunError("no process holds the lease")
         await leader.kill()
         self.record.write(f"SIGKILL to {leader.name}, the lease holder")
         return leader
@@ -211,7 +211,7 @@
         """Suspend the process that holds the lease for a time."""
         leader = self.leader()
         if leader is None:
-            raise CaseNotRun("no process holds the lease")
+            raise CaseNotRunError("no process holds the lease")
         leader.send(signal.SIGSTOP)
         self.record.write(f"SIGSTOP to {leader.name}, the lease holder")
         await asyncio.sleep(duration_ms / _MS_PER_S)
@@ -230,7 +230,7 @@
     deadline_s = time.monotonic() + timeout_s
     while not condition():
         if time.monotonic() > deadline_s:
-            raise CaseNotRun(f"{what}: not within {timeout_s} s")
+            raise CaseNotRunError(f"{what}: not within {timeout_s} s")
         await asyncio.sleep(_POLL_S)
 
 
@@ -272,7 +272,7 @@
         deadline_s = time.monotonic() + _READY_TIMEOUT_S
         while not all([await _is_ready(session, entry) for entry in fleet.entries]):
             if time.monotonic() > deadline_s:
-                raise CaseNotRun("the processes are not ready")
+                raise CaseNotRunError("the processes are not ready")
             await asyncio.sleep(_POLL_S)
         yield fleet
 
@@ -336,7 +336,7 @@
     record = Record(folder / "record.txt")
     try:
         broken = asyncio.run(case(record))
-    except CaseNotRun as error:
+    except CaseNotRunError as error:
         record.write(f"not run: {error}")
         print(f"not run: {error}")
         return EXIT_NOT_RUN
