--- a/review/1/case.py
+++ b/review/1/case.py
@@ -34,7 +34,7 @@
 _TIMEOUT_S = 20.0
 _APPLY_S = 4.0
 """Twice the bound `config_apply_ms` of the sites."""
-_ROUNDS = 12
+_ROUNDS = 4
 """Number of kills; the case ends with the first that shows the fault."""
 _DOWN_S = 1.0
 _OBSERVED_S = 5.0
@@ -62,7 +62,7 @@
 
 async def _run(record: Record) -> list[str]:
     configure = partial(_put_configuration, version=3, pool=_OLD_POOL)
-    async with running_fleet(record, configure, _servers()) as fleet:
+    async with running_fleet(record, configure, _servers(), far_pool=_OLD_POOL) as fleet:
         first_ms = now_ms()
         step = {
             "count": _OLD_SERVERS,
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -24,6 +24,7 @@
 
 _PRESS_JOB = "00000000000000b1"
 _PAINT_JOB = "00000000000000a1"
+_PRESS_POOL = "press"
 _PRESS_PREFIX = "/press/"
 _PRESS_SERVERS = 30
 _LIMIT_CPU = 64_000
@@ -34,7 +35,7 @@
 _DURATION_MS = 150_000
 _TIMEOUT_S = 20.0
 _STEADY_S = 2.0
-_ROUNDS = 12
+_ROUNDS = 4
 """Number of kills; the case ends with the first that shows the fault."""
 _DOWN_S = 1.0
 _OBSERVED_S = 5.0
@@ -63,7 +64,7 @@
     servers = {"i-00": ("paint", _server("i-00"))}
     for number in range(1, _PRESS_SERVERS + 1):
         servers[f"i-{number:02}"] = ("press", _server(f"i-{number:02}"))
-    async with running_fleet(record, _put_configuration, servers) as fleet:
+    async with running_fleet(record, _put_configuration, servers, far_pool=_PRESS_POOL) as fleet:
         first_ms = now_ms()
         press_tasks = _PRESS_SERVERS
         await fleet.submit(_PRESS_JOB, _job(press_tasks, anti_affinity=1), _PRESS_PREFIX)
