--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """TWICE: a queue has changed its service, and the lease holder is killed."""
 
 import asyncio
+import os
 import sys
 from functools import partial
 from pathlib import Path
@@ -16,13 +17,14 @@
     Fleet,
     PagingTaskServer,
     Record,
-    has_trouble,
     main,
     now_ms,
     running_fleet,
     wait_until,
 )
 
+_HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption is injected; with TROUBLE=0 the rest happens without it."""
 _JOB_ID = "00000000000000a1"
 _OLD_POOL = "paint"
 _NEW_POOL = "press"
@@ -85,7 +87,7 @@
 
 async def _kill_and_restart_leader(fleet: Fleet) -> None:
     """Kill the lease holder, start it again, and wait until its successor has taken over."""
-    if has_trouble():
+    if _HAS_TROUBLE:
         killed = await fleet.kill_leader()
         await asyncio.sleep(_DOWN_S)
         await killed.start()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """TWICE: more than 500 runs end on one backend server while the lease holder is frozen."""
 
 import asyncio
+import os
 import sys
 from collections import defaultdict
 from functools import partial
@@ -16,13 +17,14 @@
     Fleet,
     PagingTaskServer,
     Record,
-    has_trouble,
     main,
     now_ms,
     running_fleet,
     wait_until,
 )
 
+_HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption is injected; with TROUBLE=0 the rest happens without it."""
 _ROUNDS = 3
 """Number of jobs, one after another; the case ends with the first that shows the fault."""
 _TASKS = 640
@@ -89,7 +91,7 @@
     if now_ms() >= freeze_ms:
         raise CaseNotRunError("the starts took too long")
     await wait_until(lambda: now_ms() >= freeze_ms, _TIMEOUT_S, "the first end")
-    if has_trouble():
+    if _HAS_TROUBLE:
         await fleet.freeze_leader(_FREEZE_MS)
     await wait_until(partial(_is_done, fleet, job_id), _TIMEOUT_S, "all ends")
     await asyncio.sleep(_SETTLE_S)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """LOST: a run fails once while the route of its queue is missing from the configuration."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -15,13 +16,14 @@
     CAPACITY,
     PagingTaskServer,
     Record,
-    has_trouble,
     main,
     now_ms,
     running_fleet,
     wait_until,
 )
 
+_HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption is injected; with TROUBLE=0 the rest happens without it."""
 _JOB_ID = "00000000000000a1"
 _MAX_ATTEMPTS = 3
 _DURATION_MS = 6000
@@ -51,12 +53,12 @@
         await fleet.submit(_JOB_ID, {"spec": "draws", "steps": [step]})
         await wait_until(lambda: server.records, _TIMEOUT_S, "the first start")
         server.end_of_next = RunEnd.DONE
-        if has_trouble():
+        if _HAS_TROUBLE:
             _put_configuration(fleet.store.rows, version=4, has_route=False)
             record.write("version 4 lacks the route")
         await wait_until(lambda: _failures(fleet.runs()), _TIMEOUT_S, "the failed run")
         await asyncio.sleep(_OBSERVED_S)
-        if has_trouble():
+        if _HAS_TROUBLE:
             _put_configuration(fleet.store.rows, version=5)
             record.write("version 5 has the route again")
         await asyncio.sleep(_APPLY_S)
