A holder waits for all servers that may run a queue's tasks, also those of its earlier pool

Cause: the planner held an old job back while a server of the queue's present pool had not answered. Runs from before the change are on servers of the earlier pool. All servers were in the roster and the job was known, which rules out a lost row.

Change: the roster names for each server the queues whose tasks may be running there, and is stored before such a task starts. FleetKnowledge tells which servers may hide runs; an old task waits for those that may run its queue. Event 6109 says when no earlier run is unknown any more.

Test: test_run_in_the_earlier_pool_of_a_queue_is_not_started_again and test_later_holders_remember_the_earlier_pool_of_a_queue failed before (tasks ran twice); also with a planned stop, with the roster of an older build and with an unreadable row.

--- a/fireflydeck/core/fleet_configuration.py
+++ b/fireflydeck/core/fleet_configuration.py
@@ -124,6 +124,7 @@
     organisations: tuple[JobOrganisation, ...] = ()
     limits: RequestLimits = RequestLimits()
     _queue_by_name: dict[str, JobQueue] = field(init=False, eq=False, repr=False)
+    _queues_by_pool: dict[str, frozenset[str]] = field(init=False, eq=False, repr=False)
     _organisation_by_key: dict[str, JobOrganisation] = field(init=False, eq=False, repr=False)
     _organisation_by_name: dict[str, JobOrganisation] = field(init=False, eq=False, repr=False)
 
@@ -131,6 +132,13 @@
     def _index_queues(self) -> dict[str, JobQueue]:
         return {queue.name: queue for queue in self.queues}
 
+    @_queues_by_pool.default
+    def _index_pools(self) -> dict[str, frozenset[str]]:
+        names: dict[str, set[str]] = {}
+        for queue in self.queues:
+            names.setdefault(queue.pool, set()).add(queue.name)
+        return {pool: frozenset(found) for pool, found in names.items()}
+
     @_organisation_by_key.default
     def _index_keys(self) -> dict[str, JobOrganisation]:
         return {
@@ -145,6 +153,10 @@
         """Return the queue with the given name, or `None`."""
         return self._queue_by_name.get(name)
 
+    def queues_of_pool(self, pool: str) -> frozenset[str]:
+        """Return the names of the queues whose tasks run in the pool."""
+        return self._queues_by_pool.get(pool, frozenset())
+
     def organisation(self, name: str) -> JobOrganisation | None:
         """Return the organisation with the given name, or `None`."""
         return self._organisation_by_name.get(name)
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -128,6 +128,13 @@
         action="Nothing if 6003 follows; otherwise report it.",
         fields=("server", "term"),
     ),
+    6109: EventNote(
+        trigger="Every backend server on which an earlier holder may have started runs has "
+        "reported them, or its leases have certainly expired (`unheard`). Tasks of older jobs "
+        "start again from now on; before, only those that can't be running on the others.",
+        action="If `took_ms` is several seconds: see the 6105 of the servers that did not answer.",
+        fields=("term", "servers", "unheard", "took_ms"),
+    ),
     6201: EventNote(
         trigger="A submission was read from the store.", fields=("job", "queue", "version")
     ),
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -114,6 +114,7 @@
     ORDER_FENCED = _Definition(
         6108, "warning", "order rejected, backend server has seen a higher term"
     )
+    FLEET_KNOWN = _Definition(6109, "info", "no run of an earlier holder is unknown any more")
     JOB_KNOWN = _Definition(6201, "info", "submission of a job read")
     JOB_CANCELLED = _Definition(6202, "info", "job cancelled, its runs are stopped")
     JOB_ENDED = _Definition(6203, "info", "outcome of a job is stored")
--- a/fireflydeck/ownership/records.py
+++ b/fireflydeck/ownership/records.py
@@ -12,6 +12,7 @@
     "LEASE_ROW",
     "OWNERSHIP_TABLE",
     "ROSTER_ROW",
+    "ROSTER_WORK_ROW",
     "VM_OPERATIONS_ROW",
     "LeaseRecord",
     "Tenure",
@@ -26,6 +27,8 @@
 
 ROSTER_ROW = RowKey("roster", FLEET_PARTITION, "servers")
 """Backend servers on which tasks that the holder started may be running."""
+ROSTER_WORK_ROW = RowKey("roster", FLEET_PARTITION, "work")
+"""Queues whose tasks may be running on each of these servers, and the servers' capacity."""
 VM_OPERATIONS_ROW = RowKey("roster", FLEET_PARTITION, "duties")
 """VMs that got an order recently, have had their maintenance, or came from standby."""
 
--- a/fireflydeck/platform/standin/documents.py
+++ b/fireflydeck/platform/standin/documents.py
@@ -45,6 +45,7 @@
 MAX_ATTEMPTS = 2
 """Number of failed runs of a task after which its job fails, in the sample queue."""
 _DATA_CENTRE = "zvolen"
+_POOL = "paint"
 _WAVE_DURATION_S = 20
 
 
@@ -56,6 +57,10 @@
     advisor: AdvisorTimes | None = None,
     idle_timeout_ms: int | None = None,
     cpu_limit: int = 64_000,
+    pool: str = _POOL,
+    further_pool: str = _POOL,
+    has_queue: bool = True,
+    max_attempts: int = MAX_ATTEMPTS,
 ) -> bytes:
     """Return a configuration with one queue, one organisation, a pool and a standby pool.
 
@@ -71,6 +76,12 @@
         Longest time without a byte while a request arrives; `None` for the default.
     cpu_limit
         Limit on the organisation's running tasks, in thousandths of a core.
+    pool, further_pool
+        Pool of the queue, and pool of the further queues.
+    has_queue
+        Whether the queue is in the configuration, beside the further ones.
+    max_attempts
+        Number of failed runs of a task at which its job fails.
     """
     route: dict[str, Any] = {
         "name": "swatches",
@@ -80,8 +91,8 @@
         "timeout_ms": 3000,
         "target_latency_ms": 600,
         "priority": 0,
-        "service": "paint",
-        "max_attempts": MAX_ATTEMPTS,
+        "service": pool,
+        "max_attempts": max_attempts,
         "slack_factor": 1.6,
         "public": False,
     }
@@ -101,13 +112,19 @@
         "cap": {"cpu": cpu_limit, "mem_mb": 0, "gpus": 0},
     }
     services = [
-        {"name": "paint", "rejects_overload": True, "standby": False},
+        *(
+            {"name": name, "rejects_overload": True, "standby": False}
+            for name in sorted({_POOL, pool, further_pool})
+        ),
         {"name": "spare", "rejects_overload": True, "standby": True},
     ]
     return orjson.dumps(
         {
             "version": version,
-            "routes": [route, *(_further_route(route, name) for name in further_queues)],
+            "routes": [
+                *([route] if has_queue else ()),
+                *(_further_route(route, name, further_pool) for name in further_queues),
+            ],
             "services": services,
             "limits": limits,
             "tenants": [organisation],
@@ -115,14 +132,14 @@
     )
 
 
-def _further_route(route: dict[str, Any], name: str) -> dict[str, Any]:
-    return {**route, "name": name, "path_prefix": f"/{name}/"}
+def _further_route(route: dict[str, Any], name: str, pool: str) -> dict[str, Any]:
+    return {**route, "name": name, "path_prefix": f"/{name}/", "service": pool}
 
 
 def registration_document(**fields: Any) -> bytes:
     """Return a backend server's registration; `fields` replace or extend the sample fields."""
     document = {
-        "service": "paint",
+        "service": _POOL,
         "address": "10.128.0.9:8080",
         "zone": _DATA_CENTRE,
         "version": "v1",
--- /dev/null
+++ b/fireflydeck/scheduling/fleet_knowledge.py
@@ -0,0 +1,71 @@
+"""Knowledge of the runs that earlier holders of the lease may have left on backend servers.
+
+A run that the holder does not know is not a run that does not exist. Decisions that depend on all
+runs of a queue ask here which servers may still run some of them.
+"""
+
+from attrs import define, field, frozen
+
+from fireflydeck.core import Clock
+from fireflydeck.kernel import Event, EventLog
+from fireflydeck.ownership.records import Tenure
+from fireflydeck.scheduling.servers import RunCoverage, Server
+
+__all__ = ["FleetKnowledge", "HiddenRuns"]
+
+
+@frozen
+class HiddenRuns:
+    """Runs that may be active without the holder's knowledge, by the servers that may have them."""
+
+    servers: tuple[Server, ...] = ()
+
+    def may_include(self, queue: str) -> bool:
+        """Return whether a task of the queue may be running unknown to the holder."""
+        return any(server.earlier_work.may_include(queue) for server in self.servers)
+
+
+@define(eq=False, kw_only=True)
+class FleetKnowledge:
+    """Judge of how completely the runs on the fleet's backend servers are known.
+
+    Parameters
+    ----------
+    servers
+        Known backend servers by id.
+    earlier_lease_ms
+        Time after the start of the tenure at which every lease that an earlier holder granted to a
+        backend server has certainly expired, in milliseconds.
+    """
+
+    tenure: Tenure
+    servers: dict[str, Server]
+    clock: Clock
+    log: EventLog
+    earlier_lease_ms: int
+    _is_complete: bool = field(default=False, init=False)
+
+    def hidden_runs(self) -> HiddenRuns:
+        """Return the runs of earlier holders that may be active and are not known yet."""
+        hidden = HiddenRuns(
+            tuple(server for server in self.servers.values() if self.may_hide_runs(server))
+        )
+        if not hidden.servers and self.servers and not self._is_complete:
+            self._is_complete = True
+            self.log.emit(
+                Event.FLEET_KNOWN,
+                term=self.tenure.term,
+                servers=len(self.servers),
+                unheard=sum(not server.has_accepted_term for server in self.servers.values()),
+                took_ms=self.clock.now_ms() - self.tenure.since_ms,
+            )
+        return hidden
+
+    def may_hide_runs(self, server: Server) -> bool:
+        """Return whether a server may have runs of earlier holders that are not known yet."""
+        if server.coverage == RunCoverage.COMPLETE or not server.earlier_work.is_possible:
+            return False
+        return server.has_accepted_term or not self._have_earlier_leases_expired()
+
+    def _have_earlier_leases_expired(self) -> bool:
+        return self.clock.now_ms() >= self.tenure.since_ms + self.earlier_lease_ms
--- a/fireflydeck/scheduling/scheduler.py
+++ b/fireflydeck/scheduling/scheduler.py
@@ -81,7 +81,7 @@
             "servers": {
                 server.id: {
                     "pool": server.registration.pool,
-                    "held": server.has_accepted_term,
+                    "coverage": server.coverage.value,
                     "reachable": server.is_reachable,
                     "attempts": len(server.attempts),
                     "free_cpu": server.free.cpu,
--- a/fireflydeck/scheduling/server_reports.py
+++ b/fireflydeck/scheduling/server_reports.py
@@ -11,7 +11,7 @@
 from fireflydeck.ownership.records import Tenure
 from fireflydeck.scheduling.pacing import Pacer
 from fireflydeck.scheduling.run_tracker import RunTracker
-from fireflydeck.scheduling.servers import Server
+from fireflydeck.scheduling.servers import RunCoverage, Server
 from fireflydeck.scheduling.session import SessionOwner
 
 __all__ = ["LEASE_EXTENSION_GRACE_MS", "ServerReports"]
@@ -67,7 +67,7 @@
                 running=len(report.running),
                 ended=len(report.ended),
             )
-        server.has_accepted_term = True
+        server.coverage = RunCoverage.COMPLETE
         server.is_reachable = True
         for ended in report.ended:
             if ended.number > server.last_end:
@@ -93,7 +93,7 @@
         """Record that the instance described by `server` has been replaced by another."""
         self.log.emit(Event.SERVER_REPLACED, server=server.id, running=len(server.attempts))
         server.is_registered = False
-        server.has_accepted_term = True
+        server.coverage = RunCoverage.COMPLETE
         self.run_tracker.drop_all(server, "other instance")
         self.retire(server)
 
@@ -108,7 +108,7 @@
         Its new incarnation may carry out orders that were in transit during the restart, so the
         attempts do not count as lost before that report.
         """
-        server.has_accepted_term = False
+        server.coverage = RunCoverage.UNHEARD
         server.lease_until_ms += _MAX_LEASE_MS
         server.session_wake.set()
 
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -1,16 +1,18 @@
 """State of a backend server as known to the lease holder."""
 
 from collections import deque
+from enum import StrEnum
 
 import anyio
 from attrs import Factory, define
 
 from fireflydeck.core.backend_orders import BackendServerOrders, HeartbeatReport
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
+from fireflydeck.scheduling.roster_rows import NO_WORK, ServerWork
 from fireflydeck.workload.lifecycle import Attempt
 from fireflydeck.workload.specification import StepSpec
 
-__all__ = ["Server", "reserved_resources"]
+__all__ = ["RunCoverage", "Server", "reserved_resources"]
 
 _MIN_CLOCK_RATE = 0.98
 """Rate of the slowest clock that a backend server may have."""
@@ -18,6 +20,17 @@
 """Margin for rounding, added to the end of a lease."""
 
 
+class RunCoverage(StrEnum):
+    """How completely the runs on a backend server are known to the holder of the lease.
+
+    `UNHEARD`: the server's current incarnation has not answered a heartbeat of this tenure.
+    `COMPLETE`: it has, and every run that an earlier holder started there is known or has ended.
+    """
+
+    UNHEARD = "unheard"
+    COMPLETE = "complete"
+
+
 @define(eq=False)
 class Server:
     """Backend server in its current incarnation, with the attempts placed on it.
@@ -39,12 +52,17 @@
         Ends that wait for a commit, as pairs of the number of the end and that of the commit.
     is_in_roster
         Whether the stored roster contains it, so that a later holder will query its runs.
+    stored_queues
+        Queues that the stored roster names as its work. Only their tasks may be started on it, so
+        that a later holder waits for its answer before it starts them again.
+    earlier_work
+        Work that earlier holders may have left on it.
     acknowledged_end
         Number of the newest end that was acknowledged to the server as stored.
     backoff_until_ms
         Time before which no run is started on it, after it rejected one.
-    has_accepted_term
-        Whether its current incarnation has accepted the fencing token of this tenure.
+    coverage
+        How completely its runs are known.
     is_reachable
         Whether its last heartbeat was answered in time.
     is_cordoned
@@ -63,6 +81,8 @@
     orders: BackendServerOrders
     is_registered: bool = True
     is_in_roster: bool = False
+    stored_queues: frozenset[str] = frozenset()
+    earlier_work: ServerWork = NO_WORK
     born_ms: int = 0
     clock_ms: int = 0
     clock_read_ms: int | None = None
@@ -71,7 +91,7 @@
     stored_end: int = 0
     acknowledged_end: int = 0
     unstored_ends: deque[tuple[int, int]] = Factory(deque)
-    has_accepted_term: bool = False
+    coverage: RunCoverage = RunCoverage.UNHEARD
     is_reachable: bool = False
     backoff_until_ms: int = 0
     is_cordoned: bool = False
@@ -85,6 +105,11 @@
         """Return the id of the backend server."""
         return self.registration.server_id
 
+    @property
+    def has_accepted_term(self) -> bool:
+        """Return whether its current incarnation has accepted the fencing token of this tenure."""
+        return self.coverage != RunCoverage.UNHEARD
+
     @property
     def free(self) -> Resources:
         """Return the capacity that no attempt has reserved."""
@@ -116,7 +141,15 @@
 
     def is_known_idle(self) -> bool:
         """Return whether it is certain that nothing runs here."""
-        return self.has_accepted_term and self.is_reachable and not self.attempts
+        return self.coverage == RunCoverage.COMPLETE and self.is_reachable and not self.attempts
+
+    def is_settled(self) -> bool:
+        """Return whether no run is left and the ends of all runs are acknowledged."""
+        return (
+            self.coverage == RunCoverage.COMPLETE
+            and not self.attempts
+            and self.acknowledged_end >= self.last_end
+        )
 
     def needs_heartbeat(self) -> bool:
         """Return whether heartbeats are needed.
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -18,6 +18,7 @@
     required_labels,
     waiting_core_s,
 )
+from fireflydeck.scheduling.fleet_knowledge import HiddenRuns
 from fireflydeck.scheduling.order_sender import (
     MAX_RETRY_PAUSE_MS,
     RETRY_PAUSE_MS,
@@ -174,7 +175,7 @@
         )
 
     def plan(
-        self, servers: dict[str, Server], unresolved_pools: set[str], since_version: int
+        self, servers: dict[str, Server], hidden_runs: HiddenRuns, since_version: int
     ) -> list[tuple[Server, Attempt]]:
         """Select the starts to send and reserve capacity for them.
 
@@ -182,9 +183,9 @@
         ----------
         servers
             Known backend servers by id.
-        unresolved_pools
-            Pools with a server that may still run tasks of an earlier holder. Jobs of these pools
-            that were stored up to `since_version` are not started, as they may be running.
+        hidden_runs
+            Runs of earlier holders that are not known. Tasks of jobs that were stored up to
+            `since_version` are not started while they may be among them.
         since_version
             Version of the store at which the tenure began.
         """
@@ -192,13 +193,13 @@
         if configuration is None or not self.sender.has_fresh_documents():
             return []
         now_ms = self.clock.now_ms()
-        rooms = self._rooms(servers, now_ms)
+        rooms = self._rooms(servers, configuration, now_ms)
         starts: list[tuple[Server, Attempt]] = []
         for queue, queued in self._ranked_jobs(configuration, now_ms):
             room = rooms.get(queue.pool)
             if room is None:
                 continue
-            if queue.pool in unresolved_pools and queued.job.stored_version <= since_version:
+            if queued.job.stored_version <= since_version and hidden_runs.may_include(queue.name):
                 continue
             starts.extend(self._place_job(configuration, queued, room, now_ms))
         return starts
@@ -251,13 +252,20 @@
             starts.append(start)
         return starts
 
-    def _rooms(self, servers: dict[str, Server], now_ms: int) -> dict[str, PoolRoom]:
-        """Return the servers that accept starts, by pool."""
+    def _rooms(
+        self, servers: dict[str, Server], configuration: FleetConfiguration, now_ms: int
+    ) -> dict[str, PoolRoom]:
+        """Return the servers that accept starts of all queues of their pool, by pool."""
         evacuated = self.operators.evacuated_data_centres
         by_pool: dict[str, list[Server]] = {}
         for server in servers.values():
-            if server.accepts_starts(now_ms) and server.registration.data_centre not in evacuated:
-                by_pool.setdefault(server.registration.pool, []).append(server)
+            pool = server.registration.pool
+            if (
+                server.accepts_starts(now_ms)
+                and server.registration.data_centre not in evacuated
+                and configuration.queues_of_pool(pool) <= server.stored_queues
+            ):
+                by_pool.setdefault(pool, []).append(server)
         return {pool: PoolRoom(members) for pool, members in by_pool.items()}
 
     def _ranked_jobs(
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -24,13 +24,15 @@
 from fireflydeck.observation.registrations import Registrations
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.ownership.records import Tenure
+from fireflydeck.scheduling.fleet_knowledge import FleetKnowledge
 from fireflydeck.scheduling.job_tracker import JobTracker
 from fireflydeck.scheduling.journal import ProgressJournal
 from fireflydeck.scheduling.order_sender import OrderSender
 from fireflydeck.scheduling.organisation_usage import OrganisationUsage
 from fireflydeck.scheduling.pacing import Pacer
 from fireflydeck.scheduling.retention import Retention
-from fireflydeck.scheduling.roster import Roster
+from fireflydeck.scheduling.roster import Roster, placeholder
+from fireflydeck.scheduling.roster_rows import RosterEntry
 from fireflydeck.scheduling.row_shortener import JobRowShortener
 from fireflydeck.scheduling.run_tracker import RunTracker
 from fireflydeck.scheduling.server_reports import LEASE_EXTENSION_GRACE_MS, ServerReports
@@ -50,6 +52,10 @@
 _CLOCK_RATE_MARGIN = 1.03
 """Factor on the duration of a lease; more than the 2% by which a server's clock may be slow."""
 _EXPIRY_SLACK_MS = 200
+_EARLIER_LEASE_MS = (
+    LEASE_EXTENSION_GRACE_MS + int(SERVER_LEASE_MS * _CLOCK_RATE_MARGIN) + _EXPIRY_SLACK_MS
+)
+"""Time after the start of a tenure at which every lease granted by earlier holders has expired."""
 _LEASE_CHECK_INTERVAL_MS = 100
 _PLAN_DELAY_MS = 4
 _LOAD_RETRY_MS = 100
@@ -109,9 +115,18 @@
         self._usage = OrganisationUsage()
         self._tasks: TaskGroup | None = None
         self._plan_wake = anyio.Event()
+        self._knowledge = FleetKnowledge(
+            tenure=tenure,
+            servers=self._servers,
+            clock=clock,
+            log=log,
+            earlier_lease_ms=_EARLIER_LEASE_MS,
+        )
         self._roster = Roster(
+            term=tenure.term,
             store=store,
             lease=lease,
+            operators=operators,
             servers=self._servers,
             log=log,
             on_stored=self.request_planning,
@@ -292,26 +307,14 @@
             log_store_failure(self._log, failure)
             await self._clock.sleep_ms(_LOAD_RETRY_MS)
 
-    def _add_roster_server(self, registration: Registration) -> None:
-        orders = self._make_orders(registration)
-        self._servers[registration.server_id] = Server(registration, orders, is_registered=False)
-
-    def _unresolved_pools(self) -> set[str]:
-        """Return the pools with a server that may still run tasks of an earlier holder.
-
-        Such a server has not accepted this tenure's term yet. The set is empty once every lease
-        granted by an earlier holder must have expired.
-        """
-        now_ms = self._clock.now_ms()
-        all_expired_ms = self._tenure.since_ms + _EXPIRY_SLACK_MS
-        all_expired_ms += LEASE_EXTENSION_GRACE_MS + int(SERVER_LEASE_MS * _CLOCK_RATE_MARGIN)
-        if now_ms >= all_expired_ms:
-            return set()
-        return {
-            server.registration.pool
-            for server in self._servers.values()
-            if not server.has_accepted_term
-        }
+    def _add_roster_server(self, entry: RosterEntry) -> None:
+        registration = placeholder(entry)
+        self._servers[entry.server_id] = Server(
+            registration,
+            self._make_orders(registration),
+            is_registered=False,
+            earlier_work=entry.work,
+        )
 
     # Notifications
 
@@ -337,7 +340,7 @@
             )
         elif server.registration.state != registration.state:
             self._log.emit(Event.SERVER_STATE, server=server_id, state=registration.state.value)
-        if not server.is_registered:
+        if not server.is_registered or server.registration.pool != registration.pool:
             self._roster.request_store()
         server.registration = registration
         server.is_registered = True
@@ -350,7 +353,7 @@
         """Forget an unregistered server that has no attempts, unless its runs are still unknown."""
         if server.is_registered or server.attempts:
             return
-        if not server.has_accepted_term and server.registration.pool in self._unresolved_pools():
+        if self._knowledge.may_hide_runs(server):
             return
         self._servers.pop(server.id, None)
         self._sessions.end(server)
@@ -398,8 +401,9 @@
             self._plan_wake = anyio.Event()
             if not self._lease.is_valid():
                 continue
+            self._roster.store_new_queues()
             starts: Iterable[tuple[Server, Attempt]] = self._planner.plan(
-                self._servers, self._unresolved_pools(), self._tenure.since_version
+                self._servers, self._knowledge.hidden_runs(), self._tenure.since_version
             )
             for server, attempt in starts:
                 self._run_in_background("start", self._sender.send_start, server, attempt)
--- /dev/null
+++ b/fireflydeck/scheduling/tests/test_incomplete_knowledge.py
@@ -0,0 +1,109 @@
+"""Tests that no decision is taken from incomplete knowledge of the runs on backend servers."""
+
+import pytest
+
+from fireflydeck.core import Ran
+from fireflydeck.core.rows import RowTransaction, RowWrite
+from fireflydeck.ownership.records import ROSTER_WORK_ROW
+from fireflydeck.platform.standin.documents import put_configuration
+from fireflydeck.scheduling.server_reports import LEASE_EXTENSION_GRACE_MS
+from fireflydeck.scheduling.session import SERVER_LEASE_MS
+from fireflydeck.scheduling.tests.fleet import no_duplicate_runs, running_fleet
+from fireflydeck.testing.job_builders import JOB_ID, accept_job, build_spec, build_step
+
+pytestmark = pytest.mark.anyio
+
+_LONG_MS = 60_000
+_APPLY_MS = 400
+_TAKE_OVER_MS = 4000
+_LAPSED_MS = LEASE_EXTENSION_GRACE_MS + 2 * SERVER_LEASE_MS
+
+
+def _set_duration(fleet, duration_ms):
+    for server in fleet.servers.values():
+        server.duration_ms = duration_ms
+
+
+def _standby(fleet):
+    """Return the member that does not hold the lease."""
+    return next(member for member in fleet.members if not member.is_leader)
+
+
+async def _take_over(fleet, *, unreachable=(), is_planned=False):
+    """Let the standby take the lease over while it cannot reach some backend servers.
+
+    The holder stops as planned, or it loses the store.
+    """
+    first, second = fleet.leader, _standby(fleet)
+    second.unreachable = set(unreachable)
+    if is_planned:
+        await first.lease.stop()
+    else:
+        first.store.outage = Ran.UNKNOWN
+    while not second.is_leader:
+        await fleet.advance_ms(20, check=no_duplicate_runs(fleet))
+    return second
+
+
+def _remove_roster_work(fleet):
+    """Leave the roster as an older version of the program stores it."""
+    fleet.rows.commit(RowTransaction(removals=(ROSTER_WORK_ROW,)))
+
+
+def _write_odd_roster_work(fleet):
+    fleet.rows.commit(RowTransaction(writes=(RowWrite(ROSTER_WORK_ROW, b"\x92\x01\xa1"),)))
+
+
+@pytest.mark.parametrize("spoil", [None, _remove_roster_work, _write_odd_roster_work])
+@pytest.mark.parametrize("is_planned", [False, True])
+async def test_run_in_the_earlier_pool_of_a_queue_is_not_started_again(is_planned, spoil):
+    """TWICE of issue 31, case 1: a queue has moved to another pool before the take-over."""
+    async with running_fleet(servers=2, members=2) as fleet:
+        fleet.add_server("s3", service="press")
+        _set_duration(fleet, _LONG_MS)
+        accept_job(fleet.rows, build_spec(build_step(count=4)))
+        await fleet.advance_ms(500)
+        put_configuration(fleet.rows, version=4, pool="press")
+        await fleet.advance_ms(_APPLY_MS)
+        if spoil is not None:
+            spoil(fleet)
+        await _take_over(fleet, unreachable=["s1", "s2"], is_planned=is_planned)
+        await fleet.advance_ms(2000, check=no_duplicate_runs(fleet))
+        assert fleet.servers["s3"].starts == []
+        await fleet.advance_ms(_LAPSED_MS, check=no_duplicate_runs(fleet))
+        assert len(fleet.servers["s3"].starts) == 4
+
+
+async def test_moved_queue_does_not_wait_for_servers_that_never_ran_it():
+    """A silent server holds back only the queues whose tasks it may run."""
+    async with running_fleet(servers=2, members=2) as fleet:
+        fleet.add_server("s3", service="press")
+        await fleet.advance_ms(_APPLY_MS)
+        first = fleet.leader
+        for server_id in fleet.servers:
+            first.orders[server_id].is_unreachable = True
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(1000)
+        await _take_over(fleet, unreachable=["s3"])
+        await fleet.advance_ms(1000, check=no_duplicate_runs(fleet))
+        assert [task for task, _ in fleet.starts()] == [f"{JOB_ID}.0.0.0"]
+
+
+async def test_later_holders_remember_the_earlier_pool_of_a_queue():
+    """Also the second holder after the change of the pool knows where runs may be left."""
+    async with running_fleet(servers=1, members=3) as fleet:
+        fleet.add_server("s2", service="press")
+        _set_duration(fleet, _LONG_MS)
+        accept_job(fleet.rows, build_spec(build_step(count=4)))
+        await fleet.advance_ms(500)
+        put_configuration(fleet.rows, version=4, pool="press")
+        await fleet.advance_ms(_APPLY_MS)
+        for _ in range(2):
+            for member in fleet.members:
+                member.unreachable = {"s1"}
+            first = fleet.leader
+            first.store.outage = Ran.UNKNOWN
+            while first.is_leader or not any(member.is_leader for member in fleet.members):
+                await fleet.advance_ms(20, check=no_duplicate_runs(fleet))
+            await fleet.advance_ms(300, check=no_duplicate_runs(fleet))
+        assert fleet.servers["s2"].starts == []
