A run that no list names is not lost while more ends are to be listed

Cause: a backend server lists 500 ends in an answer; the decoded report did not say that more follow, and the tracker took runs on neither list for lost.

Change: a report tells whether more ends may follow; nothing counts as lost by it, and the server's coverage stays partial, so a new holder starts no old task that may have run there.

The stand-in lists 500 ends.

--- a/fireflydeck/core/backend_orders.py
+++ b/fireflydeck/core/backend_orders.py
@@ -99,6 +99,11 @@
 
     Parameters
     ----------
+    ended
+        The ended runs with the lowest numbers.
+    has_more_ends
+        Whether there may be further ended runs, which are listed once these are acknowledged. A run
+        that is not listed may be one of them.
     clock_ms
         Time on the backend server's own clock.
     born_ms
@@ -109,6 +114,7 @@
     born_ms: int
     running: tuple[ActiveRun, ...] = ()
     ended: tuple[EndedRun, ...] = ()
+    has_more_ends: bool = False
 
 
 @frozen(kw_only=True)
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -105,8 +105,8 @@
     ),
     6104: EventNote(
         trigger="A backend server answered its first heartbeat of this term; its runs are known "
-        "from now on.",
-        fields=("server", "term", "running", "ended"),
+        "from now on, or once it has listed all ends if `more_ends` is true.",
+        fields=("server", "term", "running", "ended", "more_ends"),
     ),
     6105: EventNote(
         trigger="A backend server did not answer; it gets no new work until it does.",
--- a/fireflydeck/platform/backend_server_client.py
+++ b/fireflydeck/platform/backend_server_client.py
@@ -26,6 +26,8 @@
 ]
 
 _MAX_CONNECTIONS = 24
+_MAX_LISTED_ENDS = 500
+"""Number of ended runs that a backend server lists in one answer; further ones follow."""
 _MIN_TIMEOUT_MS = 150
 _MAX_TIMEOUT_MS = 900
 _MS_PER_S = 1000
@@ -206,6 +208,7 @@
         born_ms=truncated_int(body.get("born", 0)),
         running=tuple(_decode_running(row) for row in body["running"]),
         ended=tuple(_decode_ended(row) for row in body["finished"]),
+        has_more_ends=len(body["finished"]) >= _MAX_LISTED_ENDS,
     )
 
 
--- a/fireflydeck/platform/tests/test_backend_server_client.py
+++ b/fireflydeck/platform/tests/test_backend_server_client.py
@@ -37,6 +37,21 @@
     return await client.send_heartbeat(**{**order, **fields})
 
 
+@pytest.mark.parametrize(("ends", "has_more"), [(499, False), (500, True), (640, True)])
+async def test_report_tells_whether_more_ends_may_follow(ends, has_more):
+    """A backend server lists 500 ends in an answer, so with that many there may be more."""
+    server = _server()
+    server.duration_ms = 0
+    for number in range(ends):
+        server.start(_order(server, task=f"{_TASK}{number}"))
+    async with local_server(BackendServerApp("s1", server).handle) as address:
+        client = BackendServerClient("s1", address)
+        report = (await _send_heartbeat(client)).ok
+        await client.close()
+    assert len(report.ended) == min(ends, 500)
+    assert report.has_more_ends is has_more
+
+
 async def test_start_hold_stop():
     server = _server()
     async with local_server(BackendServerApp("i-1", server).handle) as address:
--- a/fireflydeck/scheduling/run_tracker.py
+++ b/fireflydeck/scheduling/run_tracker.py
@@ -149,6 +149,8 @@
     def reconcile(self, server: Server, report: HeartbeatReport, sent_ms: int) -> None:
         """Compare the attempts known on a server with the runs that it reports.
 
+        Attempts that are missing from the report count as lost only if no further ends follow.
+
         Parameters
         ----------
         sent_ms
@@ -170,6 +172,8 @@
             if attempt.stop_requested and now_ms - attempt.changed_ms > _STOP_RETRY_MS:
                 attempt.changed_ms = now_ms
                 self.request_stop(attempt)
+        if report.has_more_ends:
+            return
         for key, attempt in list(server.attempts.items()):
             if key not in listed and attempt.changed_ms < sent_ms:
                 self._on_unlisted(server, attempt)
--- a/fireflydeck/scheduling/server_reports.py
+++ b/fireflydeck/scheduling/server_reports.py
@@ -66,8 +66,12 @@
                 term=self.term,
                 running=len(report.running),
                 ended=len(report.ended),
+                more_ends=report.has_more_ends,
             )
-        server.coverage = RunCoverage.COMPLETE
+        if not report.has_more_ends:
+            server.coverage = RunCoverage.COMPLETE
+        elif not server.has_accepted_term:
+            server.coverage = RunCoverage.PARTIAL
         server.is_reachable = True
         for ended in report.ended:
             if ended.number > server.last_end:
@@ -122,6 +126,7 @@
         )
         server.last_end = server.stored_end = server.acknowledged_end = 0
         server.unstored_ends.clear()
+        server.coverage = RunCoverage.UNHEARD
         server.lease_until_ms = 0
         server.clock_read_ms = None
         server.record_clock(report, self.clock.now_ms())
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -24,10 +24,12 @@
     """How completely the runs on a backend server are known to the holder of the lease.
 
     `UNHEARD`: the server's current incarnation has not answered a heartbeat of this tenure.
-    `COMPLETE`: it has, and every run that an earlier holder started there is known or has ended.
+    `PARTIAL`: it has, but more ends of runs are to be listed, so a run that is not listed may have
+    ended. `COMPLETE`: every run that an earlier holder started there is known or has ended.
     """
 
     UNHEARD = "unheard"
+    PARTIAL = "partial"
     COMPLETE = "complete"
 
 
@@ -158,7 +160,7 @@
         """
         return (
             bool(self.attempts)
-            or not self.has_accepted_term
+            or self.coverage != RunCoverage.COMPLETE
             or not self.is_reachable
             or self.acknowledged_end < self.last_end
         )
--- a/fireflydeck/scheduling/tests/test_incomplete_knowledge.py
+++ b/fireflydeck/scheduling/tests/test_incomplete_knowledge.py
@@ -9,6 +9,7 @@
 from fireflydeck.scheduling.server_reports import LEASE_EXTENSION_GRACE_MS
 from fireflydeck.scheduling.session import SERVER_LEASE_MS
 from fireflydeck.scheduling.tests.fleet import no_duplicate_runs, running_fleet
+from fireflydeck.testing.fleet_fakes import OrderFault
 from fireflydeck.testing.job_builders import JOB_ID, accept_job, build_spec, build_step
 
 pytestmark = pytest.mark.anyio
@@ -107,3 +108,45 @@
                 await fleet.advance_ms(20, check=no_duplicate_runs(fleet))
             await fleet.advance_ms(300, check=no_duplicate_runs(fleet))
         assert fleet.servers["s2"].starts == []
+
+
+async def test_run_whose_end_is_on_a_later_page_is_not_lost():
+    """TWICE of issue 31, case 2: more runs end than one answer lists while the holder is frozen."""
+    async with running_fleet(servers=1) as fleet:
+        fleet.servers["s1"].max_listed_ends = 5
+        accept_job(fleet.rows, build_spec(build_step(count=16)))
+        await fleet.advance_ms(500)
+        orders = fleet.leader.orders["s1"]
+        orders.is_unreachable = True
+        await fleet.advance_ms(800)
+        orders.is_unreachable = False
+        await fleet.advance_ms(2000)
+        assert len(fleet.starts()) == 16
+        assert fleet.outcome(JOB_ID) == "completed"
+
+
+@pytest.mark.parametrize("is_planned", [False, True])
+async def test_next_holder_reads_all_pages_of_ends_before_it_starts_tasks_again(is_planned):
+    """Suspected beside case 2: a server counted as known after the first page of its ends."""
+    async with running_fleet(servers=1, members=2) as fleet:
+        fleet.servers["s1"].max_listed_ends = 5
+        accept_job(fleet.rows, build_spec(build_step(count=16)))
+        await fleet.advance_ms(500)
+        fleet.leader.orders["s1"].is_unreachable = True
+        await _take_over(fleet, is_planned=is_planned)
+        await fleet.advance_ms(3000)
+        assert len(fleet.starts()) == 16
+        assert fleet.outcome(JOB_ID) == "completed"
+
+
+async def test_start_without_an_answer_is_not_stopped_while_pages_of_ends_follow():
+    """The run may have ended on a later page, and its end must not be taken for a stop."""
+    async with running_fleet(servers=1) as fleet:
+        fleet.servers["s1"].max_listed_ends = 2
+        orders = fleet.leader.orders["s1"]
+        orders.next_starts = [None] * 8 + [OrderFault.ANSWER_LOST] * 8
+        orders.lost_heartbeats = 5
+        accept_job(fleet.rows, build_spec(build_step(count=16)))
+        await fleet.advance_ms(4000)
+        assert len(fleet.starts()) == 16
+        assert fleet.outcome(JOB_ID) == "completed"
--- a/fireflydeck/standins/task_server.py
+++ b/fireflydeck/standins/task_server.py
@@ -50,6 +50,8 @@
         Values that the server reports for running tasks, by task.
     paces
         Accepted pace orders: task and percent.
+    max_listed_ends
+        Number of ends that one report lists, the oldest first.
     records
         All runs, in the order of their starts.
     """
@@ -67,6 +69,7 @@
     end_of_next: RunEnd = RunEnd.DONE
     gauges: dict[str, int] = field(factory=dict)
     paces: list[tuple[str, int]] = field(factory=list)
+    max_listed_ends: int = 500
     records: list[RunRecord] = field(factory=list)
     _running: dict[tuple[str, int], _Run] = field(factory=dict)
     _ended: list[EndedRun] = field(factory=list)
@@ -158,7 +161,8 @@
             clock_ms=self.clock_ms(),
             born_ms=self.born_ms,
             running=running,
-            ended=tuple(self._ended),
+            ended=tuple(self._ended[: self.max_listed_ends]),
+            has_more_ends=len(self._ended) > self.max_listed_ends,
         )
 
     def _extend(self, until_ms: int) -> None:
