A job isn't failed for good while the number of its attempts is unknown

Cause: RunTracker took one attempt for a queue that the newest configuration lacks, and before any configuration was read, and the outcome is final. Evidence, log of one run: version 4 without the route, 6 s later the only run ends failed, 17 ms later the outcome is stored by the same process.

Change: the failure is recorded, the verdict waits until a task of the job could start again and the number is known. So it holds across a change of the holder too. A number lowered while a task waits for its next run no longer lets that run start.

--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -176,9 +176,10 @@
         fields=("task", "run", "server", "taken", "phase"),
     ),
     6303: EventNote(
-        trigger="A backend server reported the end of a run.",
+        trigger="A backend server reported the end of a run. `max_attempts` is null while the "
+        "configuration lacks the job's queue; a failed run then leaves the job open.",
         action="If many runs of one server end as `failed`: inspect the server.",
-        fields=("task", "run", "server", "end", "end_number", "known"),
+        fields=("task", "run", "server", "end", "end_number", "known", "max_attempts"),
     ),
     6304: EventNote(
         trigger="A run is lost for the reason in `why`, without a reported end; its task is "
--- a/fireflydeck/scheduling/run_tracker.py
+++ b/fireflydeck/scheduling/run_tracker.py
@@ -18,6 +18,7 @@
     Attempt,
     AttemptPhase,
     Job,
+    JobOutcome,
     Task,
     confirm_attempt,
     create_occurrence_of,
@@ -92,6 +93,12 @@
             for attempt in list(task.attempts.values()):
                 self.request_stop(attempt)
 
+    def fail_job(self, job: Job) -> None:
+        """Fail a job that has a task without further attempts, and stop its runs."""
+        job.outcome = JobOutcome.FAILED
+        self.stop_all(job)
+        self.journal.record(job)
+
     def request_stop(self, attempt: Attempt) -> None:
         """Order the stop of a run.
 
@@ -118,6 +125,7 @@
         if task is None:
             return 0
         attempt = task.attempts.get(ended.run)
+        max_attempts = self._max_attempts(task.job)
         self.log.emit(
             Event.RUN_ENDED,
             task=ended.task,
@@ -126,11 +134,10 @@
             end=ended.end.value,
             end_number=ended.number,
             known=attempt is not None,
+            max_attempts=max_attempts,
         )
         self.metrics.count("runs_ended_total", end=ended.end.value)
-        changed = record_run_end(
-            task, ended, max_attempts=self._max_attempts(task.job), now_ms=self.clock.now_ms()
-        )
+        changed = record_run_end(task, ended, max_attempts=max_attempts, now_ms=self.clock.now_ms())
         self.planner.record_end(server, task, attempt, ended)
         if attempt is not None:
             self._release(attempt)
@@ -221,7 +228,8 @@
             create_occurrence_of(job, name)
         return job.tasks.get(name)
 
-    def _max_attempts(self, job: Job) -> int:
+    def _max_attempts(self, job: Job) -> int | None:
+        """Return the number of failed runs at which the job fails, or `None` if it is not known."""
         configuration = self.operators.configuration
         queue = configuration.queue(job.spec.queue) if configuration else None
-        return queue.max_attempts if queue else 1
+        return queue.max_attempts if queue else None
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -34,6 +34,7 @@
     Job,
     Task,
     create_due_occurrences,
+    has_used_attempts,
     ready_tasks,
     start_attempt,
 )
@@ -52,6 +53,8 @@
     ----------
     ready
         Tasks that may start; `None` if they and the two estimates have to be computed again.
+    max_attempts
+        Number of attempts of a task for which the ready tasks were last checked.
     deadline_ms, remaining_ms
         Estimates of `WorkEstimates` when the ready tasks were computed, in milliseconds.
     """
@@ -59,6 +62,7 @@
     job: Job
     is_long_running: bool
     ready: list[Task] | None = None
+    max_attempts: int | None = None
     deadline_ms: float = 0.0
     remaining_ms: float = 0.0
 
@@ -75,6 +79,8 @@
         Reserves the capacity that an attempt uses.
     drop
         Forgets an attempt and frees its capacity.
+    fail_job
+        Fails a job that has a task without further attempts.
     """
 
     term: int
@@ -85,6 +91,7 @@
     sender: OrderSender
     reserve: Callable[[Attempt], None]
     drop: Callable[[Attempt], None]
+    fail_job: Callable[[Job], None]
     _queued: dict[str, _QueuedJob] = field(factory=dict, init=False)
     _inflow: Inflow = field(factory=Inflow, init=False)
     _estimates: WorkEstimates = field(factory=WorkEstimates, init=False)
@@ -276,7 +283,7 @@
             queue = configuration.queue(queued.job.spec.queue)
             if queue is None or not queued.job.is_open:
                 continue
-            if not self._ready(queued, queue):
+            if not self._ready(queued, queue) or self._has_failed(queued, queue):
                 continue
             job_rank = rank_job(
                 deadline_ms=queued.deadline_ms,
@@ -299,12 +306,26 @@
                 queued.ready = None
         if queued.ready is None:
             queued.ready = list(ready_tasks(job))
+            queued.max_attempts = None
             queued.deadline_ms = self._estimates.deadline_ms(job, queue)
             queued.remaining_ms = self._estimates.remaining_ms(job)
         else:
             queued.ready = [task for task in queued.ready if not (task.done or task.attempts)]
         return queued.ready
 
+    def _has_failed(self, queued: _QueuedJob, queue: JobQueue) -> bool:
+        """Fail the job if a ready task has used all attempts; return whether it has.
+
+        The number of attempts may have been unknown, or higher, when the runs failed.
+        """
+        if queued.max_attempts == queue.max_attempts:
+            return False
+        queued.max_attempts = queue.max_attempts
+        if not any(has_used_attempts(task, queue.max_attempts) for task in queued.ready or ()):
+            return False
+        self.fail_job(queued.job)
+        return True
+
     def _place(
         self, configuration: FleetConfiguration, task: Task, room: PoolRoom, min_run: int
     ) -> tuple[Server, Attempt] | None:
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -185,6 +185,7 @@
             sender=self._sender,
             reserve=self._run_tracker.reserve,
             drop=self._run_tracker.drop,
+            fail_job=self._run_tracker.fail_job,
         )
         self._run_tracker.planner = self._planner
         self._run_tracker.sender = self._sender
--- a/fireflydeck/workload/lifecycle.py
+++ b/fireflydeck/workload/lifecycle.py
@@ -23,6 +23,7 @@
     "confirm_attempt",
     "create_due_occurrences",
     "create_occurrence_of",
+    "has_used_attempts",
     "is_finished",
     "job_state",
     "occurrence_due_ms",
@@ -282,11 +283,11 @@
         task.waiting_since_ms = now_ms
 
 
-def record_run_end(task: Task, ended: EndedRun, *, max_attempts: int, now_ms: int) -> bool:
+def record_run_end(task: Task, ended: EndedRun, *, max_attempts: int | None, now_ms: int) -> bool:
     """Record the end of a run; return whether the job's stored progress changes.
 
-    The job fails once `max_attempts` runs of the task have failed. The tasks of a gang start under
-    one run number, and failed runs of a gang with the same number count as one.
+    The job fails once `max_attempts` runs of the task have failed. While that number is not known
+    (`None`), a failed run is recorded and leaves the job open.
     """
     known = task.attempts.pop(ended.run, None)
     task.last_run = max(task.last_run, ended.run)
@@ -304,13 +305,24 @@
         task.failed_runs.add(ended.run)
         if known is not None:
             task.failed_servers.add(known.server_id)
-        failed_runs = set().union(*(member.failed_runs for member in _gang_of(task)))
-        if len(failed_runs) >= max_attempts:
+        if max_attempts is not None and has_used_attempts(task, max_attempts):
             job.outcome = JobOutcome.FAILED
         return True
     return False
 
 
+def has_used_attempts(task: Task, max_attempts: int) -> bool:
+    """Return whether `max_attempts` runs of a task have failed, so that it may not run again.
+
+    The tasks of a gang start under one run number, and failed runs of a gang with the same number
+    count as one.
+    """
+    if task.step.long_running or not task.failed_runs:
+        return False
+    failed_runs = set().union(*(member.failed_runs for member in _gang_of(task)))
+    return len(failed_runs) >= max_attempts
+
+
 def _gang_of(task: Task) -> list[Task]:
     """Return the tasks that finish and fail together: the gang, or the task alone."""
     if not task.step.gang:
