A start counts what an organisation may run on servers not heard of yet

Cause: the usage holds the runs that this holder has heard of, and what it had not heard of counted as nothing; jobs stored after the take-over waited for no server at all. One version of the configuration and one planning pass rule out a stale limit and starts that were counted late.

Change: a start is checked against the known usage and an upper bound of the unknown one. The bound is the demand of the organisation's older tasks without a known run, at most the capacity of the servers that may hide runs; the roster keeps the capacity for servers whose registration is gone.

Two more hold that an organisation without unknown runs, or far below its limit, waits for no silent server.

--- a/fireflydeck/scheduling/fleet_knowledge.py
+++ b/fireflydeck/scheduling/fleet_knowledge.py
@@ -4,25 +4,16 @@
 runs of a queue ask here which servers may still run some of them.
 """
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from fireflydeck.core import Clock
+from fireflydeck.core.placement import Resources
 from fireflydeck.kernel import Event, EventLog
 from fireflydeck.ownership.records import Tenure
+from fireflydeck.scheduling.roster_rows import NO_WORK, PossibleWork
 from fireflydeck.scheduling.servers import RunCoverage, Server
 
-__all__ = ["FleetKnowledge", "HiddenRuns"]
-
-
-@frozen
-class HiddenRuns:
-    """Runs that may be active without the holder's knowledge, by the servers that may have them."""
-
-    servers: tuple[Server, ...] = ()
-
-    def may_include(self, queue: str) -> bool:
-        """Return whether a task of the queue may be running unknown to the holder."""
-        return any(server.earlier_work.may_include(queue) for server in self.servers)
+__all__ = ["FleetKnowledge"]
 
 
 @define(eq=False, kw_only=True)
@@ -45,12 +36,10 @@
     earlier_lease_ms: int
     _is_complete: bool = field(default=False, init=False)
 
-    def hidden_runs(self) -> HiddenRuns:
-        """Return the runs of earlier holders that may be active and are not known yet."""
-        hidden = HiddenRuns(
-            tuple(server for server in self.servers.values() if self.may_hide_runs(server))
-        )
-        if not hidden.servers and self.servers and not self._is_complete:
+    def hidden_work(self) -> PossibleWork:
+        """Return the work of earlier holders that may be running and is not known yet."""
+        hidden = [server for server in self.servers.values() if self.may_hide_runs(server)]
+        if not hidden and self.servers and not self._is_complete:
             self._is_complete = True
             self.log.emit(
                 Event.FLEET_KNOWN,
@@ -59,7 +48,7 @@
                 unheard=sum(not server.has_accepted_term for server in self.servers.values()),
                 took_ms=self.clock.now_ms() - self.tenure.since_ms,
             )
-        return hidden
+        return _total_work(hidden)
 
     def may_hide_runs(self, server: Server) -> bool:
         """Return whether a server may have runs of earlier holders that are not known yet."""
@@ -69,3 +58,17 @@
 
     def _have_earlier_leases_expired(self) -> bool:
         return self.clock.now_ms() >= self.tenure.since_ms + self.earlier_lease_ms
+
+
+def _total_work(servers: list[Server]) -> PossibleWork:
+    """Return what earlier holders may have left on any of the servers."""
+    if not servers:
+        return NO_WORK
+    capacity: Resources | None = Resources()
+    for server in servers:
+        is_registered = server.is_registered
+        known = server.registration.capacity if is_registered else server.earlier_work.capacity
+        capacity = None if capacity is None or known is None else capacity + known
+    queues: frozenset[str] = frozenset().union(*(server.earlier_work.queues for server in servers))
+    may_be_other = any(server.earlier_work.may_be_other for server in servers)
+    return PossibleWork(queues, may_be_other, capacity)
--- /dev/null
+++ b/fireflydeck/scheduling/hidden_usage.py
@@ -0,0 +1,75 @@
+"""Upper bound of what organisations use on backend servers whose runs are not all known."""
+
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from fireflydeck.core.placement import Resources
+from fireflydeck.scheduling.roster_rows import NO_WORK, PossibleWork
+from fireflydeck.workload.lifecycle import Job, unaccounted_tasks
+
+__all__ = ["HiddenUsage"]
+
+
+@define(eq=False)
+class HiddenUsage:
+    """Upper bound of each organisation's usage by runs that are not known, for one planning pass.
+
+    Two bounds hold: what all tasks that may be running demand, and the capacity of the servers on
+    which they may run. The lower one counts, for each resource.
+
+    Parameters
+    ----------
+    hidden_work
+        Work of earlier holders that is not known yet.
+    jobs
+        Jobs that were stored before the tenure began; only their tasks can have such runs.
+    """
+
+    hidden_work: PossibleWork = NO_WORK
+    jobs: Iterable[Job] = ()
+    _usage: dict[str, Resources] | None = field(default=None, init=False)
+
+    @property
+    def is_possible(self) -> bool:
+        """Return whether there may be any."""
+        return self.hidden_work.is_possible
+
+    def of(self, organisation: str) -> Resources:
+        """Return the most that the unknown runs of an organisation can use."""
+        if self._usage is None:
+            capacity = self.hidden_work.capacity
+            self._usage = {
+                name: _bounded(demand, fill, capacity)
+                for name, (demand, fill) in self._sum_demand().items()
+            }
+        return self._usage.get(organisation, Resources())
+
+    def _sum_demand(self) -> dict[str, tuple[Resources, Resources]]:
+        """Return the demand of the tasks that may be running, without and of fill tasks."""
+        sums: dict[str, tuple[Resources, Resources]] = {}
+        for job in self.jobs:
+            if not self.hidden_work.may_include(job.spec.queue):
+                continue
+            demand, fill = sums.get(job.spec.organisation, (Resources(), Resources()))
+            for task in unaccounted_tasks(job):
+                if task.step.fill:
+                    fill = fill + task.step.demand
+                else:
+                    demand = demand + task.step.demand
+            sums[job.spec.organisation] = demand, fill
+        return sums
+
+
+def _bounded(demand: Resources, fill: Resources, capacity: Resources | None) -> Resources:
+    """Return what tasks can use on servers of a capacity.
+
+    Fill tasks reserve no processor time, so they may use more of it than there is.
+    """
+    if capacity is None:
+        return demand + fill
+    return Resources(
+        min(demand.cpu, capacity.cpu) + fill.cpu,
+        min(demand.memory_mb + fill.memory_mb, capacity.memory_mb),
+        min(demand.accelerators + fill.accelerators, capacity.accelerators),
+    )
--- a/fireflydeck/scheduling/organisation_usage.py
+++ b/fireflydeck/scheduling/organisation_usage.py
@@ -2,6 +2,7 @@
 
 from fireflydeck.core.fleet_configuration import FleetConfiguration
 from fireflydeck.core.placement import Resources
+from fireflydeck.scheduling.hidden_usage import HiddenUsage
 from fireflydeck.workload.lifecycle import Attempt
 
 __all__ = ["OrganisationUsage"]
@@ -29,19 +30,32 @@
         return self._used.get(organisation, Resources())
 
     def allows(
-        self, configuration: FleetConfiguration, organisation: str, demand: Resources
+        self,
+        configuration: FleetConfiguration,
+        organisation: str,
+        demand: Resources,
+        hidden: HiddenUsage,
     ) -> bool:
-        """Return whether another `demand` stays within the organisation's limit."""
+        """Return whether another `demand` stays within the organisation's limit.
+
+        Parameters
+        ----------
+        hidden
+            Upper bound of the usage by runs that are not known.
+        """
         known = configuration.organisation(organisation)
-        if known is None:
+        if known is None or known.limit == Resources():
             return True
-        limit, used = known.limit, self.used(organisation)
-        return (
-            _within(used.cpu + demand.cpu, limit.cpu)
-            and _within(used.memory_mb + demand.memory_mb, limit.memory_mb)
-            and _within(used.accelerators + demand.accelerators, limit.accelerators)
-        )
-
-
-def _within(amount: int, limit: int) -> bool:
-    return limit <= 0 or amount <= limit
+        needed = self.used(organisation) + demand
+        if not _is_within(needed, known.limit):
+            return False
+        return not hidden.is_possible or _is_within(needed + hidden.of(organisation), known.limit)
+
+
+def _is_within(amount: Resources, limit: Resources) -> bool:
+    """Return whether no amount exceeds its limit; 0 is no limit."""
+    return (
+        (limit.cpu <= 0 or amount.cpu <= limit.cpu)
+        and (limit.memory_mb <= 0 or amount.memory_mb <= limit.memory_mb)
+        and (limit.accelerators <= 0 or amount.accelerators <= limit.accelerators)
+    )
--- a/fireflydeck/scheduling/roster.py
+++ b/fireflydeck/scheduling/roster.py
@@ -16,8 +16,8 @@
 from fireflydeck.ownership.records import ROSTER_ROW, ROSTER_WORK_ROW
 from fireflydeck.scheduling.roster_rows import (
     NO_WORK,
+    PossibleWork,
     RosterEntry,
-    ServerWork,
     decode_entry,
     decode_work,
     roster_writes,
@@ -73,7 +73,7 @@
             self._add_servers(rows[ROSTER_ROW], work, add)
         return None
 
-    def _decode_work(self, row: StoredRow | None) -> dict[str, ServerWork]:
+    def _decode_work(self, row: StoredRow | None) -> dict[str, PossibleWork]:
         if row is None:
             return {}
         try:
@@ -83,7 +83,7 @@
             return {}
 
     def _add_servers(
-        self, row: StoredRow, work: dict[str, ServerWork], add: Callable[[RosterEntry], None]
+        self, row: StoredRow, work: dict[str, PossibleWork], add: Callable[[RosterEntry], None]
     ) -> None:
         """Pass each readable entry to `add`, and log the others."""
         try:
@@ -142,7 +142,7 @@
         return RosterEntry(server.id, registration.pool, registration.address, work)
 
 
-def _work_to_store(server: Server, queues: frozenset[str]) -> ServerWork:
+def _work_to_store(server: Server, queues: frozenset[str]) -> PossibleWork:
     """Return the work that a later holder has to expect on a server, with tasks of `queues`.
 
     Queues are only added until the server is settled, since runs whose ends are not acknowledged
@@ -152,7 +152,7 @@
         server.earlier_work = NO_WORK
     earlier = server.earlier_work
     capacity = server.registration.capacity if server.is_registered else earlier.capacity
-    return ServerWork(
+    return PossibleWork(
         queues | server.stored_queues | earlier.queues, earlier.may_be_other, capacity
     )
 
--- a/fireflydeck/scheduling/roster_rows.py
+++ b/fireflydeck/scheduling/roster_rows.py
@@ -15,12 +15,12 @@
 from fireflydeck.core.typed_values import mistyped_fields
 from fireflydeck.ownership.records import ROSTER_ROW, ROSTER_WORK_ROW
 
-__all__ = ["NO_WORK", "RosterEntry", "ServerWork", "decode_entry", "decode_work", "roster_writes"]
+__all__ = ["NO_WORK", "RosterEntry", "PossibleWork", "decode_entry", "decode_work", "roster_writes"]
 
 
 @frozen
-class ServerWork:
-    """Bounds on the work that a holder may have left on a backend server.
+class PossibleWork:
+    """Bounds on the tasks that may be running on a backend server, or on several.
 
     Parameters
     ----------
@@ -29,7 +29,7 @@
     may_be_other
         Whether it may also be tasks of other queues.
     capacity
-        Capacity of the server; `None` if it is not known.
+        Capacity of the server or the servers; `None` if it is not known.
     """
 
     queues: frozenset[str] = frozenset()
@@ -46,8 +46,8 @@
         return self.may_be_other or queue in self.queues
 
 
-NO_WORK = ServerWork(may_be_other=False)
-"""Work left on a server on which no earlier holder has started anything."""
+NO_WORK = PossibleWork(may_be_other=False)
+"""No task can be running."""
 
 
 @frozen
@@ -57,7 +57,7 @@
     server_id: str
     pool: str
     address: str
-    work: ServerWork = ServerWork()
+    work: PossibleWork = PossibleWork()
 
 
 def roster_writes(entries: Iterable[RosterEntry], term: int) -> list[RowWrite]:
@@ -70,7 +70,7 @@
     ]
 
 
-def decode_entry(fields: Any, work: dict[str, ServerWork]) -> RosterEntry:
+def decode_entry(fields: Any, work: dict[str, PossibleWork]) -> RosterEntry:
     """Decode an entry of the row of the servers.
 
     Raises
@@ -82,10 +82,10 @@
     entry = RosterEntry(server_id, pool, address)
     if mistyped_fields(entry):
         raise TypeError("not a roster entry")
-    return RosterEntry(server_id, pool, address, work.get(server_id, ServerWork()))
+    return RosterEntry(server_id, pool, address, work.get(server_id, PossibleWork()))
 
 
-def decode_work(content: bytes, term: int) -> dict[str, ServerWork]:
+def decode_work(content: bytes, term: int) -> dict[str, PossibleWork]:
     """Decode the row of the work, by the id of the server; empty if another term wrote it.
 
     Raises
@@ -102,7 +102,7 @@
         raise ValueError(f"not the work of servers: {type(error).__name__}") from error
 
 
-def _encode_work(work: ServerWork) -> list[Any]:
+def _encode_work(work: PossibleWork) -> list[Any]:
     capacity = work.capacity
     return [
         sorted(work.queues),
@@ -111,9 +111,9 @@
     ]
 
 
-def _decode_work(fields: Any) -> ServerWork:
+def _decode_work(fields: Any) -> PossibleWork:
     queues, may_be_other, capacity = fields
-    work = ServerWork(
+    work = PossibleWork(
         frozenset(queues), may_be_other, None if capacity is None else Resources(*capacity)
     )
     if mistyped_fields(work):
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -8,7 +8,7 @@
 
 from fireflydeck.core.backend_orders import BackendServerOrders, HeartbeatReport
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
-from fireflydeck.scheduling.roster_rows import NO_WORK, ServerWork
+from fireflydeck.scheduling.roster_rows import NO_WORK, PossibleWork
 from fireflydeck.workload.lifecycle import Attempt
 from fireflydeck.workload.specification import StepSpec
 
@@ -84,7 +84,7 @@
     is_registered: bool = True
     is_in_roster: bool = False
     stored_queues: frozenset[str] = frozenset()
-    earlier_work: ServerWork = NO_WORK
+    earlier_work: PossibleWork = NO_WORK
     born_ms: int = 0
     clock_ms: int = 0
     clock_read_ms: int | None = None
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -1,6 +1,6 @@
 """Selection of the tasks to start and of their backend servers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from attrs import define, evolve, field
 
@@ -18,7 +18,7 @@
     required_labels,
     waiting_core_s,
 )
-from fireflydeck.scheduling.fleet_knowledge import HiddenRuns
+from fireflydeck.scheduling.hidden_usage import HiddenUsage
 from fireflydeck.scheduling.order_sender import (
     MAX_RETRY_PAUSE_MS,
     RETRY_PAUSE_MS,
@@ -26,6 +26,7 @@
 )
 from fireflydeck.scheduling.organisation_usage import OrganisationUsage
 from fireflydeck.scheduling.pool_room import PoolRoom
+from fireflydeck.scheduling.roster_rows import PossibleWork
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.ticket_cache import TicketCache
 from fireflydeck.scheduling.work_estimates import StepKey, WorkEstimates
@@ -94,6 +95,7 @@
     fail_job: Callable[[Job], None]
     _queued: dict[str, _QueuedJob] = field(factory=dict, init=False)
     _inflow: Inflow = field(factory=Inflow, init=False)
+    _hidden_usage: HiddenUsage = field(factory=HiddenUsage, init=False)
     _estimates: WorkEstimates = field(factory=WorkEstimates, init=False)
 
     # Jobs
@@ -182,7 +184,7 @@
         )
 
     def plan(
-        self, servers: dict[str, Server], hidden_runs: HiddenRuns, since_version: int
+        self, servers: dict[str, Server], hidden_work: PossibleWork, since_version: int
     ) -> list[tuple[Server, Attempt]]:
         """Select the starts to send and reserve capacity for them.
 
@@ -190,9 +192,9 @@
         ----------
         servers
             Known backend servers by id.
-        hidden_runs
-            Runs of earlier holders that are not known. Tasks of jobs that were stored up to
-            `since_version` are not started while they may be among them.
+        hidden_work
+            Work of earlier holders that is not known yet. Tasks of jobs that were stored up to
+            `since_version` are not started while they may be part of it.
         since_version
             Version of the store at which the tenure began.
         """
@@ -200,17 +202,24 @@
         if configuration is None or not self.sender.has_fresh_documents():
             return []
         now_ms = self.clock.now_ms()
+        self._hidden_usage = HiddenUsage(hidden_work, self._jobs_stored_by(since_version))
         rooms = self._rooms(servers, configuration, now_ms)
         starts: list[tuple[Server, Attempt]] = []
         for queue, queued in self._ranked_jobs(configuration, now_ms):
             room = rooms.get(queue.pool)
             if room is None:
                 continue
-            if queued.job.stored_version <= since_version and hidden_runs.may_include(queue.name):
+            if queued.job.stored_version <= since_version and hidden_work.may_include(queue.name):
                 continue
             starts.extend(self._place_job(configuration, queued, room, now_ms))
         return starts
 
+    def _jobs_stored_by(self, version: int) -> Iterator[Job]:
+        """Yield the jobs that were stored up to a version of the store."""
+        for queued in self._queued.values():
+            if queued.job.stored_version <= version:
+                yield queued.job
+
     def _place_job(
         self, configuration: FleetConfiguration, queued: _QueuedJob, room: PoolRoom, now_ms: int
     ) -> list[tuple[Server, Attempt]]:
@@ -336,7 +345,9 @@
             with_ticket = self.ticket_cache.servers_with_ticket(task, room.servers, queue.advisor)
             usable = [server for server in usable if server in with_ticket]
         organisation = task.job.spec.organisation
-        if not usable or not self.usage.allows(configuration, organisation, step.demand):
+        if not usable or not self.usage.allows(
+            configuration, organisation, step.demand, self._hidden_usage
+        ):
             return None
         racks = _racks_of_step(task, room.servers) if step.same_rack else set()
         candidates = [self._candidate(server, task, racks) for server in usable]
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -404,7 +404,7 @@
                 continue
             self._roster.store_new_queues()
             starts: Iterable[tuple[Server, Attempt]] = self._planner.plan(
-                self._servers, self._knowledge.hidden_runs(), self._tenure.since_version
+                self._servers, self._knowledge.hidden_work(), self._tenure.since_version
             )
             for server, attempt in starts:
                 self._run_in_background("start", self._sender.send_start, server, attempt)
--- a/fireflydeck/scheduling/tests/test_incomplete_knowledge.py
+++ b/fireflydeck/scheduling/tests/test_incomplete_knowledge.py
@@ -150,3 +150,67 @@
         await fleet.advance_ms(4000)
         assert len(fleet.starts()) == 16
         assert fleet.outcome(JOB_ID) == "completed"
+
+
+_OTHER_JOB = "00000000000000b2"
+_NEW_JOB = "00000000000000c3"
+_LIMIT_CPU = 8000
+_LIMIT_TASKS = 4
+
+
+def _within_limit(fleet):
+    """Return a check that the organisation's running tasks stay within its limit."""
+
+    def check():
+        assert len(fleet.running()) <= _LIMIT_TASKS, fleet.running()
+
+    return check
+
+
+@pytest.mark.parametrize("is_new_job", [False, True])
+@pytest.mark.parametrize("is_planned", [False, True])
+async def test_limit_holds_while_runs_in_another_pool_are_unknown(is_planned, is_new_job):
+    """QUOTA of issue 31, case 4: the next holder hears of the runs in one pool first."""
+    options = {"further_queues": ("press",), "further_pool": "press", "cpu_limit": _LIMIT_CPU}
+    async with running_fleet(servers=1, members=2, **options) as fleet:
+        fleet.add_server("s2", service="press")
+        await fleet.advance_ms(_APPLY_MS)
+        _set_duration(fleet, _LONG_MS)
+        accept_job(fleet.rows, build_spec(build_step(count=3), job_id=_OTHER_JOB, queue="press"))
+        await fleet.advance_ms(_APPLY_MS)
+        accept_job(fleet.rows, build_spec(build_step(count=4)))
+        await fleet.advance_ms(_APPLY_MS)
+        assert len(fleet.running()) == _LIMIT_TASKS
+        await _take_over(fleet, unreachable=["s2"], is_planned=is_planned)
+        if is_new_job:
+            accept_job(fleet.rows, build_spec(build_step(count=4), job_id=_NEW_JOB))
+        await fleet.advance_ms(_LAPSED_MS, check=_within_limit(fleet))
+        assert len(fleet.servers["s1"].running()) == _LIMIT_TASKS
+
+
+async def test_organisation_without_unknown_runs_does_not_wait_for_a_silent_server():
+    """The unknown usage is at most what the tasks of its older jobs demand."""
+    async with running_fleet(servers=2, members=2, cpu_limit=_LIMIT_CPU) as fleet:
+        accept_job(fleet.rows, build_spec(build_step(count=2)))
+        await fleet.advance_ms(2000)
+        await _take_over(fleet, unreachable=["s2"])
+        await fleet.advance_ms(200)
+        accept_job(fleet.rows, build_spec(build_step(count=4), job_id=_NEW_JOB))
+        await fleet.advance_ms(_APPLY_MS, check=_within_limit(fleet))
+        assert len(fleet.running()) == _LIMIT_TASKS
+
+
+async def test_organisation_far_below_its_limit_does_not_wait_for_a_silent_server():
+    """The unknown usage is at most the capacity of the servers that have not answered."""
+    options = {"further_queues": ("press",), "further_pool": "press", "cpu_limit": 90_000}
+    async with running_fleet(servers=1, members=2, **options) as fleet:
+        fleet.add_server("s2", service="press")
+        await fleet.advance_ms(_APPLY_MS)
+        _set_duration(fleet, _LONG_MS)
+        accept_job(fleet.rows, build_spec(build_step(count=40), job_id=_OTHER_JOB, queue="press"))
+        await fleet.advance_ms(_APPLY_MS)
+        await _take_over(fleet, unreachable=["s2"])
+        await fleet.advance_ms(200)
+        accept_job(fleet.rows, build_spec(build_step(count=8)))
+        await fleet.advance_ms(_APPLY_MS)
+        assert len(fleet.servers["s1"].running()) == 8
--- a/fireflydeck/workload/__init__.py
+++ b/fireflydeck/workload/__init__.py
@@ -18,6 +18,7 @@
     remove_attempt,
     restore_progress,
     start_attempt,
+    unaccounted_tasks,
 )
 from fireflydeck.workload.records import (
     FLEET_PARTITION,
@@ -90,4 +91,5 @@
     "remove_attempt",
     "restore_progress",
     "start_attempt",
+    "unaccounted_tasks",
 ]
--- a/fireflydeck/workload/lifecycle.py
+++ b/fireflydeck/workload/lifecycle.py
@@ -32,6 +32,7 @@
     "remove_attempt",
     "restore_progress",
     "start_attempt",
+    "unaccounted_tasks",
 ]
 
 _TASK_NAME_PATTERN = re.compile(r"[0-9a-f]+\.(?P<occurrence>[0-9]{1,9})\.[0-9]+\.[0-9]+")
@@ -237,8 +238,15 @@
 
 def ready_tasks(job: Job) -> Iterator[Task]:
     """Yield the tasks that wait for a start and whose step's dependencies are done."""
-    if not job.is_open:
-        return
+    if job.is_open:
+        yield from unaccounted_tasks(job)
+
+
+def unaccounted_tasks(job: Job) -> Iterator[Task]:
+    """Yield the tasks that have no known run and may have an unknown one, in any state of the job.
+
+    They are not done, and their step's dependencies are.
+    """
     for task in job.tasks.values():
         if task.done or task.attempts:
             continue
