A server stays in the roster until the ends of its runs are stored

A task that had ended done could start again (TWICE): an unregistered server was forgotten as soon as its last run had ended. The roster without it was stored at once and the job's progress a commit later; a holder lost in between left no row that told that the task was done or which server to ask.

Change: the server is kept while ends of its runs wait for their commit.

Test: test_server_stays_in_the_roster_until_the_ends_of_its_runs_are_stored failed before (2 starts of 1 task) and passes now.

--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -351,8 +351,12 @@
         self.request_planning()
 
     def _retire_if_idle(self, server: Server) -> None:
-        """Forget an unregistered server that has no attempts, unless its runs are still unknown."""
-        if server.is_registered or server.attempts:
+        """Forget an unregistered server that has no attempts.
+
+        It is kept while it may have unknown runs, and until the ends of its runs are stored: a later
+        holder would otherwise start their tasks again.
+        """
+        if server.is_registered or server.attempts or server.unstored_ends:
             return
         if self._knowledge.may_hide_runs(server):
             return
--- a/fireflydeck/scheduling/tests/test_incomplete_knowledge.py
+++ b/fireflydeck/scheduling/tests/test_incomplete_knowledge.py
@@ -4,8 +4,13 @@
 
 from fireflydeck.core import Ran
 from fireflydeck.core.rows import RowTransaction, RowWrite
+from fireflydeck.kernel import Event
 from fireflydeck.ownership.records import ROSTER_WORK_ROW
-from fireflydeck.platform.standin.documents import put_configuration
+from fireflydeck.platform.standin.documents import (
+    put_configuration,
+    put_registration,
+    remove_registration,
+)
 from fireflydeck.scheduling.server_reports import LEASE_EXTENSION_GRACE_MS
 from fireflydeck.scheduling.session import SERVER_LEASE_MS
 from fireflydeck.scheduling.tests.fleet import no_duplicate_runs, running_fleet
@@ -214,3 +219,26 @@
         accept_job(fleet.rows, build_spec(build_step(count=8)))
         await fleet.advance_ms(_APPLY_MS)
         assert len(fleet.servers["s1"].running()) == 8
+
+
+async def test_server_stays_in_the_roster_until_the_ends_of_its_runs_are_stored():
+    """TWICE: the holder is lost after it has forgotten a server and before it stores an end."""
+    async with running_fleet(servers=2, members=2) as fleet:
+        _set_duration(fleet, 1500)
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(_APPLY_MS)
+        server_id = next(key for key, server in fleet.servers.items() if server.starts)
+        remove_registration(fleet.rows, server_id)
+        first = fleet.leader
+        while Event.RUN_ENDED not in fleet.log.emitted():
+            await fleet.advance_ms(2, step_ms=2)
+        while first.scheduler.current.servers.get(server_id) and not fleet.outcome(JOB_ID):
+            await fleet.advance_ms(2, step_ms=2)
+        await fleet.advance_ms(4, step_ms=2)
+        first.store.outage = Ran.UNKNOWN
+        while first.is_leader or not any(member.is_leader for member in fleet.members):
+            await fleet.advance_ms(20)
+        put_registration(fleet.rows, server_id, address="127.0.0.1:1")
+        await fleet.advance_ms(4000)
+        assert len(fleet.starts()) == 1
+        assert fleet.outcome(JOB_ID) == "completed"
