Announced VM orders stay in the record for a quick second change of the holder

Change: the orders of the predecessor stay in the row for as long as own ones do. Test: test_order_of_the_holder_before_the_last_is_not_forgotten failed before (vm-s1 ordered within 1.5 s of the second change) and passes now.

--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -353,8 +353,8 @@
     def _retire_if_idle(self, server: Server) -> None:
         """Forget an unregistered server that has no attempts.
 
-        It is kept while it may have unknown runs, and until the ends of its runs are stored: a later
-        holder would otherwise start their tasks again.
+        It is kept while it may have unknown runs, and until the ends of its runs are stored. A
+        later holder would otherwise start their tasks again.
         """
         if server.is_registered or server.attempts or server.unstored_ends:
             return
--- a/fireflydeck/scheduling/tests/test_duties.py
+++ b/fireflydeck/scheduling/tests/test_duties.py
@@ -83,6 +83,19 @@
         assert _ordered(fleet) == [("maintenance", "vm-s2"), ("maintenance", "vm-s1")]
 
 
+async def test_order_of_the_holder_before_the_last_is_not_forgotten():
+    """ONE: two quick changes of the holder, and the last one repeats an order of the first."""
+    prepare = _store_record(recent={"vm-s1": 0})
+    async with running_fleet(prepare=prepare, servers=2, members=2) as fleet:
+        fleet.add_vms("s1", "s2")
+        _request_wave(fleet, "s1", "s2", max_at_once=2)
+        while not _ordered(fleet):
+            await fleet.advance_ms(20)
+        await fleet.leader.lease.stop()
+        await fleet.advance_ms(1500)
+        assert _ordered(fleet) == [("maintenance", "vm-s2")]
+
+
 async def test_maintenance_just_ordered_by_the_previous_holder_counts_as_down():
     async with running_fleet(prepare=_store_record(recent={"vm-s1": 1}), servers=2) as fleet:
         fleet.add_vms("s1", "s2")
--- a/fireflydeck/scheduling/vm_operation_record.py
+++ b/fireflydeck/scheduling/vm_operation_record.py
@@ -54,6 +54,9 @@
             self._borrowed = set(borrowed)
             self._accepted_maintenance = {number: set(vms) for number, vms in maintenance.items()}
             self._predecessor_orders = recent
+            # Kept in the row: this holder may be replaced before their lease time is over.
+            now_ms = self._clock.now_ms()
+            self._recent_orders = {vm: (number, now_ms) for vm, number in recent.items()}
         self._is_loaded = True
         return None
 
