A commit that the store refuses for good holds up no other work

Cause: a job's progress listed the names of its done tasks and outgrew max_row_bytes; the store answered 400, which counted as an unknown outcome, and the lease keeper repeated the commit without end while all other progress waited behind it.

Change: the progress of more than 500 tasks is packed (bits for done tasks, a count of leading occurrences that are done, failures of open tasks only; 10,000 random tasks and 4,000 occurrences stay below the bound). Smaller jobs are stored as before, so older builds read them; a packed row counts as unreadable there and its job waits. 400 and 413 are a refusal for good: a group of jobs is stored in smaller commits, and a job whose progress is refused alone fails, with 6206, since a later holder would run its finished tasks again.

Tests, seen to fail before: test_progress_of_a_job_with_many_tasks_fits_in_its_row, test_job_whose_progress_is_refused_for_good_holds_up_no_other (both: the second job had no outcome). test_progress holds the size and the content.

--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -154,6 +154,12 @@
         "is false, another process had changed one of them and all stay as they are.",
         fields=("jobs", "stored"),
     ),
+    6206: EventNote(
+        trigger="The store refused the progress of a job for good, such as for its size. The job "
+        "fails, since a later holder would run its finished tasks again.",
+        action="Submit the work in smaller jobs, and report the refusal in `detail`.",
+        fields=("job", "detail"),
+    ),
     6301: EventNote(
         trigger="The start of a run was ordered; `outcome` is the backend server's answer or `no "
         "answer`.",
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -122,6 +122,9 @@
         6204, "info", "rows of jobs that ended long ago removed from the store"
     )
     ROWS_SHORTENED = _Definition(6205, "info", "rows of ended jobs shortened to their outcomes")
+    PROGRESS_REFUSED = _Definition(
+        6206, "error", "store refuses the progress of a job for good, the job fails"
+    )
     START_SENT = _Definition(6301, "info", "start of a run ordered")
     STOP_SENT = _Definition(6302, "info", "stop of a run ordered")
     RUN_ENDED = _Definition(6303, "info", "run ended")
--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -214,8 +214,9 @@
     async def commit(self, writes: list[RowWrite], removals: list[RowKey]) -> Failure | None:
         """Write and remove rows of the lease's partition; retry until the outcome is known.
 
-        Returns `None` once the changes are stored, or a `NOT_OWNER` failure if this process does
-        not hold the lease or loses it before that.
+        Returns `None` once the changes are stored, a `NOT_OWNER` failure if this process does not
+        hold the lease or loses it before that, or a `BAD_REQUEST` failure if the store refuses
+        these changes for good.
         """
         async with self._commit_lock:
             tenure = self._tenure
@@ -227,6 +228,8 @@
                     return None
                 if failure.reason != Reason.CONFLICT:
                     self._rows.health.record_failure(failure)
+                if failure.reason == Reason.BAD_REQUEST:
+                    return failure
                 if failure.ran != Ran.UNKNOWN and failure.reason != Reason.CONFLICT:
                     await self._clock.sleep_ms(_RETRY_DELAY_MS)
                 elif await self._last_stored_marker() == marker:
--- a/fireflydeck/platform/store.py
+++ b/fireflydeck/platform/store.py
@@ -31,8 +31,10 @@
 """Time beyond the wait of a long poll after which its connection is considered unresponsive."""
 
 _OK = 200
+_BAD_REQUEST = 400
 _GONE = 410
 _PRECONDITION_FAILED = 412
+_PAYLOAD_TOO_LARGE = 413
 _TOO_MANY_REQUESTS = 429
 _UNAVAILABLE = 503
 
@@ -164,6 +166,8 @@
         if answer.status == _OK:
             return Ok(answer.body)
         reason, ran = {
+            _BAD_REQUEST: (Reason.BAD_REQUEST, Ran.NO),
+            _PAYLOAD_TOO_LARGE: (Reason.BAD_REQUEST, Ran.NO),
             _PRECONDITION_FAILED: (Reason.CONFLICT, Ran.NO),
             _GONE: (Reason.NOT_FOUND, Ran.NO),
             _TOO_MANY_REQUESTS: (Reason.TOO_MANY_REQUESTS, Ran.NO),
--- a/fireflydeck/scheduling/job_tracker.py
+++ b/fireflydeck/scheduling/job_tracker.py
@@ -8,17 +8,16 @@
 from fireflydeck.observation.table_follower import TableFollower
 from fireflydeck.scheduling.row_shortener import JobRowShortener
 from fireflydeck.workload.lifecycle import Job, JobOutcome, create_due_occurrences, restore_progress
+from fireflydeck.workload.progress import JobProgress, decode_progress
 from fireflydeck.workload.records import (
     FLEET_PARTITION,
     JOB_PARTITIONS,
     JOBS_TABLE,
     OUTCOMES_TABLE,
     PROGRESS_TABLE,
-    JobProgress,
     decode_ended_row,
     decode_outcome,
     decode_outcome_time_ms,
-    decode_progress,
     is_cancellation,
     job_id_of,
 )
@@ -196,7 +195,12 @@
         create_due_occurrences(job, self._clock.wall_ms())
         progress = self._progress.pop(job_id, None)
         if progress is not None:
-            restore_progress(job, progress.done, progress.failed_runs)
+            restore_progress(
+                job,
+                progress.done,
+                progress.failed_runs,
+                done_occurrences=progress.done_occurrences,
+            )
         self._jobs[job_id] = job
         self._on_submitted(job)
         if job_id in self._early_cancellations:
--- a/fireflydeck/scheduling/journal.py
+++ b/fireflydeck/scheduling/journal.py
@@ -4,14 +4,14 @@
 
 import anyio
 
-from fireflydeck.core import Clock, Failure
+from fireflydeck.core import Clock, Failure, Reason
 from fireflydeck.core.rows import RowKey, RowWrite
 from fireflydeck.kernel import Event, EventLog
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.workload.lifecycle import Job, JobOutcome
+from fireflydeck.workload.progress import encode_progress
 from fireflydeck.workload.records import (
     encode_outcome,
-    encode_progress,
     outcome_key,
     progress_key,
 )
@@ -19,6 +19,8 @@
 __all__ = ["ProgressJournal"]
 
 _BATCH_DELAY_MS = 15
+_REFUSED_RETRY_MS = 1000
+"""Pause before an outcome that was refused for good is sent again."""
 _MAX_JOBS_PER_COMMIT = 45
 """Each job takes at most two of the hundred entries of a transaction."""
 
@@ -30,6 +32,8 @@
     ----------
     on_commit
         Called with the number of a commit once it and all earlier ones are stored.
+    fail_job
+        Gives a job the outcome `failed` and stops its runs.
     """
 
     def __init__(
@@ -38,11 +42,13 @@
         clock: Clock,
         log: EventLog,
         on_commit: Callable[[int], None],
+        fail_job: Callable[[Job], None],
     ) -> None:
         self._lease = lease
         self._clock = clock
         self._log = log
         self._on_commit = on_commit
+        self._fail_job = fail_job
         self._dirty: dict[str, Job] = {}
         self._next_commit_number = 1
         self._wake = anyio.Event()
@@ -64,12 +70,35 @@
             commit_number = self._next_commit_number
             self._next_commit_number += 1
             for first in range(0, len(jobs), _MAX_JOBS_PER_COMMIT):
-                failure = await self._commit(jobs[first : first + _MAX_JOBS_PER_COMMIT])
-                if failure is not None:
+                if not await self._commit(jobs[first : first + _MAX_JOBS_PER_COMMIT]):
                     return
             self._on_commit(commit_number)
 
-    async def _commit(self, jobs: list[Job]) -> Failure | None:
+    async def _commit(self, jobs: list[Job]) -> bool:
+        """Store the progress or the outcomes of jobs; return whether the lease is still held.
+
+        If the store refuses a commit for good, its jobs are stored in smaller commits. A job whose
+        progress is refused alone is failed, since its tasks could run again under a later holder.
+        """
+        while True:
+            failure = await self._store(jobs)
+            if failure is None:
+                return True
+            if failure.reason != Reason.BAD_REQUEST:
+                return False
+            if len(jobs) > 1:
+                middle = len(jobs) // 2
+                return await self._commit(jobs[:middle]) and await self._commit(jobs[middle:])
+            await self._on_refused(jobs[0], failure)
+
+    async def _on_refused(self, job: Job, failure: Failure) -> None:
+        self._log.emit(Event.PROGRESS_REFUSED, job=job.id, detail=failure.detail)
+        if job.is_open:
+            self._fail_job(job)
+        else:
+            await self._clock.sleep_ms(_REFUSED_RETRY_MS)
+
+    async def _store(self, jobs: list[Job]) -> Failure | None:
         writes: list[RowWrite] = []
         removals: list[RowKey] = []
         ending: list[tuple[Job, JobOutcome]] = []
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -142,7 +142,9 @@
             on_applied=self.request_planning,
             shortener=self._shortener,
         )
-        self._journal = ProgressJournal(lease, clock, log, self._on_commit)
+        self._journal = ProgressJournal(
+            lease, clock, log, on_commit=self._on_commit, fail_job=self._fail_job
+        )
         self._run_tracker = RunTracker(
             servers=self._servers,
             job_tracker=self._job_tracker,
@@ -377,6 +379,9 @@
         self._run_tracker.stop_all(job)
         self._journal.record(job)
 
+    def _fail_job(self, job: Job) -> None:
+        self._run_tracker.fail_job(job)
+
     def _on_commit(self, commit_number: int) -> None:
         for server in self._servers.values():
             if server.unstored_ends:
--- a/fireflydeck/testing/rows.py
+++ b/fireflydeck/testing/rows.py
@@ -51,6 +51,8 @@
         Pages, by table, that reads of whole partitions return instead of the current rows.
     commits
         Transactions that took effect, without those applied by `deliver_late`.
+    max_value_bytes
+        Size of a value above which a transaction is refused for good; `None` for no bound.
     on_commit
         Called before a transaction is applied.
     """
@@ -65,6 +67,7 @@
         self.stale_pages: dict[str, VersionedRows] = {}
         self.next_commits: list[RowStoreFault | None] = []
         self.commits: list[RowTransaction] = []
+        self.max_value_bytes: int | None = None
         self.on_commit: Callable[[RowTransaction], None] | None = None
         self._late: list[RowTransaction] = []
         self._clock = clock
@@ -77,8 +80,9 @@
     async def commit(self, transaction: RowTransaction, *, timeout_ms: int) -> Result[int, Failure]:
         """Apply a transaction."""
         await anyio.lowlevel.checkpoint()
-        if self.outage is not None:
-            return Error(_unavailable("store.commit", self.outage))
+        refusal = self._refusal(transaction)
+        if refusal is not None:
+            return Error(refusal)
         fault = self.next_commits.pop(0) if self.next_commits else None
         if fault == RowStoreFault.REFUSED:
             return Error(_unavailable("store.commit", Ran.NO))
@@ -100,6 +104,14 @@
             return Error(Failure(Reason.CONFLICT, "store.commit", peer="store"))
         return Ok(version)
 
+    def _refusal(self, transaction: RowTransaction) -> Failure | None:
+        if self.outage is not None:
+            return _unavailable("store.commit", self.outage)
+        limit = self.max_value_bytes
+        if limit is not None and any(len(write.value) > limit for write in transaction.writes):
+            return Failure(Reason.BAD_REQUEST, "store.commit", peer="store", ran=Ran.NO)
+        return None
+
     async def read(
         self, table: str, partition: str, *, first: str = "", before: str = "", timeout_ms: int
     ) -> Result[VersionedRows, Failure]:
--- a/fireflydeck/workload/__init__.py
+++ b/fireflydeck/workload/__init__.py
@@ -20,21 +20,19 @@
     start_attempt,
     unaccounted_tasks,
 )
+from fireflydeck.workload.progress import JobProgress, decode_progress, encode_progress
 from fireflydeck.workload.records import (
     FLEET_PARTITION,
     JOB_PARTITIONS,
     JOBS_TABLE,
     OUTCOMES_TABLE,
     PROGRESS_TABLE,
-    JobProgress,
     cancellation_key,
     decode_ended_row,
     decode_outcome,
     decode_outcome_time_ms,
-    decode_progress,
     encode_ended_row,
     encode_outcome,
-    encode_progress,
     is_cancellation,
     job_id_of,
     job_key,
--- a/fireflydeck/workload/lifecycle.py
+++ b/fireflydeck/workload/lifecycle.py
@@ -358,8 +358,19 @@
     return job.created_occurrences >= max(1, job.spec.occurrences) and not job.open_task_count
 
 
-def restore_progress(job: Job, done: list[str], failed_runs: dict[str, list[int]]) -> None:
-    """Apply the stored progress of a job; names that are no tasks of the job are ignored."""
+def restore_progress(
+    job: Job, done: list[str], failed_runs: dict[str, list[int]], *, done_occurrences: int = 0
+) -> None:
+    """Apply the stored progress of a job; names that are no tasks of the job are ignored.
+
+    Parameters
+    ----------
+    done, failed_runs
+        Names of the tasks that are done, and the failed runs of the others.
+    done_occurrences
+        Number of leading occurrences whose tasks are all done.
+    """
+    _finish_occurrences(job, done_occurrences)
     # All tasks count as open until the stored ones are marked as done below.
     max_open_tasks = _MAX_OPEN_TASKS + len(done)
     for name in [*done, *failed_runs]:
@@ -371,7 +382,17 @@
     for name in done:
         if not job.tasks[name].done:
             _finish_task(job.tasks[name])
-    job.has_started = job.has_started or bool(done or failed_runs)
+    job.has_started = job.has_started or bool(done or failed_runs or done_occurrences)
+
+
+def _finish_occurrences(job: Job, count: int) -> None:
+    """Mark the tasks of the leading occurrences as done; missing occurrences are created."""
+    for number in range(min(count, max(1, job.spec.occurrences))):
+        if number >= job.created_occurrences:
+            _create_occurrence(job, number)
+        for step_number, step in enumerate(job.spec.steps):
+            for index in range(step.count):
+                _finish_task(job.tasks[str(TaskKey(job.id, number, step_number, index))])
 
 
 def job_state(job: Job) -> str:
--- a/fireflydeck/workload/records.py
+++ b/fireflydeck/workload/records.py
@@ -9,11 +9,9 @@
 import zlib
 
 import msgpack
-from attrs import frozen
 
 from fireflydeck.core.rows import RowKey
-from fireflydeck.core.typed_values import mistyped_fields
-from fireflydeck.workload.lifecycle import Job, JobOutcome
+from fireflydeck.workload.lifecycle import JobOutcome
 
 __all__ = [
     "FLEET_PARTITION",
@@ -21,15 +19,12 @@
     "JOB_PARTITIONS",
     "OUTCOMES_TABLE",
     "PROGRESS_TABLE",
-    "JobProgress",
     "cancellation_key",
     "decode_ended_row",
     "decode_outcome",
     "decode_outcome_time_ms",
-    "decode_progress",
     "encode_ended_row",
     "encode_outcome",
-    "encode_progress",
     "is_cancellation",
     "job_id_of",
     "job_key",
@@ -49,22 +44,6 @@
 _CANCELLATION_SUFFIX = "/cancelled"
 
 
-@frozen
-class JobProgress:
-    """Stored progress of a job.
-
-    Parameters
-    ----------
-    done
-        Names of the tasks that are done.
-    failed_runs
-        Numbers of the failed runs, by name of the task.
-    """
-
-    done: list[str]
-    failed_runs: dict[str, list[int]]
-
-
 def job_key(job_id: str) -> RowKey:
     """Return the key of a job's row."""
     return RowKey(JOBS_TABLE, _job_partition(job_id), job_id)
@@ -95,39 +74,6 @@
     return key.key.removesuffix(_CANCELLATION_SUFFIX)
 
 
-def encode_progress(job: Job) -> bytes:
-    """Encode the progress of a job; the job's id is removed from the names of the tasks."""
-    prefix = len(job.id)
-    done = [task.name[prefix:] for task in job.tasks.values() if task.done]
-    failed_runs = {
-        task.name[prefix:]: sorted(task.failed_runs)
-        for task in job.tasks.values()
-        if task.failed_runs
-    }
-    return msgpack.packb([done, failed_runs])
-
-
-def decode_progress(job_id: str, content: bytes) -> JobProgress:
-    """Decode the progress of a job; the job's id is added to the names of the tasks.
-
-    Raises
-    ------
-    ValueError
-        If the content is not the progress of a job.
-    """
-    try:
-        done, failed_runs = msgpack.unpackb(content)
-        progress = JobProgress(
-            [job_id + name for name in done],
-            {job_id + name: runs for name, runs in failed_runs.items()},
-        )
-    except (TypeError, ValueError, AttributeError) as error:
-        raise ValueError(f"not a job's progress: {type(error).__name__}") from error
-    if mistyped_fields(progress):
-        raise ValueError("not a job's progress: a field is invalid")
-    return progress
-
-
 def encode_ended_row(outcome: JobOutcome) -> bytes:
     """Encode the row of a job that has ended; the row prevents its id from being used again."""
     return msgpack.packb(outcome.value)
--- a/fireflydeck/workload/tests/test_life.py
+++ b/fireflydeck/workload/tests/test_life.py
@@ -20,7 +20,7 @@
     restore_progress,
     start_attempt,
 )
-from fireflydeck.workload.records import decode_progress, encode_progress
+from fireflydeck.workload.progress import decode_progress, encode_progress
 from fireflydeck.workload.specification import decode_job_spec, encode_job_spec
 
 _MAX_ATTEMPTS = 2
