An end is acknowledged once the state that it meets is stored, also if it changes nothing

Cause: runs end done at 7.9 to 8.6 s, their commit gets no answer. The server's registration lapses at 8.9 s, so the holder forgets the server after its last run, and meets it anew at 9.9 s. The answer lists 68 ends; the tasks are done already in memory, nothing changes, and ends without a change were acknowledged at once. The holder is replaced at 11.5 s, its commit never came into force, and the next one starts the tasks at 12.8 s: the server's list was empty by then.

Change: such an end waits for the commit that holds the job's state. Test: test_end_without_a_change_is_acknowledged_only_after_the_state_it_meets_is_stored failed before.

--- a/fireflydeck/scheduling/journal.py
+++ b/fireflydeck/scheduling/journal.py
@@ -50,6 +50,8 @@
         self._on_commit = on_commit
         self._fail_job = fail_job
         self._dirty: dict[str, Job] = {}
+        # Number of the commit that each job waits for.
+        self._commit_numbers: dict[str, int] = {}
         self._next_commit_number = 1
         self._wake = anyio.Event()
 
@@ -57,8 +59,13 @@
         """Schedule the job's progress for the next commit and return the number of that commit."""
         self._dirty[job.id] = job
         self._wake.set()
+        self._commit_numbers[job.id] = self._next_commit_number
         return self._next_commit_number
 
+    def pending_commit(self, job: Job) -> int:
+        """Return the number of the commit that stores the job's state, or 0 if it is stored."""
+        return self._commit_numbers.get(job.id, 0)
+
     async def run(self) -> None:
         """Commit until the lease is lost or the task is cancelled."""
         while True:
@@ -72,6 +79,9 @@
             for first in range(0, len(jobs), _MAX_JOBS_PER_COMMIT):
                 if not await self._commit(jobs[first : first + _MAX_JOBS_PER_COMMIT]):
                     return
+            for job in jobs:
+                if self._commit_numbers.get(job.id) == commit_number:
+                    del self._commit_numbers[job.id]
             self._on_commit(commit_number)
 
     async def _commit(self, jobs: list[Job]) -> bool:
--- a/fireflydeck/scheduling/run_tracker.py
+++ b/fireflydeck/scheduling/run_tracker.py
@@ -120,7 +120,11 @@
             server.stored_end = ended.number
 
     def _record_end(self, server: Server, ended: EndedRun) -> int:
-        """Record an end; return the number of the commit that stores its effect, or 0 for none."""
+        """Record an end; return the number of the commit that stores the state after it.
+
+        An end that changes nothing waits too for the state that it meets: without it a later holder
+        would need this end. The number is 0 if that state is stored already.
+        """
         task = self._task(ended.task)
         if task is None:
             return 0
@@ -144,7 +148,7 @@
         self.planner.invalidate_ready_tasks(task.job)
         if task.done or task.job.outcome is not None:
             self._stop_extra(task)
-        return self.journal.record(task.job) if changed else 0
+        return self.journal.record(task.job) if changed else self.journal.pending_commit(task.job)
 
     def _stop_extra(self, task: Task) -> None:
         if task.job.outcome is not None:
--- a/fireflydeck/scheduling/tests/test_runs.py
+++ b/fireflydeck/scheduling/tests/test_runs.py
@@ -53,6 +53,27 @@
         assert len(fleet.starts()) == 1
 
 
+async def test_end_without_a_change_is_acknowledged_only_after_the_state_it_meets_is_stored():
+    """TWICE of the finding 703: the state of the job that makes an end irrelevant was not stored.
+
+    A run that ended done was forgotten by its server, and the next holder started it again.
+    """
+    async with running_fleet(servers=2, max_attempts=1) as fleet:
+        fleet.servers["s1"].end_of_next = RunEnd.FAILED
+        accept_job(fleet.rows, build_spec(build_step(count=2, max_per_server=1)))
+        await fleet.advance_ms(400)
+        leader = fleet.leader
+        leader.store.outage = Ran.UNKNOWN
+        await fleet.advance_ms(1000)
+        server = fleet.servers["s2"]
+        listed = server.answer_heartbeat(server.fencing_token, 0, 0).ended
+        assert len(listed) == 1
+        leader.store.outage = None
+        await fleet.advance_ms(3000)
+        assert fleet.outcome(JOB_ID) == "failed"
+        assert server.answer_heartbeat(server.fencing_token, 0, 0).ended == ()
+
+
 @pytest.mark.parametrize("fault", [OrderFault.ANSWER_LOST, OrderFault.LATE, OrderFault.NOT_SENT])
 async def test_start_without_an_answer(fault):
     async with running_fleet(servers=2) as fleet:
