Runs of an ended job count against the limit until they are gone, also after a take-over

A job that is cancelled or fails around a change of the lease holder may have runs on a server that has not answered. The next holder kept only its outcome, so these runs had no organisation: it started other work up to the whole limit beside them (QUOTA), and a listed one counted neither for the limit nor for the server's capacity while it was being stopped.

Change: an ended job whose row is still whole is kept until no run of it can be left, known or unknown; its unaccounted tasks are part of the upper bound of the unknown usage.

--- a/fireflydeck/scheduling/hidden_usage.py
+++ b/fireflydeck/scheduling/hidden_usage.py
@@ -20,25 +20,25 @@
 
     Parameters
     ----------
-    hidden_work
+    work
         Work of earlier holders that is not known yet.
     jobs
         Jobs that were stored before the tenure began; only their tasks can have such runs.
     """
 
-    hidden_work: PossibleWork = NO_WORK
+    work: PossibleWork = NO_WORK
     jobs: Iterable[Job] = ()
     _usage: dict[str, Resources] | None = field(default=None, init=False)
 
     @property
     def is_possible(self) -> bool:
         """Return whether there may be any."""
-        return self.hidden_work.is_possible
+        return self.work.is_possible
 
     def of(self, organisation: str) -> Resources:
         """Return the most that the unknown runs of an organisation can use."""
         if self._usage is None:
-            capacity = self.hidden_work.capacity
+            capacity = self.work.capacity
             self._usage = {
                 name: _bounded(demand, fill, capacity)
                 for name, (demand, fill) in self._sum_demand().items()
@@ -49,7 +49,7 @@
         """Return the demand of the tasks that may be running, without and of fill tasks."""
         sums: dict[str, tuple[Resources, Resources]] = {}
         for job in self.jobs:
-            if not self.hidden_work.may_include(job.spec.queue):
+            if not self.work.may_include(job.spec.queue):
                 continue
             demand, fill = sums.get(job.spec.organisation, (Resources(), Resources()))
             for task in unaccounted_tasks(job):
--- a/fireflydeck/scheduling/job_tracker.py
+++ b/fireflydeck/scheduling/job_tracker.py
@@ -33,7 +33,8 @@
     """Tracker of jobs that follows submissions and cancellations in the store.
 
     A job is closed once its outcome is stored and no run of it is left. Only its outcome is kept
-    then.
+    then, and its row is shortened. So a job with an outcome and a full row may still have runs that
+    are being stopped.
 
     Parameters
     ----------
@@ -93,7 +94,7 @@
         """Keep only the outcome of a job, if it is stored; expects that no task of the job runs."""
         if job.outcome is not None and job.outcome_stored:
             self._outcomes[job.id] = job.outcome
-            self._ended_ms[job.id] = self._clock.wall_ms()
+            self._ended_ms.setdefault(job.id, self._clock.wall_ms())
             self._jobs.pop(job.id, None)
             self._shortener.add(job.id, job.stored_version, job.outcome)
 
@@ -160,16 +161,31 @@
         self._on_applied()
 
     def _shorten(self, job_id: str, row: StoredRow, outcome: JobOutcome) -> None:
-        """Shorten the row of an ended job if an earlier holder has not done so."""
-        if is_cancellation(row.id):
+        """Shorten the row of an ended job, or keep the job if runs of it may be left."""
+        if is_cancellation(row.id) or job_id in self._jobs:
             return
         try:
             is_full_row = decode_ended_row(row.value) is None
         except ValueError as error:
             self._log_unreadable(job_id, row, error)
             return
-        if is_full_row:
+        if not is_full_row:
+            return
+        if outcome == JobOutcome.COMPLETED:
             self._shortener.add(job_id, row.version, outcome)
+        else:
+            self._keep_ended(job_id, row, outcome)
+
+    def _keep_ended(self, job_id: str, row: StoredRow, outcome: JobOutcome) -> None:
+        """Keep an ended job, so that runs which are still being stopped are known as its own."""
+        try:
+            job = self._decode_job(job_id, row)
+        except ValueError as error:
+            self._log_unreadable(job_id, row, error)
+            return
+        job.outcome = outcome
+        job.outcome_stored = True
+        self._jobs[job_id] = job
 
     def _log_unreadable(self, job_id: str, row: StoredRow, error: ValueError) -> None:
         self._log.emit(
@@ -184,15 +200,10 @@
                 return
             if job_id in self._unreadable:
                 return
-            spec = decode_job_spec(row.value)
-            if spec.job_id != job_id:
-                raise ValueError("the row of another job")
+            job = self._decode_job(job_id, row)
         except ValueError as error:
             self._log_unreadable(job_id, row, error)
             return
-        age_ms = max(0, self._clock.wall_ms() - spec.accepted_ms)
-        job = Job(spec, row.version, self._clock.now_ms() - age_ms)
-        create_due_occurrences(job, self._clock.wall_ms())
         progress = self._progress.pop(job_id, None)
         if progress is not None:
             restore_progress(
@@ -206,6 +217,22 @@
         if job_id in self._early_cancellations:
             self._cancel(job_id)
 
+    def _decode_job(self, job_id: str, row: StoredRow) -> Job:
+        """Decode a job with the tasks of the occurrences that are due.
+
+        Raises
+        ------
+        ValueError
+            If the row is not the submission of the job.
+        """
+        spec = decode_job_spec(row.value)
+        if spec.job_id != job_id:
+            raise ValueError("the row of another job")
+        age_ms = max(0, self._clock.wall_ms() - spec.accepted_ms)
+        job = Job(spec, row.version, self._clock.now_ms() - age_ms)
+        create_due_occurrences(job, self._clock.wall_ms())
+        return job
+
     def _cancel(self, job_id: str) -> None:
         job = self._jobs.get(job_id)
         if job is None:
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -1,6 +1,6 @@
 """Selection of the tasks to start and of their backend servers."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from attrs import define, evolve, field
 
@@ -26,7 +26,6 @@
 )
 from fireflydeck.scheduling.organisation_usage import OrganisationUsage
 from fireflydeck.scheduling.pool_room import PoolRoom
-from fireflydeck.scheduling.roster_rows import PossibleWork
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.ticket_cache import TicketCache
 from fireflydeck.scheduling.work_estimates import StepKey, WorkEstimates
@@ -184,7 +183,7 @@
         )
 
     def plan(
-        self, servers: dict[str, Server], hidden_work: PossibleWork, since_version: int
+        self, servers: dict[str, Server], hidden: HiddenUsage, since_version: int
     ) -> list[tuple[Server, Attempt]]:
         """Select the starts to send and reserve capacity for them.
 
@@ -192,9 +191,9 @@
         ----------
         servers
             Known backend servers by id.
-        hidden_work
-            Work of earlier holders that is not known yet. Tasks of jobs that were stored up to
-            `since_version` are not started while they may be part of it.
+        hidden
+            Usage by work of earlier holders that is not known yet. Tasks of jobs that were stored
+            up to `since_version` are not started while they may be part of it.
         since_version
             Version of the store at which the tenure began.
         """
@@ -202,24 +201,19 @@
         if configuration is None or not self.sender.has_fresh_documents():
             return []
         now_ms = self.clock.now_ms()
-        self._hidden_usage = HiddenUsage(hidden_work, self._jobs_stored_by(since_version))
+        self._hidden_usage = hidden
+        may_be_hidden = hidden.work.may_include
         rooms = self._rooms(servers, configuration, now_ms)
         starts: list[tuple[Server, Attempt]] = []
         for queue, queued in self._ranked_jobs(configuration, now_ms):
             room = rooms.get(queue.pool)
             if room is None:
                 continue
-            if queued.job.stored_version <= since_version and hidden_work.may_include(queue.name):
+            if queued.job.stored_version <= since_version and may_be_hidden(queue.name):
                 continue
             starts.extend(self._place_job(configuration, queued, room, now_ms))
         return starts
 
-    def _jobs_stored_by(self, version: int) -> Iterator[Job]:
-        """Yield the jobs that were stored up to a version of the store."""
-        for queued in self._queued.values():
-            if queued.job.stored_version <= version:
-                yield queued.job
-
     def _place_job(
         self, configuration: FleetConfiguration, queued: _QueuedJob, room: PoolRoom, now_ms: int
     ) -> list[tuple[Server, Attempt]]:
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -25,6 +25,7 @@
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.ownership.records import Tenure
 from fireflydeck.scheduling.fleet_knowledge import FleetKnowledge
+from fireflydeck.scheduling.hidden_usage import HiddenUsage
 from fireflydeck.scheduling.job_tracker import JobTracker
 from fireflydeck.scheduling.journal import ProgressJournal
 from fireflydeck.scheduling.order_sender import OrderSender
@@ -387,11 +388,22 @@
             if server.unstored_ends:
                 server.record_stored_ends(commit_number)
                 server.session_wake.set()
+        self._close_ended_jobs()
+
+    def _close_ended_jobs(self) -> None:
+        """Close the jobs whose outcome is stored and that have no runs, known or unknown."""
+        hidden = self._knowledge.hidden_work()
         for job in list(self._job_tracker.jobs.values()):
-            if job.outcome_stored and not any(task.attempts for task in job.tasks.values()):
+            if not job.outcome_stored or any(task.attempts for task in job.tasks.values()):
+                continue
+            if not (self._is_earlier(job) and hidden.may_include(job.spec.queue)):
                 self._job_tracker.close_job(job)
                 self._planner.remove_job(job)
 
+    def _is_earlier(self, job: Job) -> bool:
+        """Return whether earlier holders may have started tasks of the job."""
+        return job.stored_version <= self._tenure.since_version
+
     async def _check_leases(self) -> None:
         while True:
             await self._clock.sleep_ms(_LEASE_CHECK_INTERVAL_MS)
@@ -400,6 +412,7 @@
                 if server.attempts and not server.is_reachable and server.has_lease_expired(now_ms):
                     self._run_tracker.drop_all(server, "lease lapsed")
                 self._retire_if_idle(server)
+            self._close_ended_jobs()
             self.request_planning()
 
     # Planning
@@ -412,8 +425,10 @@
             if not self._lease.is_valid():
                 continue
             self._roster.store_new_queues()
+            earlier_jobs = filter(self._is_earlier, self._job_tracker.jobs.values())
+            hidden = HiddenUsage(self._knowledge.hidden_work(), earlier_jobs)
             starts: Iterable[tuple[Server, Attempt]] = self._planner.plan(
-                self._servers, self._knowledge.hidden_work(), self._tenure.since_version
+                self._servers, hidden, self._tenure.since_version
             )
             for server, attempt in starts:
                 self._run_in_background("start", self._sender.send_start, server, attempt)
--- a/fireflydeck/scheduling/tests/test_incomplete_knowledge.py
+++ b/fireflydeck/scheduling/tests/test_incomplete_knowledge.py
@@ -15,7 +15,13 @@
 from fireflydeck.scheduling.session import SERVER_LEASE_MS
 from fireflydeck.scheduling.tests.fleet import no_duplicate_runs, running_fleet
 from fireflydeck.testing.fleet_fakes import OrderFault
-from fireflydeck.testing.job_builders import JOB_ID, accept_job, build_spec, build_step
+from fireflydeck.testing.job_builders import (
+    JOB_ID,
+    accept_job,
+    build_spec,
+    build_step,
+    cancel_job,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -242,3 +248,28 @@
         await fleet.advance_ms(4000)
         assert len(fleet.starts()) == 1
         assert fleet.outcome(JOB_ID) == "completed"
+
+
+@pytest.mark.parametrize("is_cancelled_before", [False, True])
+async def test_runs_of_an_ended_job_count_against_the_limit_until_they_are_gone(
+    is_cancelled_before,
+):
+    """QUOTA: a job is cancelled around the take-over while a server that runs it is silent."""
+    async with running_fleet(servers=2, members=2, cpu_limit=_LIMIT_CPU) as fleet:
+        _set_duration(fleet, _LONG_MS)
+        accept_job(fleet.rows, build_spec(build_step(count=4, max_per_server=2)))
+        await fleet.advance_ms(_APPLY_MS)
+        assert len(fleet.servers["s2"].running()) == 2
+        fleet.leader.orders["s2"].is_unreachable = True
+        if is_cancelled_before:
+            cancel_job(fleet.rows, JOB_ID)
+            await fleet.advance_ms(_APPLY_MS)
+        await _take_over(fleet, unreachable=["s2"])
+        if not is_cancelled_before:
+            cancel_job(fleet.rows, JOB_ID)
+        await fleet.advance_ms(200)
+        accept_job(fleet.rows, build_spec(build_step(count=4), job_id=_NEW_JOB))
+        await fleet.advance_ms(_LAPSED_MS, check=_within_limit(fleet))
+        assert fleet.outcome(JOB_ID) == "cancelled"
+        assert len(fleet.running()) == _LIMIT_TASKS
+        assert fleet.leader.scheduler.current.job_tracker.job(JOB_ID) is None
--- a/fireflydeck/workload/lifecycle.py
+++ b/fireflydeck/workload/lifecycle.py
@@ -245,12 +245,13 @@
 def unaccounted_tasks(job: Job) -> Iterator[Task]:
     """Yield the tasks that have no known run and may have an unknown one, in any state of the job.
 
-    They are not done, and their step's dependencies are.
+    They are not done, and their step's dependencies are. The progress of a job that has ended is
+    not stored, so each of its tasks may have been started.
     """
     for task in job.tasks.values():
         if task.done or task.attempts:
             continue
-        if _dependencies_done(job, task.key):
+        if not job.is_open or _dependencies_done(job, task.key):
             yield task
 
 
