One place answers what may be running unknown to the holder

FleetKnowledge holds the lease times of earlier holders and returns HiddenUsage, which the planner and the closing of ended jobs ask by job; the version since which the tenure counts no longer travels beside it. No change of behaviour; the tests of scheduling pass unchanged but for the place of a constant.

--- a/fireflydeck/scheduling/fleet_knowledge.py
+++ b/fireflydeck/scheduling/fleet_knowledge.py
@@ -4,17 +4,30 @@
 runs of a queue ask here which servers may still run some of them.
 """
 
+from collections.abc import Mapping
+
 from attrs import define, field
 
 from fireflydeck.core import Clock
 from fireflydeck.core.placement import Resources
 from fireflydeck.kernel import Event, EventLog
 from fireflydeck.ownership.records import Tenure
+from fireflydeck.scheduling.hidden_usage import HiddenUsage
 from fireflydeck.scheduling.roster_rows import NO_WORK, PossibleWork
 from fireflydeck.scheduling.servers import RunCoverage, Server
+from fireflydeck.scheduling.session import LEASE_EXTENSION_GRACE_MS, SERVER_LEASE_MS
+from fireflydeck.workload.lifecycle import Job
 
 __all__ = ["FleetKnowledge"]
 
+_CLOCK_RATE_MARGIN = 1.03
+"""Factor on the duration of a lease; more than the 2% by which a server's clock may be slow."""
+_EXPIRY_SLACK_MS = 200
+_EARLIER_LEASE_MS = (
+    LEASE_EXTENSION_GRACE_MS + int(SERVER_LEASE_MS * _CLOCK_RATE_MARGIN) + _EXPIRY_SLACK_MS
+)
+"""Time after the start of a tenure at which every lease granted by earlier holders has expired."""
+
 
 @define(eq=False, kw_only=True)
 class FleetKnowledge:
@@ -24,20 +37,22 @@
     ----------
     servers
         Known backend servers by id.
-    earlier_lease_ms
-        Time after the start of the tenure at which every lease that an earlier holder granted to a
-        backend server has certainly expired, in milliseconds.
+    jobs
+        Jobs that are not closed, by id.
     """
 
     tenure: Tenure
     servers: dict[str, Server]
     clock: Clock
     log: EventLog
-    earlier_lease_ms: int
+    jobs: Mapping[str, Job]
     _is_complete: bool = field(default=False, init=False)
 
-    def hidden_work(self) -> PossibleWork:
-        """Return the work of earlier holders that may be running and is not known yet."""
+    def hidden_usage(self) -> HiddenUsage:
+        """Return what may be running without the holder's knowledge at this moment."""
+        return HiddenUsage(self._hidden_work(), self.tenure.since_version, self.jobs.values())
+
+    def _hidden_work(self) -> PossibleWork:
         hidden = [server for server in self.servers.values() if self.may_hide_runs(server)]
         if not hidden and self.servers and not self._is_complete:
             self._is_complete = True
@@ -57,7 +72,7 @@
         return server.has_accepted_term or not self._have_earlier_leases_expired()
 
     def _have_earlier_leases_expired(self) -> bool:
-        return self.clock.now_ms() >= self.tenure.since_ms + self.earlier_lease_ms
+        return self.clock.now_ms() >= self.tenure.since_ms + _EARLIER_LEASE_MS
 
 
 def _total_work(servers: list[Server]) -> PossibleWork:
--- a/fireflydeck/scheduling/hidden_usage.py
+++ b/fireflydeck/scheduling/hidden_usage.py
@@ -1,6 +1,6 @@
 """Upper bound of what organisations use on backend servers whose runs are not all known."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from attrs import define, field
 
@@ -13,7 +13,7 @@
 
 @define(eq=False)
 class HiddenUsage:
-    """Upper bound of each organisation's usage by runs that are not known, for one planning pass.
+    """Runs of earlier holders that are not known, and an upper bound of what they use.
 
     Two bounds hold: what all tasks that may be running demand, and the capacity of the servers on
     which they may run. The lower one counts, for each resource.
@@ -22,12 +22,16 @@
     ----------
     work
         Work of earlier holders that is not known yet.
+    since_version
+        Version of the store at which the tenure began. Only tasks of jobs that were stored before
+        can have such runs.
     jobs
-        Jobs that were stored before the tenure began; only their tasks can have such runs.
+        Jobs that are not closed.
     """
 
     work: PossibleWork = NO_WORK
-    jobs: Iterable[Job] = ()
+    since_version: int = 0
+    jobs: Collection[Job] = ()
     _usage: dict[str, Resources] | None = field(default=None, init=False)
 
     @property
@@ -35,6 +39,10 @@
         """Return whether there may be any."""
         return self.work.is_possible
 
+    def may_include(self, job: Job) -> bool:
+        """Return whether a task of the job may be running unknown to the holder."""
+        return job.stored_version <= self.since_version and self.work.may_include(job.spec.queue)
+
     def of(self, organisation: str) -> Resources:
         """Return the most that the unknown runs of an organisation can use."""
         if self._usage is None:
@@ -49,7 +57,7 @@
         """Return the demand of the tasks that may be running, without and of fill tasks."""
         sums: dict[str, tuple[Resources, Resources]] = {}
         for job in self.jobs:
-            if not self.work.may_include(job.spec.queue):
+            if not self.may_include(job):
                 continue
             demand, fill = sums.get(job.spec.organisation, (Resources(), Resources()))
             for task in unaccounted_tasks(job):
--- a/fireflydeck/scheduling/server_reports.py
+++ b/fireflydeck/scheduling/server_reports.py
@@ -12,12 +12,10 @@
 from fireflydeck.scheduling.pacing import Pacer
 from fireflydeck.scheduling.run_tracker import RunTracker
 from fireflydeck.scheduling.servers import RunCoverage, Server
-from fireflydeck.scheduling.session import SessionOwner
+from fireflydeck.scheduling.session import LEASE_EXTENSION_GRACE_MS, SessionOwner
 
-__all__ = ["LEASE_EXTENSION_GRACE_MS", "ServerReports"]
+__all__ = ["ServerReports"]
 
-LEASE_EXTENSION_GRACE_MS = 4000
-"""Time after the end of its own confirmed lease in which a holder still extends servers' leases."""
 _MAX_LEASE_MS = 6000
 """Longest lease that a backend server grants."""
 
--- a/fireflydeck/scheduling/session.py
+++ b/fireflydeck/scheduling/session.py
@@ -11,10 +11,18 @@
 from fireflydeck.kernel import EventLog, keep_running
 from fireflydeck.scheduling.servers import Server
 
-__all__ = ["SERVER_LEASE_MS", "ServerSession", "SessionOwner", "SessionSet"]
+__all__ = [
+    "LEASE_EXTENSION_GRACE_MS",
+    "SERVER_LEASE_MS",
+    "ServerSession",
+    "SessionOwner",
+    "SessionSet",
+]
 
 SERVER_LEASE_MS = 3000
 """Duration of the leases granted to backend servers."""
+LEASE_EXTENSION_GRACE_MS = 4000
+"""Time after the end of its own confirmed lease in which a holder still extends servers' leases."""
 _HEARTBEAT_WAIT_MS = 700
 """Time that a heartbeat waits for the end of a run; leases are extended at least this often."""
 _HEARTBEAT_PAUSE_MS = 20
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -182,9 +182,7 @@
             required_labels=demand.required_labels | required_labels(job),
         )
 
-    def plan(
-        self, servers: dict[str, Server], hidden: HiddenUsage, since_version: int
-    ) -> list[tuple[Server, Attempt]]:
+    def plan(self, servers: dict[str, Server], hidden: HiddenUsage) -> list[tuple[Server, Attempt]]:
         """Select the starts to send and reserve capacity for them.
 
         Parameters
@@ -192,24 +190,21 @@
         servers
             Known backend servers by id.
         hidden
-            Usage by work of earlier holders that is not known yet. Tasks of jobs that were stored
-            up to `since_version` are not started while they may be part of it.
-        since_version
-            Version of the store at which the tenure began.
+            Runs of earlier holders that are not known. The tasks that may be among them are not
+            started.
         """
         configuration = self.operators.configuration
         if configuration is None or not self.sender.has_fresh_documents():
             return []
         now_ms = self.clock.now_ms()
         self._hidden_usage = hidden
-        may_be_hidden = hidden.work.may_include
         rooms = self._rooms(servers, configuration, now_ms)
         starts: list[tuple[Server, Attempt]] = []
         for queue, queued in self._ranked_jobs(configuration, now_ms):
             room = rooms.get(queue.pool)
             if room is None:
                 continue
-            if queued.job.stored_version <= since_version and may_be_hidden(queue.name):
+            if hidden.may_include(queued.job):
                 continue
             starts.extend(self._place_job(configuration, queued, room, now_ms))
         return starts
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -25,7 +25,6 @@
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.ownership.records import Tenure
 from fireflydeck.scheduling.fleet_knowledge import FleetKnowledge
-from fireflydeck.scheduling.hidden_usage import HiddenUsage
 from fireflydeck.scheduling.job_tracker import JobTracker
 from fireflydeck.scheduling.journal import ProgressJournal
 from fireflydeck.scheduling.order_sender import OrderSender
@@ -36,9 +35,9 @@
 from fireflydeck.scheduling.roster_rows import RosterEntry
 from fireflydeck.scheduling.row_shortener import JobRowShortener
 from fireflydeck.scheduling.run_tracker import RunTracker
-from fireflydeck.scheduling.server_reports import LEASE_EXTENSION_GRACE_MS, ServerReports
+from fireflydeck.scheduling.server_reports import ServerReports
 from fireflydeck.scheduling.servers import Server
-from fireflydeck.scheduling.session import SERVER_LEASE_MS, SessionSet
+from fireflydeck.scheduling.session import SessionSet
 from fireflydeck.scheduling.start_planner import StartPlanner
 from fireflydeck.scheduling.ticket_cache import TicketCache
 from fireflydeck.scheduling.vm_fleet import VmFleet, VmOperationTimes
@@ -50,13 +49,6 @@
 
 OrdersFactory = Callable[[Registration], BackendServerOrders]
 
-_CLOCK_RATE_MARGIN = 1.03
-"""Factor on the duration of a lease; more than the 2% by which a server's clock may be slow."""
-_EXPIRY_SLACK_MS = 200
-_EARLIER_LEASE_MS = (
-    LEASE_EXTENSION_GRACE_MS + int(SERVER_LEASE_MS * _CLOCK_RATE_MARGIN) + _EXPIRY_SLACK_MS
-)
-"""Time after the start of a tenure at which every lease granted by earlier holders has expired."""
 _LEASE_CHECK_INTERVAL_MS = 100
 _PLAN_DELAY_MS = 4
 _LOAD_RETRY_MS = 100
@@ -116,13 +108,6 @@
         self._usage = OrganisationUsage()
         self._tasks: TaskGroup | None = None
         self._plan_wake = anyio.Event()
-        self._knowledge = FleetKnowledge(
-            tenure=tenure,
-            servers=self._servers,
-            clock=clock,
-            log=log,
-            earlier_lease_ms=_EARLIER_LEASE_MS,
-        )
         self._roster = Roster(
             term=tenure.term,
             store=store,
@@ -143,6 +128,13 @@
             on_applied=self.request_planning,
             shortener=self._shortener,
         )
+        self._knowledge = FleetKnowledge(
+            tenure=tenure,
+            servers=self._servers,
+            clock=clock,
+            log=log,
+            jobs=self._job_tracker.jobs,
+        )
         self._journal = ProgressJournal(
             lease, clock, log, on_commit=self._on_commit, fail_job=self._fail_job
         )
@@ -392,18 +384,14 @@
 
     def _close_ended_jobs(self) -> None:
         """Close the jobs whose outcome is stored and that have no runs, known or unknown."""
-        hidden = self._knowledge.hidden_work()
+        hidden = self._knowledge.hidden_usage()
         for job in list(self._job_tracker.jobs.values()):
             if not job.outcome_stored or any(task.attempts for task in job.tasks.values()):
                 continue
-            if not (self._is_earlier(job) and hidden.may_include(job.spec.queue)):
+            if not hidden.may_include(job):
                 self._job_tracker.close_job(job)
                 self._planner.remove_job(job)
 
-    def _is_earlier(self, job: Job) -> bool:
-        """Return whether earlier holders may have started tasks of the job."""
-        return job.stored_version <= self._tenure.since_version
-
     async def _check_leases(self) -> None:
         while True:
             await self._clock.sleep_ms(_LEASE_CHECK_INTERVAL_MS)
@@ -425,10 +413,8 @@
             if not self._lease.is_valid():
                 continue
             self._roster.store_new_queues()
-            earlier_jobs = filter(self._is_earlier, self._job_tracker.jobs.values())
-            hidden = HiddenUsage(self._knowledge.hidden_work(), earlier_jobs)
             starts: Iterable[tuple[Server, Attempt]] = self._planner.plan(
-                self._servers, hidden, self._tenure.since_version
+                self._servers, self._knowledge.hidden_usage()
             )
             for server, attempt in starts:
                 self._run_in_background("start", self._sender.send_start, server, attempt)
