The roster lists queues by pool, and a refused list does not keep the roster from being stored

The new row named the queues of each of 350 servers and outgrew max_row_bytes, so the store refused the roster for good, and no server may get work before it is in the roster.

Change: the row names the queues by pool, compressed, and keeps beside the present queues only those with jobs that are not closed. A queue that is new or has moved starts nothing until it is stored; other queues of the pool go on. If the row is refused all the same it is removed, and the next holder expects any task on any server.

--- a/fireflydeck/scheduling/roster.py
+++ b/fireflydeck/scheduling/roster.py
@@ -1,13 +1,13 @@
 """Stored list of the backend servers on which the lease holder may have started runs."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import anyio
 import msgpack
 from attrs import define, field
 
-from fireflydeck.core import Failure
-from fireflydeck.core.fleet_configuration import FleetConfiguration
+from fireflydeck.core import Failure, Reason
+from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
 from fireflydeck.core.rows import RowStore, StoredRow
 from fireflydeck.kernel import Event, EventLog
@@ -15,14 +15,17 @@
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.ownership.records import ROSTER_ROW, ROSTER_WORK_ROW
 from fireflydeck.scheduling.roster_rows import (
+    ANY_WORK,
     NO_WORK,
     PossibleWork,
     RosterEntry,
     decode_entry,
     decode_work,
-    roster_writes,
+    servers_write,
+    work_write,
 )
-from fireflydeck.scheduling.servers import Server
+from fireflydeck.scheduling.servers import RunCoverage, Server
+from fireflydeck.workload.lifecycle import Job
 
 __all__ = ["Roster", "placeholder"]
 
@@ -33,12 +36,15 @@
 class Roster:
     """Writer of the roster, which contains each backend server before it gets any work.
 
+    It also names the pools in which tasks of each queue may be running, before one is started
+    there: the pool of a queue can change while its tasks run.
+
     Parameters
     ----------
     term
         Term of the current tenure.
-    servers
-        Backend servers by id.
+    servers, jobs
+        Backend servers and jobs that are not closed, by id.
     on_stored
         Called after the roster was stored.
     """
@@ -47,9 +53,13 @@
     store: RowStore
     lease: LeaseKeeper
     operators: OperatorDocuments
-    servers: dict[str, Server]
+    servers: Mapping[str, Server]
+    jobs: Mapping[str, Job]
     log: EventLog
     on_stored: Callable[[], None]
+    _earlier: dict[str, PossibleWork] | None = field(default=None, init=False)
+    _stored: dict[str, frozenset[str]] = field(factory=dict, init=False)
+    _is_work_stored: bool = field(default=True, init=False)
     _checked_configuration: FleetConfiguration | None = field(default=None, init=False)
     _wake: anyio.Event = field(factory=anyio.Event, init=False)
 
@@ -57,8 +67,12 @@
         """Request that the roster is stored again soon."""
         self._wake.set()
 
-    async def load(self, add: Callable[[RosterEntry], None]) -> Failure | None:
-        """Read the roster and pass each server on it to `add`.
+    def may_start(self, queue: JobQueue) -> bool:
+        """Return whether a later holder would look for tasks of the queue in its present pool."""
+        return not self._is_work_stored or queue.name in self._stored.get(queue.pool, ())
+
+    async def load(self, add: Callable[[RosterEntry, PossibleWork], None]) -> Failure | None:
+        """Read the roster and pass each server on it to `add`, with the work it may have.
 
         An earlier holder may have started runs on these servers.
         """
@@ -68,22 +82,22 @@
         if result.is_error():
             return result.error
         rows = {row.id: row for row in result.ok.rows}
+        self._earlier = self._decode_work(rows.get(ROSTER_WORK_ROW))
         if ROSTER_ROW in rows:
-            work = self._decode_work(rows.get(ROSTER_WORK_ROW))
-            self._add_servers(rows[ROSTER_ROW], work, add)
+            self._add_servers(rows[ROSTER_ROW], add)
         return None
 
-    def _decode_work(self, row: StoredRow | None) -> dict[str, PossibleWork]:
+    def _decode_work(self, row: StoredRow | None) -> dict[str, PossibleWork] | None:
         if row is None:
-            return {}
+            return None
         try:
             return decode_work(row.value, self.term - 1)
         except ValueError as error:
             self._log_unreadable(row, error)
-            return {}
+            return None
 
     def _add_servers(
-        self, row: StoredRow, work: dict[str, PossibleWork], add: Callable[[RosterEntry], None]
+        self, row: StoredRow, add: Callable[[RosterEntry, PossibleWork], None]
     ) -> None:
         """Pass each readable entry to `add`, and log the others."""
         try:
@@ -93,11 +107,14 @@
             return
         for fields in entries:
             try:
-                entry = decode_entry(fields, work)
+                entry = decode_entry(fields)
             except (TypeError, ValueError) as error:
                 self._log_unreadable(row, error)
             else:
-                add(entry)
+                add(entry, self._earlier_work(entry.pool))
+
+    def _earlier_work(self, pool: str) -> PossibleWork:
+        return ANY_WORK if self._earlier is None else self._earlier.get(pool, NO_WORK)
 
     def _log_unreadable(self, row: StoredRow, error: Exception) -> None:
         self.log.emit(
@@ -108,16 +125,13 @@
         )
 
     def store_new_queues(self) -> None:
-        """Store the roster if a configuration has added a queue to a server's pool."""
+        """Store the roster if a configuration has sent a queue to another pool, or a new one."""
         configuration = self.operators.configuration
         if configuration is None or configuration is self._checked_configuration:
             return
         self._checked_configuration = configuration
-        if any(
-            not configuration.queues_of_pool(server.registration.pool) <= server.stored_queues
-            for server in self.servers.values()
-            if server.is_registered
-        ):
+        is_stored = self._is_work_stored
+        if not is_stored or not all(self.may_start(queue) for queue in configuration.queues):
             self.request_store()
 
     async def store_changes(self) -> None:
@@ -126,34 +140,80 @@
             await self._wake.wait()
             self._wake = anyio.Event()
             servers = list(self.servers.values())
-            entries = [self._entry(server) for server in servers]
-            if await self.lease.commit(roster_writes(entries, self.term), []) is not None:
+            if await self._store(servers) is not None:
                 return
-            for server, entry in zip(servers, entries, strict=True):
+            for server in servers:
                 server.is_in_roster = True
-                server.stored_queues = entry.work.queues
             self.on_stored()
 
-    def _entry(self, server: Server) -> RosterEntry:
-        registration = server.registration
+    async def _store(self, servers: list[Server]) -> Failure | None:
+        entries = [
+            RosterEntry(server.id, server.registration.pool, server.registration.address)
+            for server in servers
+        ]
+        work = self._work_by_pool(servers)
+        # What the new row lacks is not started from now on, even if it is needed again.
+        self._stored = {
+            pool: queues & work[pool].queues
+            for pool, queues in self._stored.items()
+            if pool in work
+        }
+        failure = await self.lease.commit([servers_write(entries), work_write(work, self.term)], [])
+        is_work_refused = failure is not None and failure.reason == Reason.BAD_REQUEST
+        if is_work_refused:
+            # Without the row of the work, the next holder expects any task on any server.
+            failure = await self.lease.commit([servers_write(entries)], [ROSTER_WORK_ROW])
+        if failure is None:
+            self._is_work_stored = not is_work_refused
+            self._stored = {pool: item.queues for pool, item in work.items()}
+        return failure
+
+    def _work_by_pool(self, servers: list[Server]) -> dict[str, PossibleWork]:
+        """Return what a later holder has to expect on the servers of each pool.
+
+        These are tasks of the queues that run there now, and of those that did and still have jobs.
+        """
         configuration = self.operators.configuration
-        queues = configuration.queues_of_pool(registration.pool) if configuration else frozenset()
-        work = _work_to_store(server, queues)
-        return RosterEntry(server.id, registration.pool, registration.address, work)
-
+        earlier = self._earlier or {}
+        pools = {server.registration.pool for server in servers}
+        pools |= self._stored.keys() | earlier.keys()
+        if configuration is not None:
+            pools |= {queue.pool for queue in configuration.queues}
+        queues_with_jobs = {job.spec.queue for job in self.jobs.values()}
+        capacity = _largest_capacity(servers)
+        work: dict[str, PossibleWork] = {}
+        for pool in pools:
+            before = self._stored.get(pool, frozenset()) | self._earlier_work(pool).queues
+            present = configuration.queues_of_pool(pool) if configuration else frozenset()
+            work[pool] = PossibleWork(
+                queues=present | (before & queues_with_jobs),
+                may_be_other=self._is_any_work_possible(),
+                capacity=capacity,
+            )
+        return work
+
+    def _is_any_work_possible(self) -> bool:
+        """Return whether an earlier holder may have left any work, on servers not heard of yet."""
+        return self._earlier is None and any(
+            server.earlier_work.may_be_other and server.coverage != RunCoverage.COMPLETE
+            for server in self.servers.values()
+        )
 
-def _work_to_store(server: Server, queues: frozenset[str]) -> PossibleWork:
-    """Return the work that a later holder has to expect on a server, with tasks of `queues`.
 
-    Queues are only added until the server is settled, since runs whose ends are not acknowledged
-    yet may belong to any of the earlier ones.
-    """
-    if server.is_settled():
-        server.earlier_work = NO_WORK
-    earlier = server.earlier_work
-    capacity = server.registration.capacity if server.is_registered else earlier.capacity
-    return PossibleWork(
-        queues | server.stored_queues | earlier.queues, earlier.may_be_other, capacity
+def _largest_capacity(servers: list[Server]) -> Resources | None:
+    """Return an upper bound of the capacity of each server, or `None` if none is known."""
+    known = [server.registration.capacity for server in servers if server.is_registered]
+    known += [
+        server.earlier_work.capacity
+        for server in servers
+        if server.earlier_work.capacity is not None
+    ]
+    if not known:
+        return None
+    return Resources(
+        max(item.cpu for item in known),
+        max(item.memory_mb for item in known),
+        max(item.accelerators for item in known),
     )
 
 
--- a/fireflydeck/scheduling/roster_rows.py
+++ b/fireflydeck/scheduling/roster_rows.py
@@ -1,21 +1,31 @@
 """Rows that tell a later holder of the lease where tasks may be running.
 
 The row of the servers is written by every version of the program. The row of the work was added
-later: a roster without it, or with one of another term, may have any task on any server.
+later: without it, or with one of another term, any task may be on any server.
 """
 
-from collections.abc import Iterable
+import zlib
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import msgpack
-from attrs import frozen
+from attrs import evolve, frozen
 
 from fireflydeck.core.placement import Resources
 from fireflydeck.core.rows import RowWrite
 from fireflydeck.core.typed_values import mistyped_fields
 from fireflydeck.ownership.records import ROSTER_ROW, ROSTER_WORK_ROW
 
-__all__ = ["NO_WORK", "RosterEntry", "PossibleWork", "decode_entry", "decode_work", "roster_writes"]
+__all__ = [
+    "ANY_WORK",
+    "NO_WORK",
+    "PossibleWork",
+    "RosterEntry",
+    "decode_entry",
+    "decode_work",
+    "servers_write",
+    "work_write",
+]
 
 
 @frozen
@@ -29,11 +39,11 @@
     may_be_other
         Whether it may also be tasks of other queues.
     capacity
-        Capacity of the server or the servers; `None` if it is not known.
+        Upper bound of the capacity of the server or the servers; `None` if it is not known.
     """
 
     queues: frozenset[str] = frozenset()
-    may_be_other: bool = True
+    may_be_other: bool = False
     capacity: Resources | None = None
 
     @property
@@ -46,8 +56,10 @@
         return self.may_be_other or queue in self.queues
 
 
-NO_WORK = PossibleWork(may_be_other=False)
+NO_WORK = PossibleWork()
 """No task can be running."""
+ANY_WORK = PossibleWork(may_be_other=True)
+"""Any task may be running."""
 
 
 @frozen
@@ -57,20 +69,15 @@
     server_id: str
     pool: str
     address: str
-    work: PossibleWork = PossibleWork()
 
 
-def roster_writes(entries: Iterable[RosterEntry], term: int) -> list[RowWrite]:
-    """Return the writes that store the roster of a term."""
-    servers = [[entry.server_id, entry.pool, entry.address] for entry in entries]
-    work = {entry.server_id: _encode_work(entry.work) for entry in entries}
-    return [
-        RowWrite(ROSTER_ROW, msgpack.packb(servers)),
-        RowWrite(ROSTER_WORK_ROW, msgpack.packb([term, work])),
-    ]
+def servers_write(entries: Iterable[RosterEntry]) -> RowWrite:
+    """Return the write of the row of the servers."""
+    rows = [[entry.server_id, entry.pool, entry.address] for entry in entries]
+    return RowWrite(ROSTER_ROW, msgpack.packb(rows))
 
 
-def decode_entry(fields: Any, work: dict[str, PossibleWork]) -> RosterEntry:
+def decode_entry(fields: Any) -> RosterEntry:
     """Decode an entry of the row of the servers.
 
     Raises
@@ -82,11 +89,18 @@
     entry = RosterEntry(server_id, pool, address)
     if mistyped_fields(entry):
         raise TypeError("not a roster entry")
-    return RosterEntry(server_id, pool, address, work.get(server_id, PossibleWork()))
+    return entry
+
+
+def work_write(work_by_pool: Mapping[str, PossibleWork], term: int) -> RowWrite:
+    """Return the write of the row of the work on each server of a pool, stored by a term."""
+    pools = {pool: _encode_work(work) for pool, work in work_by_pool.items()}
+    content = msgpack.packb([term, pools])
+    return RowWrite(ROSTER_WORK_ROW, zlib.compress(content))
 
 
-def decode_work(content: bytes, term: int) -> dict[str, PossibleWork]:
-    """Decode the row of the work, by the id of the server; empty if another term wrote it.
+def decode_work(content: bytes, term: int) -> dict[str, PossibleWork] | None:
+    """Decode the work on each server of a pool, by pool; `None` if another term stored it.
 
     Raises
     ------
@@ -94,12 +108,12 @@
         If the content is not such a row.
     """
     try:
-        written_term, work = msgpack.unpackb(content)
+        written_term, pools = msgpack.unpackb(zlib.decompress(content))
         if written_term != term:
-            return {}
-        return {server_id: _decode_work(fields) for server_id, fields in work.items()}
-    except (TypeError, ValueError, AttributeError) as error:
-        raise ValueError(f"not the work of servers: {type(error).__name__}") from error
+            return None
+        return {pool: _decode_work(fields) for pool, fields in pools.items()}
+    except (TypeError, ValueError, AttributeError, zlib.error) as error:
+        raise ValueError(f"not the work of pools: {type(error).__name__}") from error
 
 
 def _encode_work(work: PossibleWork) -> list[Any]:
@@ -113,9 +127,9 @@
 
 def _decode_work(fields: Any) -> PossibleWork:
     queues, may_be_other, capacity = fields
-    work = PossibleWork(
-        frozenset(queues), may_be_other, None if capacity is None else Resources(*capacity)
-    )
+    work = PossibleWork(frozenset(queues), may_be_other)
+    if capacity is not None:
+        work = evolve(work, capacity=Resources(*capacity))
     if mistyped_fields(work):
         raise ValueError("a field is invalid")
     return work
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -54,9 +54,6 @@
         Ends that wait for a commit, as pairs of the number of the end and that of the commit.
     is_in_roster
         Whether the stored roster contains it, so that a later holder will query its runs.
-    stored_queues
-        Queues that the stored roster names as its work. Only their tasks may be started on it, so
-        that a later holder waits for its answer before it starts them again.
     earlier_work
         Work that earlier holders may have left on it.
     acknowledged_end
@@ -83,7 +80,6 @@
     orders: BackendServerOrders
     is_registered: bool = True
     is_in_roster: bool = False
-    stored_queues: frozenset[str] = frozenset()
     earlier_work: PossibleWork = NO_WORK
     born_ms: int = 0
     clock_ms: int = 0
@@ -145,14 +141,6 @@
         """Return whether it is certain that nothing runs here."""
         return self.coverage == RunCoverage.COMPLETE and self.is_reachable and not self.attempts
 
-    def is_settled(self) -> bool:
-        """Return whether no run is left and the ends of all runs are acknowledged."""
-        return (
-            self.coverage == RunCoverage.COMPLETE
-            and not self.attempts
-            and self.acknowledged_end >= self.last_end
-        )
-
     def needs_heartbeat(self) -> bool:
         """Return whether heartbeats are needed.
 
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -79,6 +79,8 @@
         Reserves the capacity that an attempt uses.
     drop
         Forgets an attempt and frees its capacity.
+    may_start
+        Returns whether tasks of a queue may be started in its pool.
     fail_job
         Fails a job that has a task without further attempts.
     """
@@ -91,6 +93,7 @@
     sender: OrderSender
     reserve: Callable[[Attempt], None]
     drop: Callable[[Attempt], None]
+    may_start: Callable[[JobQueue], bool]
     fail_job: Callable[[Job], None]
     _queued: dict[str, _QueuedJob] = field(factory=dict, init=False)
     _inflow: Inflow = field(factory=Inflow, init=False)
@@ -198,13 +201,13 @@
             return []
         now_ms = self.clock.now_ms()
         self._hidden_usage = hidden
-        rooms = self._rooms(servers, configuration, now_ms)
+        rooms = self._rooms(servers, now_ms)
         starts: list[tuple[Server, Attempt]] = []
         for queue, queued in self._ranked_jobs(configuration, now_ms):
             room = rooms.get(queue.pool)
             if room is None:
                 continue
-            if hidden.may_include(queued.job):
+            if hidden.may_include(queued.job) or not self.may_start(queue):
                 continue
             starts.extend(self._place_job(configuration, queued, room, now_ms))
         return starts
@@ -257,20 +260,13 @@
             starts.append(start)
         return starts
 
-    def _rooms(
-        self, servers: dict[str, Server], configuration: FleetConfiguration, now_ms: int
-    ) -> dict[str, PoolRoom]:
-        """Return the servers that accept starts of all queues of their pool, by pool."""
+    def _rooms(self, servers: dict[str, Server], now_ms: int) -> dict[str, PoolRoom]:
+        """Return the servers that accept starts, by pool."""
         evacuated = self.operators.evacuated_data_centres
         by_pool: dict[str, list[Server]] = {}
         for server in servers.values():
-            pool = server.registration.pool
-            if (
-                server.accepts_starts(now_ms)
-                and server.registration.data_centre not in evacuated
-                and configuration.queues_of_pool(pool) <= server.stored_queues
-            ):
-                by_pool.setdefault(pool, []).append(server)
+            if server.accepts_starts(now_ms) and server.registration.data_centre not in evacuated:
+                by_pool.setdefault(server.registration.pool, []).append(server)
         return {pool: PoolRoom(members) for pool, members in by_pool.items()}
 
     def _ranked_jobs(
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -32,7 +32,7 @@
 from fireflydeck.scheduling.pacing import Pacer
 from fireflydeck.scheduling.retention import Retention
 from fireflydeck.scheduling.roster import Roster, placeholder
-from fireflydeck.scheduling.roster_rows import RosterEntry
+from fireflydeck.scheduling.roster_rows import PossibleWork, RosterEntry
 from fireflydeck.scheduling.row_shortener import JobRowShortener
 from fireflydeck.scheduling.run_tracker import RunTracker
 from fireflydeck.scheduling.server_reports import ServerReports
@@ -108,15 +108,6 @@
         self._usage = OrganisationUsage()
         self._tasks: TaskGroup | None = None
         self._plan_wake = anyio.Event()
-        self._roster = Roster(
-            term=tenure.term,
-            store=store,
-            lease=lease,
-            operators=operators,
-            servers=self._servers,
-            log=log,
-            on_stored=self.request_planning,
-        )
         self._registrations = Registrations(store, clock, log, self._on_registration)
         self._shortener = JobRowShortener(store, clock, log)
         self._job_tracker = JobTracker(
@@ -135,6 +126,16 @@
             log=log,
             jobs=self._job_tracker.jobs,
         )
+        self._roster = Roster(
+            term=tenure.term,
+            store=store,
+            lease=lease,
+            operators=operators,
+            servers=self._servers,
+            jobs=self._job_tracker.jobs,
+            log=log,
+            on_stored=self.request_planning,
+        )
         self._journal = ProgressJournal(
             lease, clock, log, on_commit=self._on_commit, fail_job=self._fail_job
         )
@@ -180,6 +181,7 @@
             sender=self._sender,
             reserve=self._run_tracker.reserve,
             drop=self._run_tracker.drop,
+            may_start=self._roster.may_start,
             fail_job=self._run_tracker.fail_job,
         )
         self._run_tracker.planner = self._planner
@@ -303,13 +305,13 @@
             log_store_failure(self._log, failure)
             await self._clock.sleep_ms(_LOAD_RETRY_MS)
 
-    def _add_roster_server(self, entry: RosterEntry) -> None:
+    def _add_roster_server(self, entry: RosterEntry, work: PossibleWork) -> None:
         registration = placeholder(entry)
         self._servers[entry.server_id] = Server(
             registration,
             self._make_orders(registration),
             is_registered=False,
-            earlier_work=entry.work,
+            earlier_work=work,
         )
 
     # Notifications
