A roster without the row of the work is remembered until all runs are known, and no longer

Two gaps of the row that tells where tasks may be running, found on reading it again: the third holder after an older build trusted a row that its predecessor had written without knowing the servers, and started running tasks again (TWICE); and the note "any work" stayed in the row after all runs were known, so that a silent server held back queues that it never ran.

Tests, seen to fail before: test_later_holders_remember_the_earlier_pool_of_a_queue with the row removed (three changes of the holder), test_roster_of_an_older_version_is_forgotten_once_all_runs_are_known.

--- a/fireflydeck/scheduling/roster.py
+++ b/fireflydeck/scheduling/roster.py
@@ -60,6 +60,7 @@
     _earlier: dict[str, PossibleWork] | None = field(default=None, init=False)
     _stored: dict[str, frozenset[str]] = field(factory=dict, init=False)
     _is_work_stored: bool = field(default=True, init=False)
+    _is_any_work_stored: bool = field(default=False, init=False)
     _checked_configuration: FleetConfiguration | None = field(default=None, init=False)
     _wake: anyio.Event = field(factory=anyio.Event, init=False)
 
@@ -124,8 +125,15 @@
             detail=type(error).__name__,
         )
 
-    def store_new_queues(self) -> None:
-        """Store the roster if a configuration has sent a queue to another pool, or a new one."""
+    def store_changed_work(self) -> None:
+        """Store the roster if the work that may be on the servers is not what it says.
+
+        That is so if a configuration has a new queue or sends one to another pool, and once all
+        work of earlier holders is known if the roster says that it may be any.
+        """
+        if self._is_any_work_stored and not self._is_any_work_possible():
+            self._is_any_work_stored = False
+            self.request_store()
         configuration = self.operators.configuration
         if configuration is None or configuration is self._checked_configuration:
             return
@@ -166,6 +174,7 @@
         if failure is None:
             self._is_work_stored = not is_work_refused
             self._stored = {pool: item.queues for pool, item in work.items()}
+            self._is_any_work_stored = any(item.may_be_other for item in work.values())
         return failure
 
     def _work_by_pool(self, servers: list[Server]) -> dict[str, PossibleWork]:
@@ -194,7 +203,7 @@
 
     def _is_any_work_possible(self) -> bool:
         """Return whether an earlier holder may have left any work, on servers not heard of yet."""
-        return self._earlier is None and any(
+        return any(
             server.earlier_work.may_be_other and server.coverage != RunCoverage.COMPLETE
             for server in self.servers.values()
         )
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -414,7 +414,7 @@
             self._plan_wake = anyio.Event()
             if not self._lease.is_valid():
                 continue
-            self._roster.store_new_queues()
+            self._roster.store_changed_work()
             starts: Iterable[tuple[Server, Attempt]] = self._planner.plan(
                 self._servers, self._knowledge.hidden_usage()
             )
--- a/fireflydeck/scheduling/tests/test_incomplete_knowledge.py
+++ b/fireflydeck/scheduling/tests/test_incomplete_knowledge.py
@@ -100,16 +100,19 @@
         assert [task for task, _ in fleet.starts()] == [f"{JOB_ID}.0.0.0"]
 
 
-async def test_later_holders_remember_the_earlier_pool_of_a_queue():
-    """Also the second holder after the change of the pool knows where runs may be left."""
-    async with running_fleet(servers=1, members=3) as fleet:
+@pytest.mark.parametrize("spoil", [None, _remove_roster_work])
+async def test_later_holders_remember_the_earlier_pool_of_a_queue(spoil):
+    """Also the third holder after the change of the pool knows where runs may be left."""
+    async with running_fleet(servers=1, members=4) as fleet:
         fleet.add_server("s2", service="press")
         _set_duration(fleet, _LONG_MS)
         accept_job(fleet.rows, build_spec(build_step(count=4)))
         await fleet.advance_ms(500)
         put_configuration(fleet.rows, version=4, pool="press")
         await fleet.advance_ms(_APPLY_MS)
-        for _ in range(2):
+        if spoil is not None:
+            spoil(fleet)
+        for _ in range(3):
             for member in fleet.members:
                 member.unreachable = {"s1"}
             first = fleet.leader
@@ -272,3 +275,25 @@
         assert fleet.outcome(JOB_ID) == "cancelled"
         assert len(fleet.running()) == _LIMIT_TASKS
         assert fleet.leader.scheduler.current.job_tracker.job(JOB_ID) is None
+
+
+async def test_roster_of_an_older_version_is_forgotten_once_all_runs_are_known():
+    """The second holder after it waits only for servers that may run the job's queue."""
+    async with running_fleet(servers=1, members=3) as fleet:
+        fleet.add_server("s2", service="press")
+        await fleet.advance_ms(_APPLY_MS)
+        _remove_roster_work(fleet)
+        await _take_over(fleet)
+        await fleet.advance_ms(_APPLY_MS)
+        for member in fleet.members:
+            member.unreachable = {"s2"}
+            for orders in member.orders.values():
+                orders.is_unreachable = True
+        accept_job(fleet.rows, build_spec())
+        await fleet.advance_ms(_APPLY_MS)
+        second = fleet.leader
+        second.store.outage = Ran.UNKNOWN
+        while second.is_leader or not any(member.is_leader for member in fleet.members):
+            await fleet.advance_ms(20)
+        await fleet.advance_ms(1000)
+        assert [task for task, _ in fleet.starts()] == [f"{JOB_ID}.0.0.0"]
