Roster: while its work is stored anew after a refusal, only stored queues start

A configuration read during that commit could have let a queue start that the row lacks. Two comments follow the present form of the row. test_roster passes as before; the window has no test of its own.

--- a/fireflydeck/ownership/records.py
+++ b/fireflydeck/ownership/records.py
@@ -28,7 +28,7 @@
 ROSTER_ROW = RowKey("roster", FLEET_PARTITION, "servers")
 """Backend servers on which tasks that the holder started may be running."""
 ROSTER_WORK_ROW = RowKey("roster", FLEET_PARTITION, "work")
-"""Queues whose tasks may be running on each of these servers, and the servers' capacity."""
+"""Queues whose tasks may be running in each pool, and a bound of its servers' capacity."""
 VM_OPERATIONS_ROW = RowKey("roster", FLEET_PARTITION, "duties")
 """VMs that got an order recently, have had their maintenance, or came from standby."""
 
--- a/fireflydeck/scheduling/hidden_usage.py
+++ b/fireflydeck/scheduling/hidden_usage.py
@@ -1,4 +1,4 @@
-"""Upper bound of what organisations use on backend servers whose runs are not all known."""
+"""Runs that are not known to the lease holder, and an upper bound of what they use."""
 
 from collections.abc import Collection
 
--- a/fireflydeck/scheduling/roster.py
+++ b/fireflydeck/scheduling/roster.py
@@ -166,6 +166,7 @@
             for pool, queues in self._stored.items()
             if pool in work
         }
+        self._is_work_stored = True
         failure = await self.lease.commit([servers_write(entries), work_write(work, self.term)], [])
         is_work_refused = failure is not None and failure.reason == Reason.BAD_REQUEST
         if is_work_refused:
