--- a/fireflydeck/testing/processes.py
+++ b/fireflydeck/testing/processes.py
@@ -106,8 +106,10 @@
         self._process.wait()
 
     def pause(self) -> None:
-        """Suspend the process."""
+        """Suspend the process and wait until it is stopped; a signal may take effect later."""
         self.send(signal.SIGSTOP)
+        if self.returncode is None:
+            os.waitid(os.P_PID, self.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
 
     def resume(self) -> None:
         """Resume a suspended process."""
