--- a/review/small_site.py
+++ b/review/small_site.py
@@ -184,15 +184,22 @@
     ----------
     is_unhealthy
         Whether it refuses all starts.
+    is_down
+        Whether it is down; connections to it are reset.
     """
 
     def __init__(self, server_id: str, server: TaskServer, late_orders: LateOrders) -> None:
         super().__init__(server_id, server)
         self._late_orders = late_orders
         self.is_unhealthy = False
+        self.is_down = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one order, or carry it out later."""
+        if self.is_down:
+            if request.transport is not None:
+                request.transport.abort()
+            return web.Response(status=500)
         if self.is_unhealthy and request.path == "/-/run-start":
             return web.Response(status=_UNAVAILABLE)
         delay_s = self._late_orders.delay_s()
@@ -319,17 +326,25 @@
         """
         for sequence in itertools.count(1):
             for server_id, address in addresses.items():
-                put_registration(
-                    self.store.rows,
-                    server_id,
-                    address=address,
-                    sequence=sequence,
-                    clock_ms=self.servers[server_id].clock_ms(),
-                    born_ms=self.servers[server_id].born_ms,
-                    labels=(labels or {}).get(server_id, _LABELS),
-                )
+                if not self.server_apps[server_id].is_down:
+                    self.register(server_id, address, sequence, (labels or {}).get(server_id))
                 await asyncio.sleep(_HEARTBEAT_S / len(addresses))
 
+    def register(
+        self, server_id: str, address: str, sequence: int, labels: list[str] | None = None
+    ) -> None:
+        """Write the registration of a backend server."""
+        server = self.servers[server_id]
+        put_registration(
+            self.store.rows,
+            server_id,
+            address=address,
+            sequence=sequence,
+            clock_ms=server.clock_ms(),
+            born_ms=server.born_ms,
+            labels=labels or _LABELS,
+        )
+
     async def start_entries(self, names: tuple[str, ...], vm_addresses: dict[str, str]) -> None:
         """Start the entry processes, each with a link of its own to the store.
 
