--- a/review/small_site.py
+++ b/review/small_site.py
@@ -9,6 +9,7 @@
 import logging
 import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -52,6 +53,8 @@
 _ANSWER_S = 0.004
 _TRANSACTION_S = 0.006
 _CHUNK_BYTES = 65_536
+_FIRST_PORT = 23_000
+_PORT_COUNT = 9_000
 _ROOT = Path(__file__).resolve().parent.parent
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -151,11 +154,20 @@
             await writer.drain()
 
 
+_port_offsets = itertools.count(os.getpid() * 97 % _PORT_COUNT)
+
+
 def _free_address() -> str:
-    """Return an address on loopback that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        return f"{_HOST}:{probe.getsockname()[1]}"
+    """Return an address on loopback that nothing listens on, below the ephemeral ports."""
+    for offset in itertools.islice(_port_offsets, _PORT_COUNT):
+        port = _FIRST_PORT + offset % _PORT_COUNT
+        with socket.socket() as probe:
+            try:
+                probe.bind((_HOST, port))
+            except OSError:
+                continue
+            return f"{_HOST}:{port}"
+    raise CaseNotRunError("no free port")
 
 
 class LateOrders:
@@ -419,6 +431,8 @@
     record.add(f"disruption: {'yes' if is_troubled else 'no'}")
 
     async def main() -> list[str]:
+        if (task := asyncio.current_task()) is not None:
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with TemporaryDirectory() as directory:
             async with AsyncExitStack() as stack:
                 site = SmallSite(Path(directory), stack, record)
@@ -427,7 +441,7 @@
 
     try:
         broken = asyncio.run(main())
-    except (CaseNotRunError, TimeoutError, OSError) as error:
+    except (CaseNotRunError, OSError, asyncio.CancelledError) as error:
         record.add(f"not run: {type(error).__name__}: {error}")
         sys.exit(NOT_RUN)
     for line in broken:
