--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -62,8 +62,9 @@
         trigger="Operators requested a wave of maintenance for `vms` VMs.", fields=("wave", "vms")
     ),
     6001: EventNote(
-        trigger="This process acquired the lease and schedules from now on.",
-        fields=("term", "version"),
+        trigger="This process acquired the lease and schedules from now on. It had seen the row "
+        "of the earlier holder unchanged for `unchanged_ms`; that row stated `earlier_ttl_ms`.",
+        fields=("term", "version", "earlier_ttl_ms", "unchanged_ms"),
     ),
     6002: EventNote(
         trigger="Another process acquired the lease first, or the store call failed.",
@@ -71,10 +72,10 @@
     ),
     6003: EventNote(
         trigger="This process lost or released the lease and stopped scheduling; `why` gives the "
-        "reason.",
+        "reason, and `valid_for_ms` how much longer its own lease was valid.",
         action="Nothing; the next holder logs 6001. If `why` is `handed over`: see 6005 in the log "
         "of `peer`.",
-        fields=("term", "why", "peer"),
+        fields=("term", "why", "peer", "valid_for_ms"),
     ),
     6004: EventNote(
         trigger="This process saw that the lease has another holder than before.",
@@ -91,6 +92,12 @@
         action="See 1110 of the same time: the store did not answer.",
         fields=("term",),
     ),
+    6007: EventNote(
+        trigger="A renewal was stored with another time to live than the one before, since the "
+        "store became slower or faster. `valid_for_ms` is how long the lease is valid from now on.",
+        action="See 1110 of the same time if `ttl_ms` is several seconds: the store is slow.",
+        fields=("term", "ttl_ms", "latency_ms", "valid_for_ms"),
+    ),
     6101: EventNote(
         trigger="A backend server appeared in the store.", fields=("server", "pool", "state")
     ),
@@ -115,8 +122,17 @@
         fields=("server", "step", "detail", "running"),
     ),
     6106: EventNote(
-        trigger="A backend server restarted under the same id; its earlier runs are lost.",
-        fields=("server", "born_ms", "running"),
+        trigger="A backend server restarted under the same id; its earlier runs are lost. "
+        "`former_clock_ms` and `former_lease_until_ms` are its former clock and the end of the "
+        "leases granted on it; `clock_ms` is its present clock.",
+        fields=(
+            "server",
+            "born_ms",
+            "running",
+            "clock_ms",
+            "former_clock_ms",
+            "former_lease_until_ms",
+        ),
     ),
     6107: EventNote(
         trigger="Another instance answers at the address of a backend server; the earlier server's "
@@ -135,6 +151,13 @@
         action="If `took_ms` is several seconds: see the 6105 of the servers that did not answer.",
         fields=("term", "servers", "unheard", "took_ms"),
     ),
+    6110: EventNote(
+        trigger="A backend server is silent, and all leases granted on it have expired by its own "
+        "clock (at least `clock_ms`; the last one ended at `lease_until_ms`). Its `running` runs "
+        "count as ended and their tasks start elsewhere.",
+        action="See 6105 of the same server.",
+        fields=("server", "born_ms", "clock_ms", "lease_until_ms", "running"),
+    ),
     6201: EventNote(
         trigger="A submission was read from the store.", fields=("job", "queue", "version")
     ),
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -101,6 +101,7 @@
     LEASE_LOST = _Definition(6003, "warning", "lease of the fleet lost")
     LEASE_OFFERED = _Definition(6005, "info", "holder that lost the store offers its lease")
     LEASE_NOT_RELEASED = _Definition(6006, "warning", "lease of the fleet could not be released")
+    LEASE_TTL_CHANGED = _Definition(6007, "info", "renewals state another time to live")
     LEASE_HOLDER_SEEN = _Definition(6004, "info", "lease of the fleet has another holder")
     SERVER_SEEN = _Definition(6101, "info", "backend server registered")
     SERVER_STATE = _Definition(6102, "info", "backend server changed its state")
@@ -114,6 +115,9 @@
     ORDER_FENCED = _Definition(
         6108, "warning", "order rejected, backend server has seen a higher term"
     )
+    SERVER_LEASE_EXPIRED = _Definition(
+        6110, "warning", "leases of the runs on a silent backend server have expired"
+    )
     FLEET_KNOWN = _Definition(6109, "info", "no run of an earlier holder is unknown any more")
     JOB_KNOWN = _Definition(6201, "info", "submission of a job read")
     JOB_CANCELLED = _Definition(6202, "info", "job cancelled, its runs are stopped")
--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -285,6 +285,8 @@
             latency_ms = self._clock.now_ms() - sent_ms
             self._renewal_latency_ms = latency_ms
             self._confirm(renewed, sent_ms)
+            if renewed.ttl_ms != record.ttl_ms:
+                self._log_ttl(renewed, latency_ms)
             self._ttl_ms = min(_MAX_TTL_MS, max(_TTL_MS, latency_ms * _TTL_LATENCY_FACTOR))
             await self._clock.sleep_ms(max(_RETRY_DELAY_MS, _RENEWAL_INTERVAL_MS - latency_ms))
             return
@@ -298,6 +300,15 @@
         if not (is_unresolved and await self._resolve_renewal()):
             await self._clock.sleep_ms(_RETRY_DELAY_MS)
 
+    def _log_ttl(self, record: LeaseRecord, latency_ms: int) -> None:
+        self._log.emit(
+            Event.LEASE_TTL_CHANGED,
+            term=record.term,
+            ttl_ms=record.ttl_ms,
+            latency_ms=latency_ms,
+            valid_for_ms=self._valid_until_ms - self._clock.now_ms(),
+        )
+
     async def _resolve_renewal_with_timeout(self) -> bool:
         """Resolve the renewal within a time limit that follows from the last renewal's latency."""
         resolve_ms = max(_MIN_RESOLVE_MS, self._renewal_latency_ms * _RESOLVE_LATENCY_FACTOR)
@@ -417,19 +428,32 @@
             )
             await self._clock.sleep_ms(_RETRY_DELAY_MS)
             return
+        self._log.emit(
+            Event.LEASE_TAKEN,
+            term=record.term,
+            version=result.ok,
+            earlier_ttl_ms=previous.ttl_ms if previous else 0,
+            unchanged_ms=sent_ms - self._unchanged_since_ms,
+        )
         self._begin_tenure(record, result.ok, sent_ms)
 
     def _begin_tenure(self, record: LeaseRecord, version: int, sent_ms: int) -> None:
         self._ttl_ms = _TTL_MS
         self._confirm(record, sent_ms)
         self._tenure = Tenure(record.term, version, self._clock.now_ms())
-        self._log.emit(Event.LEASE_TAKEN, term=record.term, version=version)
         self._notify()
 
     def _end_tenure(self, why: str, *, peer: str = "") -> None:
         if self._tenure is None:
             return
-        self._log.emit(Event.LEASE_LOST, term=self._tenure.term, why=why, peer=peer)
+        valid_for_ms = self._valid_until_ms - self._clock.now_ms()
+        self._log.emit(
+            Event.LEASE_LOST,
+            term=self._tenure.term,
+            why=why,
+            peer=peer,
+            valid_for_ms=valid_for_ms,
+        )
         self._tenure = None
         self._valid_until_ms = 0
         self._unchanged_since_ms = self._clock.now_ms()
--- a/fireflydeck/scheduling/server_reports.py
+++ b/fireflydeck/scheduling/server_reports.py
@@ -121,6 +121,9 @@
             server=server.id,
             born_ms=report.born_ms,
             running=len(server.attempts),
+            clock_ms=report.clock_ms,
+            former_clock_ms=server.clock_at(self.clock.now_ms()),
+            former_lease_until_ms=server.lease_until_ms,
         )
         server.last_end = server.stored_end = server.acknowledged_end = 0
         server.unstored_ends.clear()
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -170,12 +170,17 @@
             return self.clock_ms
         return self.clock_ms + (now_ms - self.clock_read_ms)
 
+    def min_clock_at(self, now_ms: int) -> int:
+        """Return a lower bound of the server's clock, which may run 2% slow."""
+        if self.clock_read_ms is None:
+            return self.clock_ms
+        return self.clock_ms + int((now_ms - self.clock_read_ms) * _MIN_CLOCK_RATE)
+
     def has_lease_expired(self, now_ms: int) -> bool:
         """Return whether every lease granted by this process has certainly expired."""
         if self.clock_read_ms is None:
             return False
-        min_clock_ms = self.clock_ms + int((now_ms - self.clock_read_ms) * _MIN_CLOCK_RATE)
-        return min_clock_ms > self.lease_until_ms + _EXPIRY_MARGIN_MS
+        return self.min_clock_at(now_ms) > self.lease_until_ms + _EXPIRY_MARGIN_MS
 
     def record_clock(self, report: HeartbeatReport, now_ms: int) -> None:
         """Record the clock reading of an answer, unless a later one is known."""
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -400,11 +400,23 @@
             now_ms = self._clock.now_ms()
             for server in list(self._servers.values()):
                 if server.attempts and not server.is_reachable and server.has_lease_expired(now_ms):
-                    self._run_tracker.drop_all(server, "lease lapsed")
+                    self._drop_expired(server, now_ms)
                 self._retire_if_idle(server)
             self._close_ended_jobs()
             self.request_planning()
 
+    def _drop_expired(self, server: Server, now_ms: int) -> None:
+        """Drop the attempts on a silent server whose leases have expired."""
+        self._log.emit(
+            Event.SERVER_LEASE_EXPIRED,
+            server=server.id,
+            born_ms=server.born_ms,
+            clock_ms=server.min_clock_at(now_ms),
+            lease_until_ms=server.lease_until_ms,
+            running=len(server.attempts),
+        )
+        self._run_tracker.drop_all(server, "lease lapsed")
+
     # Planning
 
     async def _plan(self) -> None:
