A renewal of the lease never states an earlier end than the rows before it

Cause: candidates go by the row that is stored now; the holder went by the longest lease that any of its renewals had stated, though a shorter one had replaced that row.

Each renewal now states at least what is left of the lease, so that the holder relies on no more than any row that may be stored, and the lease doesn't shrink before an answer. The hand-over counts from the last confirmed renewal.

Tests seen to fail before: test_no_two_valid_holders_after_a_slow_store (4 of its 10 forms) and test_holder_is_replaced_as_early_after_a_slow_store.

--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -11,6 +11,7 @@
 from fireflydeck.kernel import Event, EventLog, Registry, Service, keep_running
 from fireflydeck.ownership.candidacy import lease_free_at_ms
 from fireflydeck.ownership.lease_rows import CALL_TIMEOUT_MS, LeaseRows
+from fireflydeck.ownership.lease_validity import NOT_VALID
 from fireflydeck.ownership.records import COMMIT_ROW, LEASE_ROW, LeaseRecord, Tenure, decode_lease
 from fireflydeck.ownership.succession import Successors
 
@@ -27,7 +28,8 @@
 _MS_PER_S = 1000
 _MIN_TIMEOUT_MS = 50
 _HAND_OVER_FRACTION = 0.4
-"""Fraction of the time to live without a confirmed renewal after which a successor is sought."""
+"""Fraction of the usual time to live without a confirmed renewal after which a successor is sought.
+"""
 _MAX_SUCCESSION_READ_MS = 50
 """A process whose read takes longer is no successor: while the store is slow, the first reads of a
 successor would take longer than the lease lasts."""
@@ -76,7 +78,7 @@
         self._sent_renewal: tuple[int, int] | None = None
         self._renewal_latency_ms = 0
         self._commits = 0
-        self._valid_until_ms = 0
+        self._validity = NOT_VALID
         self._tenure: Tenure | None = None
         self._ttl_ms = _TTL_MS
         self._stopping = False
@@ -104,11 +106,11 @@
     @property
     def valid_until_ms(self) -> int:
         """Return the time until which this process holds the lease, in ms on its own clock."""
-        return self._valid_until_ms
+        return self._validity.until_ms
 
     def is_valid(self) -> bool:
         """Return whether this process holds a lease that has not expired."""
-        return self._tenure is not None and self._clock.now_ms() < self._valid_until_ms
+        return self._tenure is not None and not self._validity.is_over(self._clock.now_ms())
 
     def on_change(self, listener: Callable[[Tenure | None], None]) -> None:
         """Call `listener` with the new tenure, or `None`, whenever the tenure changes."""
@@ -130,9 +132,12 @@
         return {
             "term": self._tenure.term if self._tenure else 0,
             "holder": self._record.holder if self._record else "",
-            "valid_for_ms": self._valid_until_ms - self._clock.now_ms(),
+            "valid_for_ms": self._valid_for_ms(),
         }
 
+    def _valid_for_ms(self) -> int:
+        return self._validity.until_ms - self._clock.now_ms()
+
     async def start(self, registry: Registry, tasks: TaskGroup) -> None:
         """Start to watch the lease."""
         tasks.start_soon(keep_running, self._clock, self._log, self.name, self._run)
@@ -273,7 +278,7 @@
         renewed = evolve(
             record,
             sequence=record.sequence + 1,
-            ttl_ms=self._ttl_ms,
+            ttl_ms=self._validity.renewal_ttl_ms(sent_ms=sent_ms, least_ms=self._ttl_ms),
             pending=record.pending if pending is None else pending,
         )
         if self._sent_renewal is None or self._sent_renewal[0] != renewed.sequence:
@@ -306,7 +311,7 @@
             term=record.term,
             ttl_ms=record.ttl_ms,
             latency_ms=latency_ms,
-            valid_for_ms=self._valid_until_ms - self._clock.now_ms(),
+            valid_for_ms=self._valid_for_ms(),
         )
 
     async def _resolve_renewal_with_timeout(self) -> bool:
@@ -321,11 +326,10 @@
 
         Returns whether the tenure was ended for the hand-over.
         """
-        record = self._record
-        if self._successors is None or record is None or self._tenure is not tenure:
+        if self._successors is None or self._tenure is not tenure:
             return False
-        confirmed_ms = self._valid_until_ms - record.ttl_ms
-        if self._clock.now_ms() - confirmed_ms < record.ttl_ms * _HAND_OVER_FRACTION:
+        unconfirmed_ms = self._clock.now_ms() - self._validity.confirmed_ms
+        if unconfirmed_ms < self._ttl_ms * _HAND_OVER_FRACTION:
             return False
         peer = await self._successors.find(tenure.term)
         if peer is None or self._tenure is not tenure:
@@ -369,7 +373,7 @@
         """Extend the lease by its time to live from when the renewal was sent."""
         self._rows.health.record_answer()
         self._record = record
-        self._valid_until_ms = max(self._valid_until_ms, sent_ms + record.ttl_ms)
+        self._validity = self._validity.renewed(sent_ms=sent_ms, ttl_ms=record.ttl_ms)
 
     async def _watch(self) -> None:
         """Follow the lease's row until the lease is free, then take it over."""
@@ -446,16 +450,16 @@
     def _end_tenure(self, why: str, *, peer: str = "") -> None:
         if self._tenure is None:
             return
-        valid_for_ms = self._valid_until_ms - self._clock.now_ms()
         self._log.emit(
             Event.LEASE_LOST,
             term=self._tenure.term,
             why=why,
             peer=peer,
-            valid_for_ms=valid_for_ms,
+            valid_for_ms=self._valid_for_ms(),
         )
         self._tenure = None
-        self._valid_until_ms = 0
+        self._validity = NOT_VALID
+        self._sent_renewal = None
         self._unchanged_since_ms = self._clock.now_ms()
         self._notify()
 
--- a/fireflydeck/ownership/tests/test_lease.py
+++ b/fireflydeck/ownership/tests/test_lease.py
@@ -113,6 +113,76 @@
         assert second.lease.tenure.term == 2
 
 
+async def _slow_down(clock, member, answer_delay_ms):
+    """Let the store answer a member slowly for several renewals."""
+    member.store.answer_delay_ms = answer_delay_ms
+    await clock.advance_ms(_LONG_MS)
+    member.store.answer_delay_ms = 0
+
+
+# Guards against a holder that relies on a long lease after a renewal has stored a shorter one.
+@pytest.mark.parametrize("ran", list(Ran))
+@pytest.mark.parametrize("calm_ms", [100, 400, 1000, 2000, 3000])
+async def test_no_two_valid_holders_after_a_slow_store(calm_ms, ran):
+    clock = FakeClock()
+    async with running_members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = holders(members)[0]
+        await _slow_down(clock, first, 600)
+        await clock.advance_ms(calm_ms)
+        assert holders(members) == [first]
+        first.store.outage = ran
+        for _ in range(_LONG_MS // 20):
+            await clock.advance_ms(20)
+            assert len(holders(members)) <= 1
+        assert holders(members) not in ([], [first])
+
+
+# Guards against the same when a renewal of the slow time is stored late, or without an answer.
+@pytest.mark.parametrize("fault", [RowStoreFault.LATE, RowStoreFault.ANSWER_LOST])
+async def test_no_two_valid_holders_after_a_lost_renewal_and_a_slow_store(fault):
+    clock = FakeClock()
+    async with running_members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = holders(members)[0]
+        for _ in range(3):
+            await _slow_down(clock, first, 600)
+            first.store.next_commits = [fault]
+            await clock.advance_ms(500)
+            first.store.deliver_late()
+        assert holders(members) == [first]
+        first.store.outage = Ran.UNKNOWN
+        for _ in range(_LONG_MS // 20):
+            await clock.advance_ms(20)
+            assert len(holders(members)) <= 1
+
+
+# Guards against take-overs of the whole fleet because a lease shrinks when the store gets faster.
+async def test_store_that_is_slow_again_and_again_does_not_end_the_tenure():
+    clock = FakeClock()
+    async with running_members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = holders(members)[0]
+        for _ in range(5):
+            await _slow_down(clock, first, 700)
+            await clock.advance_ms(600)
+            assert holders(members) == [first]
+        assert first.lease.tenure.term == 1
+
+
+# Guards against a successor that waits for the long lease of a slow store that is long past.
+async def test_time_to_live_is_short_again_after_the_store_was_slow():
+    clock = FakeClock()
+    async with running_members(clock, "a", "b") as members:
+        await clock.advance_ms(1000)
+        first = holders(members)[0]
+        usual_ms = decode_lease(first.store.rows.get(LEASE_ROW).value).ttl_ms
+        await _slow_down(clock, first, 700)
+        assert decode_lease(first.store.rows.get(LEASE_ROW).value).ttl_ms > usual_ms
+        await clock.advance_ms(4000)
+        assert decode_lease(first.store.rows.get(LEASE_ROW).value).ttl_ms == usual_ms
+
+
 async def test_deposed_holder_commits_nothing():
     clock = FakeClock()
     async with running_members(clock, "a", "b") as members:
--- a/fireflydeck/ownership/tests/test_succession.py
+++ b/fireflydeck/ownership/tests/test_succession.py
@@ -21,6 +21,23 @@
         assert len(holders(members)) <= 1
 
 
+# Guards against a hand-over that is put off by a long lease of the time when the store was slow.
+async def test_holder_is_replaced_as_early_after_a_slow_store():
+    clock = FakeClock()
+    async with running_members(clock, "a", "b", "c", hand_over=True) as members:
+        await clock.advance_ms(_ACQUIRED_WITHIN_MS)
+        first = holders(members)[0]
+        first.store.answer_delay_ms = 600
+        await _advance(clock, members, 4000)
+        first.store.answer_delay_ms = 0
+        await _advance(clock, members, 1000)
+        assert holders(members) == [first]
+        first.store.outage = Ran.NO
+        await _advance(clock, members, _HANDED_OVER_WITHIN_MS)
+        assert len(holders(members)) == 1
+        assert holders(members) != [first]
+
+
 @pytest.mark.parametrize("ran", list(Ran))
 async def test_holder_that_lost_the_store_is_replaced_before_its_lease_expires(ran):
     clock = FakeClock()
