A job counts as started once a run of it has begun, not when a start is planned

Cause: Job.has_started was set when a start was planned and not taken back when it was refused, lost or never sent.

The fact is now set by an accepted start, a report that lists the run, or its end. The order of jobs in a pool counts planned attempts too, as before.

--- a/fireflydeck/scheduling/order_sender.py
+++ b/fireflydeck/scheduling/order_sender.py
@@ -13,7 +13,7 @@
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import SERVER_LEASE_MS
 from fireflydeck.scheduling.ticket_cache import TicketCache
-from fireflydeck.workload.lifecycle import Attempt, AttemptPhase, Task
+from fireflydeck.workload.lifecycle import Attempt, AttemptPhase, Task, mark_running
 
 __all__ = ["MAX_RETRY_PAUSE_MS", "RETRY_PAUSE_MS", "OrderSender"]
 
@@ -124,8 +124,7 @@
     def _on_start_outcome(self, server: Server, attempt: Attempt, outcome: StartOutcome) -> None:
         now_ms = self.clock.now_ms()
         if outcome == StartOutcome.ACCEPTED:
-            if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.UNCERTAIN):
-                attempt.set_phase(AttemptPhase.RUNNING, now_ms)
+            mark_running(attempt, now_ms)
             return
         if attempt.phase != AttemptPhase.STARTING:
             return
--- a/fireflydeck/scheduling/run_tracker.py
+++ b/fireflydeck/scheduling/run_tracker.py
@@ -22,6 +22,7 @@
     Task,
     confirm_attempt,
     create_occurrence_of,
+    mark_running,
     record_run_end,
     remove_attempt,
 )
@@ -178,8 +179,7 @@
             attempt.reported_available = row.percent >= 100
             if row.checkpoint:
                 attempt.task.checkpoint = row.checkpoint
-            if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.UNCERTAIN):
-                attempt.set_phase(AttemptPhase.RUNNING, now_ms)
+            mark_running(attempt, now_ms)
             if attempt.stop_requested and now_ms - attempt.changed_ms > _STOP_RETRY_MS:
                 attempt.changed_ms = now_ms
                 self.request_stop(attempt)
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -284,7 +284,7 @@
                 remaining_ms=queued.remaining_ms,
                 priority=queue.priority,
                 is_long_running=queued.is_long_running,
-                has_started=queued.job.has_started,
+                has_started=queued.job.is_in_progress,
                 now_ms=now_ms,
             )
             ranked.append((job_rank.sort_key, queued.job.id, queue, queued))
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -388,7 +388,7 @@
         """Close the jobs whose outcome is stored and that have no runs, known or unknown."""
         hidden = self._knowledge.hidden_usage()
         for job in list(self._job_tracker.jobs.values()):
-            if not job.outcome_stored or any(task.attempts for task in job.tasks.values()):
+            if not job.outcome_stored or job.attempt_count > 0:
                 continue
             if not hidden.may_include(job):
                 self._job_tracker.close_job(job)
--- a/fireflydeck/scheduling/tests/fleet.py
+++ b/fireflydeck/scheduling/tests/fleet.py
@@ -39,6 +39,7 @@
         self.operators = OperatorDocuments(self.store, clock, log)
         self.orders = {}
         self.unreachable = set()
+        self.start_outcome = None
         self.scheduler = Scheduler(
             store=self.store,
             clock=clock,
@@ -60,6 +61,7 @@
         self.orders[server_id] = FakeBackendServerOrders(
             server or TaskServer(fleet.clock, SERVER_CAPACITY), fleet.clock
         )
+        self.orders[server_id].start_outcome = self.start_outcome
         self.orders[server_id].is_unreachable = is_gone or server_id in self.unreachable
         return self.orders[server_id]
 
--- a/fireflydeck/testing/fleet_fakes.py
+++ b/fireflydeck/testing/fleet_fakes.py
@@ -56,6 +56,8 @@
         While set, orders and heartbeats don't arrive and get no answer.
     next_starts
         Faults of the next starts, in order.
+    start_outcome
+        Outcome of all starts, which then have no effect; `None` to pass them to the server.
     lost_heartbeats
         Number of the next heartbeats that get no answer.
     """
@@ -65,6 +67,7 @@
         self.server = server
         self.is_unreachable = False
         self.next_starts: list[OrderFault | None] = []
+        self.start_outcome: StartOutcome | None = None
         self._late: list[StartOrder] = []
         self._clock = clock
 
@@ -92,6 +95,8 @@
         if fault == OrderFault.LATE:
             self._late.append(order)
             return Error(_unreachable("backend.start", Ran.UNKNOWN))
+        if self.start_outcome is not None:
+            return Ok(self.start_outcome)
         outcome = self.server.start(order)
         if fault == OrderFault.ANSWER_LOST:
             return Error(_unreachable("backend.start", Ran.UNKNOWN))
--- a/fireflydeck/workload/lifecycle.py
+++ b/fireflydeck/workload/lifecycle.py
@@ -26,6 +26,7 @@
     "has_used_attempts",
     "is_finished",
     "job_state",
+    "mark_running",
     "occurrence_due_ms",
     "ready_tasks",
     "record_run_end",
@@ -157,8 +158,11 @@
         Number of tasks that are not done, by occurrence and step; `open_task_count` is their sum.
     created_occurrences
         Number of occurrences whose tasks have been created.
+    attempt_count
+        Number of attempts of all its tasks.
     has_started
-        Whether a run of any of its tasks is known, or was in an earlier tenure.
+        Whether a run of any of its tasks is known to have begun, in this tenure or an earlier one.
+        An attempt alone does not show it: its start may be refused, lost or not sent.
     """
 
     spec: JobSpec
@@ -168,6 +172,7 @@
     open_tasks: dict[tuple[int, int], int] = Factory(dict)
     open_task_count: int = 0
     created_occurrences: int = 0
+    attempt_count: int = 0
     cancelled: bool = False
     outcome: JobOutcome | None = None
     outcome_stored: bool = False
@@ -183,6 +188,11 @@
         """Return whether tasks may still be started."""
         return self.outcome is None and not self.cancelled
 
+    @property
+    def is_in_progress(self) -> bool:
+        """Return whether a task has begun or is about to."""
+        return self.has_started or self.attempt_count > 0
+
 
 def create_due_occurrences(job: Job, wall_ms: int) -> None:
     """Create the tasks of the occurrences whose scheduled time has been reached.
@@ -266,9 +276,20 @@
     Its run number is higher than that of any earlier attempt of the task, and at least `min_run`.
     """
     task.last_run = max(task.last_run + 1, min_run)
-    attempt = Attempt(task, task.last_run, server_id, AttemptPhase.STARTING, now_ms)
-    task.attempts[attempt.run] = attempt
-    task.job.has_started = True
+    return _add_attempt(task, task.last_run, server_id, AttemptPhase.STARTING, now_ms)
+
+
+def _add_attempt(task: Task, run: int, server_id: str, phase: AttemptPhase, now_ms: int) -> Attempt:
+    attempt = Attempt(task, run, server_id, phase, now_ms)
+    task.attempts[run] = attempt
+    task.job.attempt_count += 1
+    return attempt
+
+
+def _pop_attempt(task: Task, run: int) -> Attempt | None:
+    attempt = task.attempts.pop(run, None)
+    if attempt is not None:
+        task.job.attempt_count -= 1
     return attempt
 
 
@@ -276,19 +297,23 @@
     """Record that a backend server has the run, and add its attempt if it was not known before."""
     attempt = task.attempts.get(run)
     if attempt is None:
-        attempt = Attempt(task, run, server_id, AttemptPhase.RUNNING, now_ms)
-        task.attempts[run] = attempt
+        attempt = _add_attempt(task, run, server_id, AttemptPhase.RUNNING, now_ms)
         task.last_run = max(task.last_run, run)
-        task.job.has_started = True
-    elif attempt.phase in (AttemptPhase.STARTING, AttemptPhase.UNCERTAIN):
-        attempt.set_phase(AttemptPhase.RUNNING, now_ms)
+    mark_running(attempt, now_ms)
     return attempt
 
 
+def mark_running(attempt: Attempt, now_ms: int) -> None:
+    """Record that the run of an attempt has begun, by the server's answer or report."""
+    attempt.task.job.has_started = True
+    if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.UNCERTAIN):
+        attempt.set_phase(AttemptPhase.RUNNING, now_ms)
+
+
 def remove_attempt(attempt: Attempt, now_ms: int) -> None:
     """Remove an attempt that is certain not to run, now or later."""
     task = attempt.task
-    if task.attempts.pop(attempt.run, None) is not None:
+    if _pop_attempt(task, attempt.run) is not None:
         task.waiting_since_ms = now_ms
 
 
@@ -298,7 +323,8 @@
     The job fails once `max_attempts` runs of the task have failed. While that number is not known
     (`None`), a failed run is recorded and leaves the job open.
     """
-    known = task.attempts.pop(ended.run, None)
+    known = _pop_attempt(task, ended.run)
+    task.job.has_started = True
     task.last_run = max(task.last_run, ended.run)
     task.waiting_since_ms = now_ms
     if ended.checkpoint:
