Each life of a backend server has its own state and fencing token

Cause: the heartbeat that finds a restart carries a deadline by the clock of the former life. The new life takes it by its own clock and extends all leases up to its maximum, 6 s; the holder counted only the 3 s that it granted itself. Other orders for a former life (starts, acknowledgements, those of an earlier holder) reach the next one in the same way.

A tenure now owns a range of fencing tokens and gives a server the next one after each restart, so that the server itself refuses what was sent before. What belongs to a life is one object, ServerLife, that a restart replaces. Leases count as lasting 6 s from the first answer of a life. Runs that no report has listed may be in a life not heard of, and are waited for that long too.

Expectations of terms in four tests of the lease are in units of TOKENS_PER_TERM now. The soak has the fault for good.

--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -111,9 +111,10 @@
         fields=("server", "running"),
     ),
     6104: EventNote(
-        trigger="A backend server answered its first heartbeat of this term; its runs are known "
-        "from now on, or once it has listed all ends if `more_ends` is true.",
-        fields=("server", "term", "running", "ended", "more_ends"),
+        trigger="A backend server answered its first heartbeat of this term, or the first one "
+        "after a restart, with the fencing token `token`; its runs are known from now on, or once "
+        "it has listed all ends if `more_ends` is true.",
+        fields=("server", "term", "token", "running", "ended", "more_ends"),
     ),
     6105: EventNote(
         trigger="A backend server did not answer; it gets no new work until it does.",
@@ -122,7 +123,8 @@
         fields=("server", "step", "detail", "running"),
     ),
     6106: EventNote(
-        trigger="A backend server restarted under the same id; its earlier runs are lost. "
+        trigger="A backend server restarted under the same id, by its answer or registration; the "
+        "runs that it had listed are lost, and it gets orders once it has answered (6104). "
         "`former_clock_ms` and `former_lease_until_ms` are its former clock and the end of the "
         "leases granted on it; `clock_ms` is its present clock.",
         fields=(
@@ -140,9 +142,10 @@
         fields=("server", "running"),
     ),
     6108: EventNote(
-        trigger="A backend server rejected an order of this term because it has seen a higher one.",
+        trigger="A backend server rejected an order with `token`, the newest one of this term for "
+        "it, because it has seen a higher one.",
         action="Nothing if 6003 follows; otherwise report it.",
-        fields=("server", "term"),
+        fields=("server", "term", "token"),
     ),
     6109: EventNote(
         trigger="Every backend server on which an earlier holder may have started runs has "
@@ -153,10 +156,11 @@
     ),
     6110: EventNote(
         trigger="A backend server is silent, and all leases granted on it have expired by its own "
-        "clock (at least `clock_ms`; the last one ended at `lease_until_ms`). Its `running` runs "
-        "count as ended and their tasks start elsewhere.",
+        "clock (at least `clock_ms`; the last one ended at `lease_until_ms`). Of its `running` "
+        "runs, `expired` count as ended and their tasks start elsewhere. Runs that it has never "
+        "listed follow later, since it may have restarted before it started them.",
         action="See 6105 of the same server.",
-        fields=("server", "born_ms", "clock_ms", "lease_until_ms", "running"),
+        fields=("server", "born_ms", "clock_ms", "lease_until_ms", "running", "expired"),
     ),
     6201: EventNote(
         trigger="A submission was read from the store.", fields=("job", "queue", "version")
--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -12,7 +12,14 @@
 from fireflydeck.ownership.candidacy import lease_free_at_ms
 from fireflydeck.ownership.lease_rows import CALL_TIMEOUT_MS, LeaseRows
 from fireflydeck.ownership.lease_validity import NOT_VALID
-from fireflydeck.ownership.records import COMMIT_ROW, LEASE_ROW, LeaseRecord, Tenure, decode_lease
+from fireflydeck.ownership.records import (
+    COMMIT_ROW,
+    LEASE_ROW,
+    TOKENS_PER_TERM,
+    LeaseRecord,
+    Tenure,
+    decode_lease,
+)
 from fireflydeck.ownership.succession import Successors
 
 __all__ = ["LeaseKeeper"]
@@ -413,10 +420,11 @@
         """Try once to acquire the lease under the next term."""
         sent_ms = self._clock.now_ms()
         previous = self._record
+        earlier_term = previous.term if previous else 0
         record = LeaseRecord(
             holder=self._process_name,
             address=self._address,
-            term=previous.term + 1 if previous else 1,
+            term=earlier_term + TOKENS_PER_TERM,
             sequence=previous.sequence + 1 if previous else 1,
             ttl_ms=_TTL_MS,
             pending=previous.pending if previous else {},
@@ -439,12 +447,9 @@
             earlier_ttl_ms=previous.ttl_ms if previous else 0,
             unchanged_ms=sent_ms - self._unchanged_since_ms,
         )
-        self._begin_tenure(record, result.ok, sent_ms)
-
-    def _begin_tenure(self, record: LeaseRecord, version: int, sent_ms: int) -> None:
         self._ttl_ms = _TTL_MS
         self._confirm(record, sent_ms)
-        self._tenure = Tenure(record.term, version, self._clock.now_ms())
+        self._tenure = Tenure(record.term, result.ok, self._clock.now_ms(), earlier_term)
         self._notify()
 
     def _end_tenure(self, why: str, *, peer: str = "") -> None:
--- a/fireflydeck/ownership/records.py
+++ b/fireflydeck/ownership/records.py
@@ -13,6 +13,7 @@
     "OWNERSHIP_TABLE",
     "ROSTER_ROW",
     "ROSTER_WORK_ROW",
+    "TOKENS_PER_TERM",
     "VM_OPERATIONS_ROW",
     "LeaseRecord",
     "Tenure",
@@ -32,6 +33,9 @@
 VM_OPERATIONS_ROW = RowKey("roster", FLEET_PARTITION, "duties")
 """VMs that got an order recently, have had their maintenance, or came from standby."""
 
+TOKENS_PER_TERM = 100
+"""Number of fencing tokens that a tenure owns; its term is the highest of them."""
+
 
 @frozen
 class Tenure:
@@ -40,16 +44,25 @@
     Parameters
     ----------
     term
-        Term of the lease, a number that increases with each acquisition.
+        Term of the lease, a number that increases with each acquisition. It is the highest
+        fencing token of the tenure.
     since_version
         Version of the store with which the lease was acquired.
     since_ms
         When the lease was acquired, in milliseconds on the holder's own clock.
+    earlier_term
+        Term of the tenure before, whose fencing tokens are all lower; 0 if there was none.
     """
 
     term: int
     since_version: int
     since_ms: int
+    earlier_term: int
+
+    @property
+    def first_token(self) -> int:
+        """Return the lowest fencing token of the tenure."""
+        return self.earlier_term + 1
 
 
 @frozen(kw_only=True)
@@ -63,7 +76,7 @@
     address
         ``ip:port`` where other processes reach it.
     term
-        Increases with each acquisition; serves as the fencing token of all orders.
+        Increases with each acquisition; no order of the holder has a higher fencing token.
     sequence
         Increases with each acquisition, renewal and release.
     ttl_ms
--- a/fireflydeck/ownership/tests/test_lease.py
+++ b/fireflydeck/ownership/tests/test_lease.py
@@ -7,7 +7,7 @@
 from fireflydeck.core import Ran, Reason
 from fireflydeck.core.rows import RowKey, RowWrite
 from fireflydeck.kernel import Event, Registry
-from fireflydeck.ownership.records import LEASE_ROW, LeaseRecord, decode_lease
+from fireflydeck.ownership.records import LEASE_ROW, TOKENS_PER_TERM, LeaseRecord, decode_lease
 from fireflydeck.ownership.tests.members import Member, holders, running_members
 from fireflydeck.testing.clock import FakeClock
 from fireflydeck.testing.rows import RowStoreFault
@@ -95,7 +95,7 @@
         for _ in range(20):
             await clock.advance_ms(500)
             assert holders(members) == [holder]
-        assert holder.lease.tenure.term == 1
+        assert holder.lease.tenure.term == TOKENS_PER_TERM
 
 
 @pytest.mark.parametrize("ran", list(Ran))
@@ -110,7 +110,7 @@
             assert len(holders(members)) <= 1
         second = holders(members)[0]
         assert second is not first
-        assert second.lease.tenure.term == 2
+        assert second.lease.tenure.term == 2 * TOKENS_PER_TERM
 
 
 async def _slow_down(clock, member, answer_delay_ms):
@@ -167,7 +167,7 @@
             await _slow_down(clock, first, 700)
             await clock.advance_ms(600)
             assert holders(members) == [first]
-        assert first.lease.tenure.term == 1
+        assert first.lease.tenure.term == TOKENS_PER_TERM
 
 
 # Guards against a successor that waits for the long lease of a slow store that is long past.
@@ -374,7 +374,7 @@
         await restarted.lease.start(Registry(), tasks)
         await clock.advance_ms(100)
         assert restarted.lease.is_valid()
-        assert restarted.lease.tenure.term == 2
+        assert restarted.lease.tenure.term == 2 * TOKENS_PER_TERM
         tasks.cancel_scope.cancel()
 
 
--- a/fireflydeck/ownership/tests/test_succession.py
+++ b/fireflydeck/ownership/tests/test_succession.py
@@ -3,6 +3,7 @@
 import pytest
 
 from fireflydeck.core import Ran
+from fireflydeck.ownership.records import TOKENS_PER_TERM
 from fireflydeck.ownership.tests.members import holders, running_members
 from fireflydeck.testing.clock import FakeClock
 from fireflydeck.testing.rows import RowStoreFault
@@ -166,4 +167,4 @@
         other.store.answer_delay_ms = 300
         first.store.outage = Ran.UNKNOWN
         await _advance(clock, members, 2000)
-        assert other.lease.tenure.term == term + 1
+        assert other.lease.tenure.term == term + TOKENS_PER_TERM
--- a/fireflydeck/platform/standin/backend_server_app.py
+++ b/fireflydeck/platform/standin/backend_server_app.py
@@ -15,6 +15,7 @@
 __all__ = ["BackendServerApp"]
 
 _POLL_S = 0.01
+_NO_ANSWER_S = 30.0
 _MS_PER_S = 1000
 _CONFLICT_REASONS = {
     StartOutcome.FENCED: "fence",
@@ -32,13 +33,18 @@
     ----------
     faults
         Faults of the next calls.
+    are_orders_late
+        While set, orders get no answer; `deliver_late` carries them out, by whichever life of the
+        server is up then.
     """
 
     def __init__(self, server_id: str, server: TaskServer) -> None:
         self._server_id = server_id
         self._server = server
         self._born_ms_by_transport: WeakKeyDictionary[asyncio.Transport, int] = WeakKeyDictionary()
+        self._late: list[tuple[str, dict[str, Any]]] = []
         self.faults = HttpFaults()
+        self.are_orders_late = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one order; reset connections from an earlier incarnation of the backend server."""
@@ -48,22 +54,39 @@
         connection_born_ms = self._born_ms_by_transport.setdefault(transport, self._server.born_ms)
         if connection_born_ms != self._server.born_ms:
             return _reset_connection(request)
+        if self.are_orders_late:
+            self._late.append((request.path, orjson.loads(await request.read())))
+            await anyio.sleep(_NO_ANSWER_S)
+            return _reset_connection(request)
         return await self.faults.serve(request, self._answer)
 
+    def deliver_late(self) -> None:
+        """Carry out the late orders, in the order in which they arrived."""
+        late, self._late = self._late, []
+        for path, body in late:
+            if path == "/-/hold":
+                token, last_end = body["fencing_token"], body["last_seen"]
+                self._server.answer_heartbeat(token, last_end, body.get("deadline_ms", 0))
+            else:
+                self._carry_out(path, body)
+
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         expected = request.headers.get("X-Expected-Instance", self._server_id)
         if expected != self._server_id:
             return web.Response(status=421)
         body = orjson.loads(await request.read())
-        if request.path == "/-/run-start":
+        if request.path == "/-/hold":
+            return await self._answer_heartbeat(request, body)
+        return self._carry_out(request.path, body)
+
+    def _carry_out(self, path: str, body: dict[str, Any]) -> web.Response:
+        if path == "/-/run-start":
             return self._start(body)
-        if request.path == "/-/run-stop":
+        if path == "/-/run-stop":
             accepted = self._server.stop(body["task"], body["run"], body["fencing_token"])
             return self._json({}, 200 if accepted else 409)
-        if request.path == "/-/pace":
+        if path == "/-/pace":
             return self._json({}, 200)
-        if request.path == "/-/hold":
-            return await self._answer_heartbeat(request, body)
         return web.Response(status=404)
 
     def _start(self, body: dict[str, Any]) -> web.Response:
--- a/fireflydeck/scheduling/fleet_knowledge.py
+++ b/fireflydeck/scheduling/fleet_knowledge.py
@@ -14,19 +14,25 @@
 from fireflydeck.ownership.records import Tenure
 from fireflydeck.scheduling.hidden_usage import HiddenUsage
 from fireflydeck.scheduling.roster_rows import NO_WORK, PossibleWork
-from fireflydeck.scheduling.servers import RunCoverage, Server
-from fireflydeck.scheduling.session import LEASE_EXTENSION_GRACE_MS, SERVER_LEASE_MS
+from fireflydeck.scheduling.server_life import (
+    MAX_LEASE_MS,
+    MAX_ORDER_DELAY_MS,
+    SERVER_LEASE_MS,
+    RunCoverage,
+    ServerLife,
+    lease_duration_ms,
+)
+from fireflydeck.scheduling.servers import Server
+from fireflydeck.scheduling.session import LEASE_EXTENSION_GRACE_MS
 from fireflydeck.workload.lifecycle import Job
 
 __all__ = ["FleetKnowledge"]
 
-_CLOCK_RATE_MARGIN = 1.03
-"""Factor on the duration of a lease; more than the 2% by which a server's clock may be slow."""
 _EXPIRY_SLACK_MS = 200
-_EARLIER_LEASE_MS = (
-    LEASE_EXTENSION_GRACE_MS + int(SERVER_LEASE_MS * _CLOCK_RATE_MARGIN) + _EXPIRY_SLACK_MS
-)
+_EARLIER_LEASE_MS = LEASE_EXTENSION_GRACE_MS + lease_duration_ms(SERVER_LEASE_MS) + _EXPIRY_SLACK_MS
 """Time after the start of a tenure at which every lease granted by earlier holders has expired."""
+_LATE_START_MS = MAX_ORDER_DELAY_MS + lease_duration_ms(MAX_LEASE_MS) + _EXPIRY_SLACK_MS
+"""Time after the start of a tenure at which runs by late starts of earlier holders have ended."""
 
 
 @define(eq=False, kw_only=True)
@@ -60,19 +66,25 @@
                 Event.FLEET_KNOWN,
                 term=self.tenure.term,
                 servers=len(self.servers),
-                unheard=sum(not server.has_accepted_term for server in self.servers.values()),
+                unheard=sum(not server.life.has_answered for server in self.servers.values()),
                 took_ms=self.clock.now_ms() - self.tenure.since_ms,
             )
         return _total_work(hidden)
 
     def may_hide_runs(self, server: Server) -> bool:
         """Return whether a server may have runs of earlier holders that are not known yet."""
-        if server.coverage == RunCoverage.COMPLETE or not server.earlier_work.is_possible:
+        life = server.life
+        if life.coverage == RunCoverage.COMPLETE or not server.earlier_work.is_possible:
             return False
-        return server.has_accepted_term or not self._have_earlier_leases_expired()
+        return life.has_answered or not self._have_earlier_runs_ended(life)
+
+    def _have_earlier_runs_ended(self, life: ServerLife) -> bool:
+        """Return whether every run that earlier holders started has certainly ended.
 
-    def _have_earlier_leases_expired(self) -> bool:
-        return self.clock.now_ms() >= self.tenure.since_ms + _EARLIER_LEASE_MS
+        A life that began in this tenure may carry out late starts of earlier holders.
+        """
+        duration_ms = _EARLIER_LEASE_MS if life.is_first else _LATE_START_MS
+        return self.clock.now_ms() >= self.tenure.since_ms + duration_ms
 
 
 def _total_work(servers: list[Server]) -> PossibleWork:
--- a/fireflydeck/scheduling/order_sender.py
+++ b/fireflydeck/scheduling/order_sender.py
@@ -10,8 +10,8 @@
 from fireflydeck.observation.operator_documents import OperatorDocuments
 from fireflydeck.observation.registrations import Registrations
 from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.scheduling.server_life import ServerLife
 from fireflydeck.scheduling.servers import Server
-from fireflydeck.scheduling.session import SERVER_LEASE_MS
 from fireflydeck.scheduling.ticket_cache import TicketCache
 from fireflydeck.workload.lifecycle import Attempt, AttemptPhase, Task, mark_running
 
@@ -38,13 +38,13 @@
     drop
         Forgets an attempt and frees its capacity.
     on_fenced, on_other_instance
-        Called after an answer from a server that has seen a higher term, or from another instance.
+        Called after an answer from a server that has seen a higher token than any of this tenure,
+        or from another instance.
     request_heartbeat
         Sends a heartbeat immediately, to learn the runs on a server. Called after a start without
         an answer, and after the stop of a run whose start got no answer.
     """
 
-    term: int
     lease: LeaseKeeper
     operators: OperatorDocuments
     registrations: Registrations
@@ -78,14 +78,13 @@
         if ticket is None or not self._may_start(server, task, now_ms):
             self.drop(attempt)
             return
-        until_ms = server.clock_at(now_ms) + SERVER_LEASE_MS
-        server.lease_until_ms = max(server.lease_until_ms, until_ms)
+        life = server.life
         order = StartOrder(
             task=task.name,
             run=attempt.run,
             payload=task.job.spec.payload,
-            lease_until_ms=until_ms,
-            fencing_token=self.term,
+            lease_until_ms=life.grant_lease(now_ms),
+            fencing_token=life.fencing_token,
             checkpoint=task.checkpoint if task.step.checkpointing else "",
             ticket=ticket,
         )
@@ -106,7 +105,7 @@
             waited_ms=now_ms - (task.waiting_since_ms or task.job.accepted_at_ms),
         )
         if result.is_ok():
-            self._on_start_outcome(server, attempt, result.ok)
+            self._on_start_outcome(server, attempt, result.ok, life)
         else:
             self._on_start_failure(server, attempt, result.error)
 
@@ -121,7 +120,10 @@
             and server.registration.data_centre not in self.operators.evacuated_data_centres
         )
 
-    def _on_start_outcome(self, server: Server, attempt: Attempt, outcome: StartOutcome) -> None:
+    def _on_start_outcome(
+        self, server: Server, attempt: Attempt, outcome: StartOutcome, life: ServerLife
+    ) -> None:
+        """Apply the answer to a start that was meant for a life of the server."""
         now_ms = self.clock.now_ms()
         if outcome == StartOutcome.ACCEPTED:
             mark_running(attempt, now_ms)
@@ -139,7 +141,7 @@
             attempt.task.not_before_ms = now_ms + MAX_RETRY_PAUSE_MS
         elif outcome == StartOutcome.NO_TICKET:
             self.ticket_cache.discard_ticket(attempt.task, server)
-        elif outcome == StartOutcome.FENCED:
+        elif outcome == StartOutcome.FENCED and life is server.life:
             self.on_fenced(server)
         self.drop(attempt)
         if outcome == StartOutcome.OTHER_INSTANCE:
@@ -173,7 +175,7 @@
         result = await server.orders.stop(
             task=task,
             run=run,
-            fencing_token=self.term,
+            fencing_token=server.life.fencing_token,
             timeout_ms=_ORDER_TIMEOUT_MS,
         )
         is_accepted = result.is_ok() and result.ok
@@ -196,7 +198,7 @@
             task=attempt.task.name,
             run=attempt.run,
             percent=percent,
-            fencing_token=self.term,
+            fencing_token=server.life.fencing_token,
             timeout_ms=_ORDER_TIMEOUT_MS,
         )
         is_accepted = result.is_ok() and result.ok
--- a/fireflydeck/scheduling/pool_rebalancer.py
+++ b/fireflydeck/scheduling/pool_rebalancer.py
@@ -50,7 +50,7 @@
         idle_server_ids = {
             server.id
             for server in self.fleet.servers.values()
-            if server.is_registered and server.has_accepted_term and not server.attempts
+            if server.is_registered and server.life.has_answered and not server.attempts
         }
         self._idle_since_ms = {
             server_id: self._idle_since_ms.get(server_id, now_ms) for server_id in idle_server_ids
@@ -174,7 +174,7 @@
         result = await self.fleet.orders.move(
             vm=vm.name,
             pool=move.target,
-            fencing_token=self.fleet.tenure.term,
+            fencing_token=self.fleet.tenure.first_token,
             timeout_ms=CALL_TIMEOUT_MS,
         )
         self.fleet.log_order(
--- a/fireflydeck/scheduling/roster.py
+++ b/fireflydeck/scheduling/roster.py
@@ -50,6 +50,7 @@
     """
 
     term: int
+    earlier_term: int
     store: RowStore
     lease: LeaseKeeper
     operators: OperatorDocuments
@@ -92,7 +93,7 @@
         if row is None:
             return None
         try:
-            return decode_work(row.value, self.term - 1)
+            return decode_work(row.value, self.earlier_term)
         except ValueError as error:
             self._log_unreadable(row, error)
             return None
@@ -205,7 +206,7 @@
     def _is_any_work_possible(self) -> bool:
         """Return whether an earlier holder may have left any work, on servers not heard of yet."""
         return any(
-            server.earlier_work.may_be_other and server.coverage != RunCoverage.COMPLETE
+            server.earlier_work.may_be_other and server.life.coverage != RunCoverage.COMPLETE
             for server in self.servers.values()
         )
 
--- a/fireflydeck/scheduling/run_tracker.py
+++ b/fireflydeck/scheduling/run_tracker.py
@@ -1,6 +1,6 @@
 """Tracking of the runs on all backend servers, from reservation to acknowledged end."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field
 
@@ -77,7 +77,17 @@
 
     def drop_all(self, server: Server, why: str) -> None:
         """Drop all attempts on a server and log them as lost."""
-        for attempt in list(server.attempts.values()):
+        self.drop_runs(server, list(server.attempts), why)
+
+    def drop_runs(self, server: Server, runs: Iterable[tuple[str, int]], why: str) -> None:
+        """Drop those of the runs that have an attempt on a server and log them as lost.
+
+        Parameters
+        ----------
+        runs
+            Names of the tasks and run numbers.
+        """
+        for attempt in [server.attempts[key] for key in runs if key in server.attempts]:
             self.log.emit(
                 Event.RUN_LOST,
                 task=attempt.task.name,
@@ -112,13 +122,14 @@
 
     def on_end(self, server: Server, ended: EndedRun) -> None:
         """Record the end of a run; it is acknowledged once the resulting progress is stored."""
-        server.last_end = ended.number
+        life = server.life
+        life.last_end = ended.number
         commit_number = self._record_end(server, ended)
-        if server.unstored_ends or commit_number > 0:
-            newest = server.unstored_ends[-1][1] if server.unstored_ends else 0
-            server.unstored_ends.append((ended.number, max(commit_number, newest)))
+        if life.unstored_ends or commit_number > 0:
+            newest = life.unstored_ends[-1][1] if life.unstored_ends else 0
+            life.unstored_ends.append((ended.number, max(commit_number, newest)))
         else:
-            server.stored_end = ended.number
+            life.stored_end = ended.number
 
     def _record_end(self, server: Server, ended: EndedRun) -> int:
         """Record an end; return the number of the commit that stores the state after it.
@@ -195,15 +206,7 @@
             attempt.changed_ms = self.clock.now_ms()
             self.request_stop(attempt)
         elif attempt.phase in (AttemptPhase.RUNNING, AttemptPhase.STOPPING):
-            self.log.emit(
-                Event.RUN_LOST,
-                task=attempt.task.name,
-                run=attempt.run,
-                server=server.id,
-                why="not listed",
-                phase=attempt.phase.value,
-            )
-            self.drop(attempt)
+            self.drop_runs(server, [(attempt.task.name, attempt.run)], "not listed")
 
     def _adopt(self, server: Server, name: str, run: int, now_ms: int) -> None:
         """Adopt a run that this process has no attempt for, or stop it."""
--- a/fireflydeck/scheduling/scheduler.py
+++ b/fireflydeck/scheduling/scheduler.py
@@ -81,7 +81,8 @@
             "servers": {
                 server.id: {
                     "pool": server.registration.pool,
-                    "coverage": server.coverage.value,
+                    "coverage": server.life.coverage.value,
+                    "token": server.life.fencing_token,
                     "reachable": server.is_reachable,
                     "attempts": len(server.attempts),
                     "free_cpu": server.free.cpu,
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -1,67 +1,34 @@
 """State of a backend server as known to the lease holder."""
 
-from collections import deque
-from enum import StrEnum
-
 import anyio
 from attrs import Factory, define
 
-from fireflydeck.core.backend_orders import BackendServerOrders, HeartbeatReport
+from fireflydeck.core.backend_orders import BackendServerOrders
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
 from fireflydeck.scheduling.roster_rows import NO_WORK, PossibleWork
+from fireflydeck.scheduling.server_life import RunCoverage, ServerLife
 from fireflydeck.workload.lifecycle import Attempt
 from fireflydeck.workload.specification import StepSpec
 
-__all__ = ["RunCoverage", "Server", "reserved_resources"]
-
-_MIN_CLOCK_RATE = 0.98
-"""Rate of the slowest clock that a backend server may have."""
-_EXPIRY_MARGIN_MS = 60
-"""Margin for rounding, added to the end of a lease."""
-
-
-class RunCoverage(StrEnum):
-    """How completely the runs on a backend server are known to the holder of the lease.
-
-    `UNHEARD`: the server's current incarnation has not answered a heartbeat of this tenure.
-    `PARTIAL`: it has, but more ends of runs are to be listed, so a run that is not listed may have
-    ended. `COMPLETE`: every run that an earlier holder started there is known or has ended.
-    """
-
-    UNHEARD = "unheard"
-    PARTIAL = "partial"
-    COMPLETE = "complete"
+__all__ = ["Server", "reserved_resources"]
 
 
 @define(eq=False)
 class Server:
-    """Backend server in its current incarnation, with the attempts placed on it.
+    """Backend server with its present life and the attempts placed on it.
 
     Parameters
     ----------
-    born_ms
-        Start time that identifies its incarnation; 0 before its first answer.
-    clock_ms, clock_read_ms
-        Its own clock as last read, and the local time at which that answer arrived; `None` before
-        the first answer.
-    lease_until_ms
-        Latest end of a lease that any order of this process granted, on the server's clock.
-    last_end
-        Number of the newest end of a run that this process handled.
-    stored_end
-        Number up to which all ends are stored.
-    unstored_ends
-        Ends that wait for a commit, as pairs of the number of the end and that of the commit.
+    life
+        Its present life, so far as the holder knows.
+    registered_born_ms
+        Newest start time in a registration that was taken for a restart.
     is_in_roster
         Whether the stored roster contains it, so that a later holder will query its runs.
     earlier_work
         Work that earlier holders may have left on it.
-    acknowledged_end
-        Number of the newest end that was acknowledged to the server as stored.
     backoff_until_ms
         Time before which no run is started on it, after it rejected one.
-    coverage
-        How completely its runs are known.
     is_reachable
         Whether its last heartbeat was answered in time.
     is_cordoned
@@ -78,18 +45,11 @@
 
     registration: Registration
     orders: BackendServerOrders
+    life: ServerLife
+    registered_born_ms: int = 0
     is_registered: bool = True
     is_in_roster: bool = False
     earlier_work: PossibleWork = NO_WORK
-    born_ms: int = 0
-    clock_ms: int = 0
-    clock_read_ms: int | None = None
-    lease_until_ms: int = 0
-    last_end: int = 0
-    stored_end: int = 0
-    acknowledged_end: int = 0
-    unstored_ends: deque[tuple[int, int]] = Factory(deque)
-    coverage: RunCoverage = RunCoverage.UNHEARD
     is_reachable: bool = False
     backoff_until_ms: int = 0
     is_cordoned: bool = False
@@ -103,11 +63,6 @@
         """Return the id of the backend server."""
         return self.registration.server_id
 
-    @property
-    def has_accepted_term(self) -> bool:
-        """Return whether its current incarnation has accepted the fencing token of this tenure."""
-        return self.coverage != RunCoverage.UNHEARD
-
     @property
     def free(self) -> Resources:
         """Return the capacity that no attempt has reserved."""
@@ -127,7 +82,7 @@
         return (
             self.is_registered
             and self.is_in_roster
-            and self.has_accepted_term
+            and self.life.has_answered
             and self.is_reachable
             and not self.is_cordoned
             and self.registration.state == BackendServerState.READY
@@ -139,7 +94,8 @@
 
     def is_known_idle(self) -> bool:
         """Return whether it is certain that nothing runs here."""
-        return self.coverage == RunCoverage.COMPLETE and self.is_reachable and not self.attempts
+        is_known = self.life.coverage == RunCoverage.COMPLETE
+        return is_known and self.is_reachable and not self.attempts
 
     def needs_heartbeat(self) -> bool:
         """Return whether heartbeats are needed.
@@ -148,9 +104,9 @@
         """
         return (
             bool(self.attempts)
-            or self.coverage != RunCoverage.COMPLETE
+            or self.life.coverage != RunCoverage.COMPLETE
             or not self.is_reachable
-            or self.acknowledged_end < self.last_end
+            or self.life.acknowledged_end < self.life.last_end
         )
 
     def add(self, attempt: Attempt) -> None:
@@ -164,41 +120,6 @@
         if self.attempts.pop((attempt.task.name, attempt.run), None) is not None:
             self.used = self.used - reserved_resources(attempt.task.step)
 
-    def clock_at(self, now_ms: int) -> int:
-        """Estimate the server's clock, which runs at most 2% slow."""
-        if self.clock_read_ms is None:
-            return self.clock_ms
-        return self.clock_ms + (now_ms - self.clock_read_ms)
-
-    def min_clock_at(self, now_ms: int) -> int:
-        """Return a lower bound of the server's clock, which may run 2% slow."""
-        if self.clock_read_ms is None:
-            return self.clock_ms
-        return self.clock_ms + int((now_ms - self.clock_read_ms) * _MIN_CLOCK_RATE)
-
-    def has_lease_expired(self, now_ms: int) -> bool:
-        """Return whether every lease granted by this process has certainly expired."""
-        if self.clock_read_ms is None:
-            return False
-        return self.min_clock_at(now_ms) > self.lease_until_ms + _EXPIRY_MARGIN_MS
-
-    def record_clock(self, report: HeartbeatReport, now_ms: int) -> None:
-        """Record the clock reading of an answer, unless a later one is known."""
-        if self.clock_read_ms is None or report.clock_ms >= self.clock_ms:
-            self.clock_ms = report.clock_ms
-            self.clock_read_ms = now_ms
-
-    def record_stored_ends(self, commit_number: int) -> None:
-        """Advance `stored_end` over the ends that a commit has stored.
-
-        Parameters
-        ----------
-        commit_number
-            Number of the newest finished commit.
-        """
-        while self.unstored_ends and self.unstored_ends[0][1] <= commit_number:
-            self.stored_end = self.unstored_ends.popleft()[0]
-
 
 def reserved_resources(step: StepSpec) -> Resources:
     """Return what a task of the step reserves; fill tasks reserve no processor time."""
--- a/fireflydeck/scheduling/session.py
+++ b/fireflydeck/scheduling/session.py
@@ -9,18 +9,16 @@
 from fireflydeck.core import Clock, Failure, Ran, Reason
 from fireflydeck.core.backend_orders import HeartbeatReport
 from fireflydeck.kernel import EventLog, keep_running
+from fireflydeck.scheduling.server_life import ServerLife
 from fireflydeck.scheduling.servers import Server
 
 __all__ = [
     "LEASE_EXTENSION_GRACE_MS",
-    "SERVER_LEASE_MS",
     "ServerSession",
     "SessionOwner",
     "SessionSet",
 ]
 
-SERVER_LEASE_MS = 3000
-"""Duration of the leases granted to backend servers."""
 LEASE_EXTENSION_GRACE_MS = 4000
 """Time after the end of its own confirmed lease in which a holder still extends servers' leases."""
 _HEARTBEAT_WAIT_MS = 700
@@ -44,18 +42,18 @@
 class SessionOwner(ABC):
     """Callbacks of a server session, implemented by the lease holder."""
 
-    @property
-    @abstractmethod
-    def term(self) -> int:
-        """Return the fencing token of the orders."""
-
     @abstractmethod
     def may_extend_leases(self) -> bool:
         """Return whether leases of backend servers may still be extended."""
 
     @abstractmethod
-    def on_report(self, server: Server, report: HeartbeatReport, sent_ms: int) -> None:
-        """Apply the answer to a heartbeat that was sent at `sent_ms`."""
+    def on_report(
+        self, server: Server, life: ServerLife, report: HeartbeatReport, sent_ms: int
+    ) -> bool:
+        """Apply the answer to a heartbeat that was sent to a life of the server at `sent_ms`.
+
+        Returns whether that life gave the answer and is the present one.
+        """
 
     @abstractmethod
     def on_unreachable(self, server: Server, failure: Failure) -> None:
@@ -85,7 +83,12 @@
         self._is_heartbeat_requested = False
         self._waiting_scope: anyio.CancelScope | None = None
         self._lost_answers = 0
-        self._knows_incarnation = False
+        # Life that gave the last answer, if the server can't have restarted since then.
+        self._confirmed_life: ServerLife | None = None
+
+    @property
+    def _is_life_confirmed(self) -> bool:
+        return self._confirmed_life is self._server.life
 
     def request_heartbeat(self) -> None:
         """Send a heartbeat immediately instead of waiting for the end of a run."""
@@ -109,21 +112,22 @@
         self._server.session_wake = anyio.Event()
         await self._server.session_wake.wait()
         if self._clock.now_ms() - idle_since_ms >= _MIN_RESTART_MS:
-            self._knows_incarnation = False
+            self._confirmed_life = None
 
     async def _send_heartbeat(self) -> None:
-        server = self._server
+        server, life = self._server, self._server.life
         wait_ms = self._next_wait_ms()
         if wait_ms == 0:
             await self._clock.sleep_ms(_BATCH_DELAY_MS)
             self._is_heartbeat_requested = False
+            life = server.life
         sent_ms = self._clock.now_ms()
-        stored_end = server.stored_end if self._knows_incarnation else 0
+        stored_end = life.stored_end if self._is_life_confirmed else 0
         until_ms = self._lease_until_ms(sent_ms)
         with anyio.CancelScope() as scope:
             self._waiting_scope = scope if wait_ms > 0 else None
             result = await server.orders.send_heartbeat(
-                fencing_token=self._owner.term,
+                fencing_token=life.fencing_token,
                 acknowledged_end=stored_end,
                 lease_until_ms=until_ms,
                 wait_ms=wait_ms,
@@ -133,18 +137,18 @@
             return
         if result.is_ok():
             self._lost_answers = 0
-            self._knows_incarnation = True
-            server.acknowledged_end = max(server.acknowledged_end, stored_end)
-            server.record_clock(result.ok, self._clock.now_ms())
-            self._owner.on_report(server, result.ok, sent_ms)
-            await self._clock.sleep_ms(_HEARTBEAT_PAUSE_MS)
+            life.acknowledged_end = max(life.acknowledged_end, stored_end)
+            is_present = self._owner.on_report(server, life, result.ok, sent_ms)
+            self._confirmed_life = life if is_present else None
+            if is_present:
+                await self._clock.sleep_ms(_HEARTBEAT_PAUSE_MS)
             return
-        self._knows_incarnation = False
-        await self._handle_failure(result.error)
+        self._confirmed_life = None
+        await self._handle_failure(life, result.error)
 
     def _next_wait_ms(self) -> int:
         """Return how long the next heartbeat waits for the end of a run."""
-        if self._is_heartbeat_requested or not self._knows_incarnation:
+        if self._is_heartbeat_requested or not self._is_life_confirmed:
             return 0
         return _HEARTBEAT_WAIT_MS if self._server.attempts and self._server.is_reachable else 0
 
@@ -155,18 +159,17 @@
         be started elsewhere.
         """
         server = self._server
-        if server.clock_read_ms is None or not server.attempts or not server.is_reachable:
+        if not server.life.has_answered or not server.attempts or not server.is_reachable:
             return 0
-        until_ms = server.clock_at(now_ms) + SERVER_LEASE_MS
-        server.lease_until_ms = max(server.lease_until_ms, until_ms)
-        return until_ms
+        return server.life.grant_lease(now_ms)
 
-    async def _handle_failure(self, failure: Failure) -> None:
+    async def _handle_failure(self, life: ServerLife, failure: Failure) -> None:
         server = self._server
         if failure.reason == Reason.BACKEND_LOST:
             self._owner.on_other_instance(server)
         elif failure.reason == Reason.NOT_OWNER:
-            self._owner.on_fenced(server)
+            if life is server.life:
+                self._owner.on_fenced(server)
         else:
             self._lost_answers += 1
             if failure.ran == Ran.UNKNOWN and self._lost_answers < _MAX_LOST_ANSWERS:
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -41,8 +41,8 @@
 
 __all__ = ["StartPlanner"]
 
-_RUN_NUMBERS_PER_TERM = 1000
-"""Run numbers reserved for each term, so that they exceed all numbers of earlier holders."""
+_RUN_NUMBERS_PER_TOKEN = 1000
+"""Run numbers reserved for each fencing token, so that they exceed those of earlier holders."""
 
 
 @define(eq=False)
@@ -73,8 +73,8 @@
 
     Parameters
     ----------
-    term
-        Term of the current tenure.
+    first_token
+        Lowest fencing token of the current tenure.
     reserve
         Reserves the capacity that an attempt uses.
     drop
@@ -85,7 +85,7 @@
         Fails a job that has a task without further attempts.
     """
 
-    term: int
+    first_token: int
     operators: OperatorDocuments
     clock: Clock
     usage: OrganisationUsage
@@ -246,7 +246,7 @@
         self, configuration: FleetConfiguration, tasks: list[Task], room: PoolRoom
     ) -> list[tuple[Server, Attempt]]:
         """Reserve capacity for all tasks under one run number, or for none of them."""
-        first_run = (self.term - 1) * _RUN_NUMBERS_PER_TERM + 1
+        first_run = (self.first_token - 1) * _RUN_NUMBERS_PER_TOKEN + 1
         min_run = max([first_run, *(task.last_run + 1 for task in tasks)])
         starts: list[tuple[Server, Attempt]] = []
         for task in tasks:
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -24,6 +24,7 @@
 from fireflydeck.observation.registrations import Registrations
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.ownership.records import Tenure
+from fireflydeck.scheduling.fencing import FencingTokens
 from fireflydeck.scheduling.fleet_knowledge import FleetKnowledge
 from fireflydeck.scheduling.job_tracker import JobTracker
 from fireflydeck.scheduling.journal import ProgressJournal
@@ -32,9 +33,10 @@
 from fireflydeck.scheduling.pacing import Pacer
 from fireflydeck.scheduling.retention import Retention
 from fireflydeck.scheduling.roster import Roster, placeholder
-from fireflydeck.scheduling.roster_rows import PossibleWork, RosterEntry
+from fireflydeck.scheduling.roster_rows import NO_WORK, PossibleWork, RosterEntry
 from fireflydeck.scheduling.row_shortener import JobRowShortener
 from fireflydeck.scheduling.run_tracker import RunTracker
+from fireflydeck.scheduling.server_life import ServerLife
 from fireflydeck.scheduling.server_reports import ServerReports
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import SessionSet
@@ -96,9 +98,15 @@
         self._metrics = metrics
         self._make_orders = make_orders
         self._servers: dict[str, Server] = {}
+        self._tokens = FencingTokens(
+            tenure.first_token,
+            tenure.term,
+            on_exhausted=partial(lease.resign, tenure, "no fencing token is left"),
+        )
         self._reports = ServerReports(
             tenure=tenure,
             lease=lease,
+            tokens=self._tokens,
             clock=clock,
             log=log,
             retire=self._retire_if_idle,
@@ -128,6 +136,7 @@
         )
         self._roster = Roster(
             term=tenure.term,
+            earlier_term=tenure.earlier_term,
             store=store,
             lease=lease,
             operators=operators,
@@ -155,7 +164,6 @@
             advisor, clock, log, self._run_in_background, self.request_planning
         )
         self._sender = OrderSender(
-            term=tenure.term,
             lease=lease,
             operators=operators,
             registrations=self._registrations,
@@ -173,7 +181,7 @@
             clock, partial(self._run_in_background, "pace", self._sender.send_pace)
         )
         self._planner = StartPlanner(
-            term=tenure.term,
+            first_token=tenure.first_token,
             operators=operators,
             clock=clock,
             usage=self._usage,
@@ -221,7 +229,7 @@
 
     @property
     def term(self) -> int:
-        """Return the term of the tenure, which is the fencing token of its orders."""
+        """Return the term of the tenure."""
         return self._tenure.term
 
     @property
@@ -306,13 +314,29 @@
             await self._clock.sleep_ms(_LOAD_RETRY_MS)
 
     def _add_roster_server(self, entry: RosterEntry, work: PossibleWork) -> None:
-        registration = placeholder(entry)
-        self._servers[entry.server_id] = Server(
+        self._add_server(placeholder(entry), is_registered=False, earlier_work=work)
+
+    def _add_server(
+        self,
+        registration: Registration,
+        *,
+        is_registered: bool = True,
+        earlier_work: PossibleWork = NO_WORK,
+    ) -> Server:
+        """Add a server; one that was forgotten before gets a higher fencing token than it had."""
+        life = ServerLife(
+            fencing_token=self._tokens.issue(registration.server_id),
+            known_since_ms=self._clock.now_ms(),
+        )
+        server = Server(
             registration,
             self._make_orders(registration),
-            is_registered=False,
-            earlier_work=work,
+            life,
+            is_registered=is_registered,
+            earlier_work=earlier_work,
         )
+        self._servers[server.id] = server
+        return server
 
     # Notifications
 
@@ -326,8 +350,7 @@
                 self._retire_if_idle(server)
             return
         if server is None:
-            server = Server(registration, self._make_orders(registration))
-            self._servers[server_id] = server
+            server = self._add_server(registration)
             self._sessions.start(server)
             self._roster.request_store()
             self._log.emit(
@@ -342,8 +365,7 @@
             self._roster.request_store()
         server.registration = registration
         server.is_registered = True
-        if 0 < server.born_ms < registration.born_ms and server.has_accepted_term:
-            self._reports.on_restart_registered(server)
+        if self._reports.on_registration(server, registration.born_ms):
             self._sessions.request_heartbeat(server)
         self.request_planning()
 
@@ -353,7 +375,7 @@
         It is kept while it may have unknown runs, and until the ends of its runs are stored. A
         later holder would otherwise start their tasks again.
         """
-        if server.is_registered or server.attempts or server.unstored_ends:
+        if server.is_registered or server.attempts or server.life.unstored_ends:
             return
         if self._knowledge.may_hide_runs(server):
             return
@@ -379,8 +401,8 @@
 
     def _on_commit(self, commit_number: int) -> None:
         for server in self._servers.values():
-            if server.unstored_ends:
-                server.record_stored_ends(commit_number)
+            if server.life.unstored_ends:
+                server.life.record_stored_ends(commit_number)
                 server.session_wake.set()
         self._close_ended_jobs()
 
@@ -399,7 +421,7 @@
             await self._clock.sleep_ms(_LEASE_CHECK_INTERVAL_MS)
             now_ms = self._clock.now_ms()
             for server in list(self._servers.values()):
-                if server.attempts and not server.is_reachable and server.has_lease_expired(now_ms):
+                if server.attempts and not server.is_reachable:
                     self._drop_expired(server, now_ms)
                 self._retire_if_idle(server)
             self._close_ended_jobs()
@@ -407,15 +429,19 @@
 
     def _drop_expired(self, server: Server, now_ms: int) -> None:
         """Drop the attempts on a silent server whose leases have expired."""
+        runs = server.life.expired_runs(server.attempts, now_ms)
+        if not runs:
+            return
         self._log.emit(
             Event.SERVER_LEASE_EXPIRED,
             server=server.id,
-            born_ms=server.born_ms,
-            clock_ms=server.min_clock_at(now_ms),
-            lease_until_ms=server.lease_until_ms,
+            born_ms=server.life.born_ms,
+            clock_ms=server.life.min_clock_at(now_ms),
+            lease_until_ms=server.life.lease_until_ms,
             running=len(server.attempts),
+            expired=len(runs),
         )
-        self._run_tracker.drop_all(server, "lease lapsed")
+        self._run_tracker.drop_runs(server, runs, "lease lapsed")
 
     # Planning
 
--- a/fireflydeck/scheduling/tests/test_incomplete_knowledge.py
+++ b/fireflydeck/scheduling/tests/test_incomplete_knowledge.py
@@ -11,7 +11,8 @@
     put_registration,
     remove_registration,
 )
-from fireflydeck.scheduling.session import LEASE_EXTENSION_GRACE_MS, SERVER_LEASE_MS
+from fireflydeck.scheduling.server_life import SERVER_LEASE_MS
+from fireflydeck.scheduling.session import LEASE_EXTENSION_GRACE_MS
 from fireflydeck.scheduling.tests.fleet import no_duplicate_runs, running_fleet
 from fireflydeck.testing.fleet_fakes import OrderFault
 from fireflydeck.testing.job_builders import (
--- a/fireflydeck/scheduling/tests/test_pool_room.py
+++ b/fireflydeck/scheduling/tests/test_pool_room.py
@@ -8,6 +8,7 @@
 
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
 from fireflydeck.scheduling.pool_room import PoolRoom
+from fireflydeck.scheduling.server_life import ServerLife
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.tests.fleet import running_fleet
 from fireflydeck.testing.job_builders import accept_job, build_job, build_spec, build_step
@@ -34,7 +35,7 @@
         capacity=capacity,
         labels=frozenset(),
     )
-    return Server(registration, orders=None)
+    return Server(registration, None, ServerLife(fencing_token=1, known_since_ms=0))
 
 
 @given(capacities=st.lists(_demands, max_size=4), steps=st.lists(_steps, max_size=20))
--- a/fireflydeck/scheduling/tests/test_runs.py
+++ b/fireflydeck/scheduling/tests/test_runs.py
@@ -11,7 +11,7 @@
     put_registration,
     remove_evacuation,
 )
-from fireflydeck.scheduling.session import SERVER_LEASE_MS
+from fireflydeck.scheduling.server_life import SERVER_LEASE_MS
 from fireflydeck.scheduling.tests.fleet import no_duplicate_runs, running_fleet
 from fireflydeck.testing.fleet_fakes import OrderFault
 from fireflydeck.testing.job_builders import (
--- a/fireflydeck/scheduling/tests/test_take_over.py
+++ b/fireflydeck/scheduling/tests/test_take_over.py
@@ -3,7 +3,8 @@
 import pytest
 
 from fireflydeck.core import Ran
-from fireflydeck.scheduling.session import LEASE_EXTENSION_GRACE_MS, SERVER_LEASE_MS
+from fireflydeck.scheduling.server_life import SERVER_LEASE_MS
+from fireflydeck.scheduling.session import LEASE_EXTENSION_GRACE_MS
 from fireflydeck.scheduling.tests.fleet import no_duplicate_runs, running_fleet
 from fireflydeck.testing.fleet_fakes import OrderFault
 from fireflydeck.testing.job_builders import JOB_ID, accept_job, build_spec, build_step
--- a/fireflydeck/scheduling/ticket_cache.py
+++ b/fireflydeck/scheduling/ticket_cache.py
@@ -91,7 +91,7 @@
 
     def _valid_text(self, advice: _StepAdvice, server: Server) -> str:
         ticket = advice.tickets.get(server.id)
-        if ticket is None or ticket.server_born_ms != server.born_ms:
+        if ticket is None or ticket.server_born_ms != server.life.born_ms:
             return ""
         return ticket.text if self._clock.now_ms() < ticket.expires_ms else ""
 
@@ -133,7 +133,7 @@
         Which servers the advisor allows for a step doesn't change, so a server without a ticket is
         not requested again.
         """
-        if advice.queried.get(server.id) != server.born_ms:
+        if advice.queried.get(server.id) != server.life.born_ms:
             return True
         return server.id in advice.tickets and not self._valid_text(advice, server)
 
@@ -167,10 +167,10 @@
         valid_ms = result.ok.validity_ms or times.validity_ms
         expires_ms = sent_ms + took_ms + max(0, valid_ms - _EXPIRY_MARGIN_MS)
         for server in servers:
-            advice.queried[server.id] = server.born_ms
+            advice.queried[server.id] = server.life.born_ms
             text = result.ok.tickets.get(server.id)
             if text is not None:
-                advice.tickets[server.id] = _Ticket(text, server.born_ms, expires_ms)
+                advice.tickets[server.id] = _Ticket(text, server.life.born_ms, expires_ms)
         self._log.emit(
             Event.ADVICE_RECEIVED,
             step_of_job=step,
--- a/fireflydeck/scheduling/wave_runner.py
+++ b/fireflydeck/scheduling/wave_runner.py
@@ -201,7 +201,7 @@
         result = await self.fleet.orders.start_maintenance(
             vm=vm.name,
             wave=wave.number,
-            fencing_token=self.fleet.tenure.term,
+            fencing_token=self.fleet.tenure.first_token,
             timeout_ms=CALL_TIMEOUT_MS,
         )
         self.fleet.log_order("maintenance", vm, str(wave.number), result)
--- a/fireflydeck/soak/fault_plan.py
+++ b/fireflydeck/soak/fault_plan.py
@@ -20,7 +20,8 @@
     """Kind of a fault, which determines the kind of its target.
 
     A target is an entry process, the link from an entry process to the store, the link to a
-    backend server, the store itself or a backend server.
+    backend server, the store itself or a backend server. `SERVER_REBORN_LATE_ORDERS`: orders to a
+    server get no answer, it restarts with another clock, and its new life carries them out later.
     """
 
     KILL = "kill"
@@ -41,6 +42,7 @@
     STORE_GARBAGE = "store-garbage"
     STORE_HISTORY_LOST = "store-history-lost"
     SERVER_REBORN = "server-reborn"
+    SERVER_REBORN_LATE_ORDERS = "server-reborn-late-orders"
 
 
 @frozen
--- a/fireflydeck/soak/injector.py
+++ b/fireflydeck/soak/injector.py
@@ -14,6 +14,10 @@
 __all__ = ["FaultInjector"]
 
 _DELAY_MS = 120
+_MAX_SILENCE_MS = 700
+"""Longest time without answers before a restart; the holder misses at most two heartbeats."""
+_NEW_CLOCK_MS = 1000
+"""Clock of a new life; most deadlines for the former one lie far ahead of it or behind it."""
 _STORE_CALL_INTERVAL_MS = 40
 """Approximate time between two calls to the store; converts a duration to a number of calls."""
 
@@ -68,6 +72,8 @@
             self.fleet.store.rows.forget_history()
         elif kind == FaultKind.SERVER_REBORN:
             self._crash_server(fault)
+        elif kind == FaultKind.SERVER_REBORN_LATE_ORDERS:
+            await self._crash_server_with_late_orders(fault)
         else:
             count = fault.duration_ms // _STORE_CALL_INTERVAL_MS
             self.fleet.store.faults.next.extend([_STORE_FAULTS[kind]] * count)
@@ -112,11 +118,22 @@
         server_id = servers[fault.target % len(servers)]
         self.server_link_faults.append(LinkFault(server_id, from_ms, self.clock.now_ms()))
 
-    def _crash_server(self, fault: PlannedFault) -> None:
+    async def _crash_server_with_late_orders(self, fault: PlannedFault) -> None:
+        """Leave orders unanswered, restart the server, and let its new life carry them out."""
+        apps = list(self.fleet.server_apps.values())
+        app = apps[fault.target % len(apps)]
+        app.are_orders_late = True
+        await self.clock.sleep_ms(min(fault.duration_ms, _MAX_SILENCE_MS))
+        app.are_orders_late = False
+        self._crash_server(fault, clock_ms=_NEW_CLOCK_MS)
+        await self.clock.sleep_ms(max(0, fault.duration_ms - _MAX_SILENCE_MS))
+        app.deliver_late()
+
+    def _crash_server(self, fault: PlannedFault, clock_ms: int | None = None) -> None:
         servers = list(self.fleet.servers.items())
         number = fault.target % len(servers)
         server_id, server = servers[number]
-        server.crash()
+        server.crash(clock_ms=clock_ms)
         address = self.server_links[number].address
         put_registration(
             self.fleet.store.rows,
--- a/fireflydeck/standins/task_server.py
+++ b/fireflydeck/standins/task_server.py
@@ -81,13 +81,21 @@
         """Return the time of the server's own monotonic clock."""
         return int(self.clock.now_ms() * self.clock_rate) + self.clock_offset_ms
 
-    def crash(self) -> None:
-        """Restart the server as a new incarnation without any state."""
+    def crash(self, *, clock_ms: int | None = None) -> None:
+        """Restart the server as a new incarnation without any state.
+
+        Parameters
+        ----------
+        clock_ms
+            Time at which its clock starts; by default the clock goes on.
+        """
         self._advance()
         for run in self._running.values():
             run.record.ended_ms = self.clock.now_ms()
         self._unnoted.clear()
         self.born_ms += 1
+        if clock_ms is not None:
+            self.clock_offset_ms += clock_ms - self.clock_ms()
         self.fencing_token = 0
         self.lease_until_ms = 0
         self._running.clear()
--- a/fireflydeck/testing/fleet_fakes.py
+++ b/fireflydeck/testing/fleet_fakes.py
@@ -60,15 +60,19 @@
         Outcome of all starts, which then have no effect; `None` to pass them to the server.
     lost_heartbeats
         Number of the next heartbeats that get no answer.
+    late_heartbeats
+        Number of the next heartbeats that get no answer and are carried out by `deliver_late`.
     """
 
     def __init__(self, server: TaskServer, clock: Clock) -> None:
         self.lost_heartbeats = 0
+        self.late_heartbeats = 0
         self.server = server
         self.is_unreachable = False
         self.next_starts: list[OrderFault | None] = []
         self.start_outcome: StartOutcome | None = None
         self._late: list[StartOrder] = []
+        self._late_heartbeats: list[tuple[int, int, int]] = []
         self._clock = clock
 
     @property
@@ -77,7 +81,10 @@
         return bool(self._late)
 
     def deliver_late(self) -> list[StartOutcome]:
-        """Carry out the late starts and return their outcomes."""
+        """Carry out the late heartbeats and starts; return the outcomes of the starts."""
+        for heartbeat in self._late_heartbeats:
+            self.server.answer_heartbeat(*heartbeat)
+        self._late_heartbeats.clear()
         late, self._late = self._late, []
         return [self.server.start(order) for order in late]
 
@@ -126,6 +133,11 @@
         """Send a heartbeat; wait up to `wait_ms` for the end of a run."""
         until_ms = self._clock.now_ms() + wait_ms
         extended_ms = lease_until_ms
+        if self.late_heartbeats > 0:
+            self.late_heartbeats -= 1
+            self._late_heartbeats.append((fencing_token, acknowledged_end, lease_until_ms))
+            await self._clock.sleep_ms(wait_ms + _POLL_MS)
+            return Error(_unreachable("backend.hold", Ran.UNKNOWN))
         while True:
             await anyio.lowlevel.checkpoint()
             if self.is_unreachable or self.lost_heartbeats > 0:
--- a/fireflydeck/testing/platform_fleet.py
+++ b/fireflydeck/testing/platform_fleet.py
@@ -78,6 +78,8 @@
         The platform's store; its rows can be read and written directly.
     servers
         Backend servers, by id.
+    server_apps
+        HTTP interfaces of the backend servers, by id.
     data_centres
         Data centre of each backend server, by the id of the server.
     """
@@ -86,6 +88,7 @@
     store: StoreApp = field(factory=StoreApp)
     vms: VmApp = field(factory=VmApp)
     servers: dict[str, TaskServer] = field(factory=dict)
+    server_apps: dict[str, BackendServerApp] = field(factory=dict)
     data_centres: dict[str, str] = field(factory=dict)
     entries: list[EntryProcess] = field(factory=list)
 
@@ -122,7 +125,8 @@
             server_id = f"i-{number}"
             server = TaskServer(SystemClock(), SERVER_CAPACITY, name=server_id)
             fleet.servers[server_id] = server
-            own_address = await _serve(stack, BackendServerApp(server_id, server).handle)
+            app = fleet.server_apps[server_id] = BackendServerApp(server_id, server)
+            own_address = await _serve(stack, app.handle)
             address = await connect(f"server-{number}", own_address)
             data_centre = data_centres[(number - 1) % len(data_centres)]
             fleet.data_centres[server_id] = data_centre
