A run belongs to a life of its server once a report or the clock in an answer shows it

Attempt.life_token names the life that is known to have the run: a report lists it, or the clock in the answer to its start fits that life's clock. On a silent server only the other runs wait for the longest lease; before, all that no report had listed did, which are most of the short tasks of a lost server. The answer to a start carries the clock (StartAnswer).

--- a/fireflydeck/core/backend_orders.py
+++ b/fireflydeck/core/backend_orders.py
@@ -14,6 +14,7 @@
     "EndedRun",
     "HeartbeatReport",
     "RunEnd",
+    "StartAnswer",
     "StartOrder",
     "StartOutcome",
 ]
@@ -40,6 +41,20 @@
     OTHER_INSTANCE = "other-instance"
 
 
+@frozen
+class StartAnswer:
+    """Answer to a start order.
+
+    Parameters
+    ----------
+    clock_ms
+        Time on the backend server's own clock, in milliseconds; `None` if the answer has none.
+    """
+
+    outcome: StartOutcome
+    clock_ms: int | None = None
+
+
 class RunEnd(StrEnum):
     """Way in which a run ended.
 
@@ -153,7 +168,7 @@
         """Close all connections."""
 
     @abstractmethod
-    async def start(self, order: StartOrder, *, timeout_ms: int) -> Result[StartOutcome, Failure]:
+    async def start(self, order: StartOrder, *, timeout_ms: int) -> Result[StartAnswer, Failure]:
         """Order the start of a run."""
 
     @abstractmethod
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -124,7 +124,7 @@
     ),
     6106: EventNote(
         trigger="A backend server restarted under the same id, by its answer or registration; the "
-        "runs that it had listed are lost, and it gets orders once it has answered (6104). "
+        "runs of its former life are lost, and it gets orders once it has answered (6104). "
         "`former_clock_ms` and `former_lease_until_ms` are its former clock and the end of the "
         "leases granted on it; `clock_ms` is its present clock.",
         fields=(
@@ -157,8 +157,8 @@
     6110: EventNote(
         trigger="A backend server is silent, and all leases granted on it have expired by its own "
         "clock (at least `clock_ms`; the last one ended at `lease_until_ms`). Of its `running` "
-        "runs, `expired` count as ended and their tasks start elsewhere. Runs that it has never "
-        "listed follow later, since it may have restarted before it started them.",
+        "runs, `expired` count as ended and their tasks start elsewhere. Runs that may "
+        "belong to a later life of the server follow when the longest lease has passed.",
         action="See 6105 of the same server.",
         fields=("server", "born_ms", "clock_ms", "lease_until_ms", "running", "expired"),
     ),
--- a/fireflydeck/platform/backend_server_client.py
+++ b/fireflydeck/platform/backend_server_client.py
@@ -13,6 +13,7 @@
     EndedRun,
     HeartbeatReport,
     RunEnd,
+    StartAnswer,
     StartOrder,
     StartOutcome,
 )
@@ -84,7 +85,7 @@
         """Close all connections."""
         await self._http.close()
 
-    async def start(self, order: StartOrder, *, timeout_ms: int) -> Result[StartOutcome, Failure]:
+    async def start(self, order: StartOrder, *, timeout_ms: int) -> Result[StartAnswer, Failure]:
         """Order the start of a run."""
         body: dict[str, Any] = {
             "task": order.task,
@@ -98,7 +99,7 @@
         if order.ticket:
             body["ticket"] = order.ticket
         answer = await self._call("/-/run-start", "start", body, timeout_ms)
-        return answer.bind(self._decode_start_outcome)
+        return answer.bind(self._decode_start_answer)
 
     async def stop(
         self, *, task: str, run: int, fencing_token: int, timeout_ms: int
@@ -165,12 +166,14 @@
             self._timeout.record_answer((monotonic() - sent_s) * _MS_PER_S)
         return answer
 
-    def _decode_start_outcome(self, answer: HttpAnswer) -> Result[StartOutcome, Failure]:
+    def _decode_start_answer(self, answer: HttpAnswer) -> Result[StartAnswer, Failure]:
         if answer.status == _CONFLICT:
             outcome = _START_OUTCOMES_BY_REASON.get(answer.text("reason"))
         else:
             outcome = _START_OUTCOMES_BY_STATUS.get(answer.status)
-        return Error(self._refusal("start", answer)) if outcome is None else Ok(outcome)
+        if outcome is None:
+            return Error(self._refusal("start", answer))
+        return Ok(StartAnswer(outcome, _clock_ms(answer)))
 
     def _decode_heartbeat_answer(self, answer: HttpAnswer) -> Result[HeartbeatReport, Failure]:
         if answer.status != _OK:
@@ -195,6 +198,14 @@
         )
 
 
+def _clock_ms(answer: HttpAnswer) -> int | None:
+    """Return the clock in an answer, or `None` if it has none that can be read."""
+    try:
+        return truncated_int(answer.body["clock_ms"])
+    except FIELD_ERRORS:
+        return None
+
+
 def decode_report(body: Mapping[str, Any]) -> HeartbeatReport:
     """Decode a backend server's lists of running and ended runs.
 
--- a/fireflydeck/platform/tests/test_backend_server_client.py
+++ b/fireflydeck/platform/tests/test_backend_server_client.py
@@ -56,8 +56,10 @@
     server = _server()
     async with local_server(BackendServerApp("i-1", server).handle) as address:
         client = BackendServerClient("i-1", address)
+        before_ms = server.clock_ms()
         started = await client.start(_order(server), timeout_ms=_TIMEOUT_MS)
-        assert started.ok == StartOutcome.ACCEPTED
+        assert started.ok.outcome == StartOutcome.ACCEPTED
+        assert before_ms <= started.ok.clock_ms <= server.clock_ms()
         report = (await _send_heartbeat(client)).ok
         assert [(row.task, row.run, row.percent) for row in report.running] == [(_TASK, 1, 100)]
         assert report.born_ms == 1
@@ -83,7 +85,7 @@
     async with local_server(BackendServerApp("i-1", server).handle) as address:
         client = BackendServerClient("i-1", address)
         result = await client.start(_order(server, **fields), timeout_ms=_TIMEOUT_MS)
-        assert result.ok == outcome
+        assert result.ok.outcome == outcome
         assert server.running() == []
         await client.close()
 
@@ -93,7 +95,7 @@
     async with local_server(BackendServerApp("i-2", server).handle) as address:
         client = BackendServerClient("i-1", address)
         result = await client.start(_order(server), timeout_ms=_TIMEOUT_MS)
-        assert result.ok == StartOutcome.OTHER_INSTANCE
+        assert result.ok.outcome == StartOutcome.OTHER_INSTANCE
         assert (await _send_heartbeat(client)).error.reason == Reason.BACKEND_LOST
         await client.close()
 
@@ -123,7 +125,7 @@
     async with local_server(app.handle) as address:
         client = BackendServerClient("i-1", address)
         result = await client.start(_order(server), timeout_ms=_TIMEOUT_MS)
-        assert (result.ok if result.is_ok() else None) == outcome
+        assert (result.ok.outcome if result.is_ok() else None) == outcome
         assert (result.error.ran if result.is_error() else None) == ran
         assert len(server.running()) == runs
         await client.close()
--- a/fireflydeck/scheduling/order_sender.py
+++ b/fireflydeck/scheduling/order_sender.py
@@ -5,7 +5,7 @@
 from attrs import define
 
 from fireflydeck.core import Clock, Failure, Ran
-from fireflydeck.core.backend_orders import StartOrder, StartOutcome
+from fireflydeck.core.backend_orders import StartAnswer, StartOrder, StartOutcome
 from fireflydeck.kernel import Event, EventLog, Metrics
 from fireflydeck.observation.operator_documents import OperatorDocuments
 from fireflydeck.observation.registrations import Registrations
@@ -91,7 +91,7 @@
         result = await server.orders.start(order, timeout_ms=_ORDER_TIMEOUT_MS)
         took_ms = self.clock.now_ms() - now_ms
         self.metrics.observe_ms("start_order_ms", took_ms)
-        outcome = result.ok.value if result.is_ok() else "no answer"
+        outcome = result.ok.outcome.value if result.is_ok() else "no answer"
         self.log.emit(
             Event.START_SENT,
             task=task.name,
@@ -105,7 +105,8 @@
             waited_ms=now_ms - (task.waiting_since_ms or task.job.accepted_at_ms),
         )
         if result.is_ok():
-            self._on_start_outcome(server, attempt, result.ok, life)
+            self._record_life(attempt, life, result.ok, sent_ms=now_ms)
+            self._on_start_outcome(server, attempt, result.ok.outcome, life)
         else:
             self._on_start_failure(server, attempt, result.error)
 
@@ -120,6 +121,15 @@
             and server.registration.data_centre not in self.operators.evacuated_data_centres
         )
 
+    def _record_life(
+        self, attempt: Attempt, life: ServerLife, answer: StartAnswer, *, sent_ms: int
+    ) -> None:
+        """Record that the run belongs to a life if the clock in the answer is that life's."""
+        if answer.outcome != StartOutcome.ACCEPTED or answer.clock_ms is None:
+            return
+        if life.is_clock(answer.clock_ms, sent_ms=sent_ms, now_ms=self.clock.now_ms()):
+            attempt.life_token = life.fencing_token
+
     def _on_start_outcome(
         self, server: Server, attempt: Attempt, outcome: StartOutcome, life: ServerLife
     ) -> None:
--- a/fireflydeck/scheduling/run_tracker.py
+++ b/fireflydeck/scheduling/run_tracker.py
@@ -77,22 +77,16 @@
 
     def drop_all(self, server: Server, why: str) -> None:
         """Drop all attempts on a server and log them as lost."""
-        self.drop_runs(server, list(server.attempts), why)
+        self.drop_lost(list(server.attempts.values()), why)
 
-    def drop_runs(self, server: Server, runs: Iterable[tuple[str, int]], why: str) -> None:
-        """Drop those of the runs that have an attempt on a server and log them as lost.
-
-        Parameters
-        ----------
-        runs
-            Names of the tasks and run numbers.
-        """
-        for attempt in [server.attempts[key] for key in runs if key in server.attempts]:
+    def drop_lost(self, attempts: Iterable[Attempt], why: str) -> None:
+        """Drop attempts and log them as lost."""
+        for attempt in attempts:
             self.log.emit(
                 Event.RUN_LOST,
                 task=attempt.task.name,
                 run=attempt.run,
-                server=server.id,
+                server=attempt.server_id,
                 why=why,
                 phase=attempt.phase.value,
             )
@@ -187,6 +181,7 @@
             if attempt is None:
                 self._adopt(server, row.task, row.run, now_ms)
                 continue
+            attempt.life_token = server.life.fencing_token
             attempt.reported_available = row.percent >= 100
             if row.checkpoint:
                 attempt.task.checkpoint = row.checkpoint
@@ -198,15 +193,15 @@
             return
         for key, attempt in list(server.attempts.items()):
             if key not in listed and attempt.changed_ms < sent_ms:
-                self._on_unlisted(server, attempt)
+                self._on_unlisted(attempt)
 
-    def _on_unlisted(self, server: Server, attempt: Attempt) -> None:
+    def _on_unlisted(self, attempt: Attempt) -> None:
         """Handle an attempt that the server reports neither as running nor as ended."""
         if attempt.phase == AttemptPhase.UNCERTAIN:
             attempt.changed_ms = self.clock.now_ms()
             self.request_stop(attempt)
         elif attempt.phase in (AttemptPhase.RUNNING, AttemptPhase.STOPPING):
-            self.drop_runs(server, [(attempt.task.name, attempt.run)], "not listed")
+            self.drop_lost([attempt], "not listed")
 
     def _adopt(self, server: Server, name: str, run: int, now_ms: int) -> None:
         """Adopt a run that this process has no attempt for, or stop it."""
@@ -218,6 +213,7 @@
         others = bool(task.attempts)
         attempt = confirm_attempt(task, run, server.id, now_ms)
         attempt.server_id = server.id
+        attempt.life_token = server.life.fencing_token
         if task.step.fill:
             attempt.pace = 0
         self.reserve(attempt)
--- a/fireflydeck/scheduling/server_life.py
+++ b/fireflydeck/scheduling/server_life.py
@@ -5,7 +5,6 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
 from enum import StrEnum
 
 from attrs import Factory, define
@@ -94,8 +93,6 @@
         Ends that wait for a commit, as pairs of the number of the end and that of the commit.
     coverage
         How completely its runs are known.
-    listed_runs
-        Task and run number of the runs in its last report.
     """
 
     fencing_token: int
@@ -111,7 +108,6 @@
     acknowledged_end: int = 0
     unstored_ends: deque[tuple[int, int]] = Factory(deque)
     coverage: RunCoverage = RunCoverage.UNHEARD
-    listed_runs: frozenset[tuple[str, int]] = frozenset()
 
     @property
     def has_answered(self) -> bool:
@@ -140,32 +136,38 @@
         self.granted_ms = now_ms
         return until_ms
 
+    def is_clock(self, clock_ms: int, *, sent_ms: int, now_ms: int) -> bool:
+        """Return whether a clock reading is one of this life's clock.
+
+        The clock of a later life starts anew.
+
+        Parameters
+        ----------
+        sent_ms, now_ms
+            When the order was sent whose answer has the reading, and when the answer arrived.
+        """
+        if self.clock_read_ms is None:
+            return False
+        earliest_ms = self.min_clock_at(sent_ms) - _EXPIRY_MARGIN_MS
+        return earliest_ms <= clock_ms <= self.clock_at(now_ms) + _EXPIRY_MARGIN_MS
+
     def has_lease_expired(self, now_ms: int) -> bool:
         """Return whether every lease on the server has certainly expired."""
         if self.clock_read_ms is None:
             return now_ms >= self.known_since_ms + _UNHEARD_LEASE_MS
         return self.min_clock_at(now_ms) > self.lease_until_ms + _EXPIRY_MARGIN_MS
 
-    def expired_runs(self, runs: Iterable[tuple[str, int]], now_ms: int) -> list[tuple[str, int]]:
-        """Return those of the runs that have certainly ended although no report says so.
-
-        A run that a report has listed belongs to this life and ends with its leases. Another one
-        may have been started by a later life that the holder has not heard of, whose clock lets
-        the same orders extend its leases up to the longest one.
+    def has_longest_lease_expired(self, now_ms: int) -> bool:
+        """Return whether leases by the last grant have expired in whichever life it took effect.
 
-        Parameters
-        ----------
-        runs
-            Names of the tasks and run numbers.
+        The clock of a later life, of which the holder has not heard, lets the grant extend its
+        leases up to the longest one.
         """
-        if not self.has_lease_expired(now_ms):
-            return []
-        if now_ms >= self.granted_ms + _ORDER_TIMEOUT_MS + lease_duration_ms(MAX_LEASE_MS):
-            return list(runs)
-        return [run for run in runs if run in self.listed_runs]
+        longest_ms = _ORDER_TIMEOUT_MS + lease_duration_ms(MAX_LEASE_MS)
+        return self.has_lease_expired(now_ms) and now_ms >= self.granted_ms + longest_ms
 
     def record_report(self, report: HeartbeatReport, now_ms: int) -> None:
-        """Record start time, clock, coverage and listed runs of a report of this life.
+        """Record start time, clock and coverage by a report of this life.
 
         Before the first report, earlier holders may have extended the leases, and so may orders for
         a former life: a deadline on its clock extends them up to the longest lease.
@@ -177,7 +179,6 @@
         elif not self.has_answered:
             self.coverage = RunCoverage.PARTIAL
         self.born_ms = report.born_ms
-        self.listed_runs = frozenset((row.task, row.run) for row in report.running)
         if self.clock_read_ms is None or report.clock_ms >= self.clock_ms:
             self.clock_ms = report.clock_ms
             self.clock_read_ms = now_ms
--- a/fireflydeck/scheduling/server_reports.py
+++ b/fireflydeck/scheduling/server_reports.py
@@ -126,8 +126,9 @@
     def _begin_life(self, server: Server, born_ms: int, *, clock_ms: int = 0) -> None:
         """Begin the next life of a server, with a fencing token above that of the former one.
 
-        The runs that the former life listed ended with it. The others may be started by the next
-        one, by orders that are on their way, so they count as running until it answers.
+        The runs that are known to belong to the former life ended with it. The others may be
+        started by the next one, by orders that are on their way, so they count as running until it
+        answers.
         """
         now_ms, former = self.clock.now_ms(), server.life
         self.log.emit(
@@ -141,4 +142,4 @@
         )
         token = self.tokens.issue(server.id)
         server.life = former.succeeded_by(fencing_token=token, now_ms=now_ms)
-        self.run_tracker.drop_runs(server, former.listed_runs, "server restarted")
+        self.run_tracker.drop_lost(server.attempts_of_life(former), "server restarted")
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -97,6 +97,20 @@
         is_known = self.life.coverage == RunCoverage.COMPLETE
         return is_known and self.is_reachable and not self.attempts
 
+    def attempts_of_life(self, life: ServerLife) -> list[Attempt]:
+        """Return the attempts whose runs are known to belong to a life."""
+        token = life.fencing_token
+        return [attempt for attempt in self.attempts.values() if attempt.life_token == token]
+
+    def expired_attempts(self, now_ms: int) -> list[Attempt]:
+        """Return the attempts whose runs have certainly ended since their leases have expired.
+
+        The run of an attempt without a known life may have been started by a later life.
+        """
+        if self.life.has_longest_lease_expired(now_ms):
+            return list(self.attempts.values())
+        return self.attempts_of_life(self.life) if self.life.has_lease_expired(now_ms) else []
+
     def needs_heartbeat(self) -> bool:
         """Return whether heartbeats are needed.
 
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -429,8 +429,8 @@
 
     def _drop_expired(self, server: Server, now_ms: int) -> None:
         """Drop the attempts on a silent server whose leases have expired."""
-        runs = server.life.expired_runs(server.attempts, now_ms)
-        if not runs:
+        expired = server.expired_attempts(now_ms)
+        if not expired:
             return
         self._log.emit(
             Event.SERVER_LEASE_EXPIRED,
@@ -439,9 +439,9 @@
             clock_ms=server.life.min_clock_at(now_ms),
             lease_until_ms=server.life.lease_until_ms,
             running=len(server.attempts),
-            expired=len(runs),
+            expired=len(expired),
         )
-        self._run_tracker.drop_runs(server, runs, "lease lapsed")
+        self._run_tracker.drop_lost(expired, "lease lapsed")
 
     # Planning
 
--- a/fireflydeck/testing/fleet_fakes.py
+++ b/fireflydeck/testing/fleet_fakes.py
@@ -11,6 +11,7 @@
 from fireflydeck.core.backend_orders import (
     BackendServerOrders,
     HeartbeatReport,
+    StartAnswer,
     StartOrder,
     StartOutcome,
 )
@@ -91,7 +92,7 @@
     async def close(self) -> None:
         """Do nothing; there are no connections."""
 
-    async def start(self, order: StartOrder, *, timeout_ms: int) -> Result[StartOutcome, Failure]:
+    async def start(self, order: StartOrder, *, timeout_ms: int) -> Result[StartAnswer, Failure]:
         """Start a run."""
         await anyio.lowlevel.checkpoint()
         fault = self.next_starts.pop(0) if self.next_starts else None
@@ -103,11 +104,11 @@
             self._late.append(order)
             return Error(_unreachable("backend.start", Ran.UNKNOWN))
         if self.start_outcome is not None:
-            return Ok(self.start_outcome)
+            return Ok(StartAnswer(self.start_outcome, self.server.clock_ms()))
         outcome = self.server.start(order)
         if fault == OrderFault.ANSWER_LOST:
             return Error(_unreachable("backend.start", Ran.UNKNOWN))
-        return Ok(outcome)
+        return Ok(StartAnswer(outcome, self.server.clock_ms()))
 
     async def stop(
         self, *, task: str, run: int, fencing_token: int, timeout_ms: int
--- a/fireflydeck/workload/lifecycle.py
+++ b/fireflydeck/workload/lifecycle.py
@@ -77,6 +77,9 @@
         task this means that it is available: it does its work and is no longer starting up.
     stop_requested
         Whether the run is to be stopped, even if the backend server has not accepted an order yet.
+    life_token
+        Fencing token of the life of the backend server that is known to have the run; 0 while it
+        may belong to another life of the server.
     pace
         Speed to which it was last throttled, in percent of full speed; 0 if it is not known.
     pace_ordered_ms
@@ -90,6 +93,7 @@
     changed_ms: int
     reported_available: bool = False
     stop_requested: bool = False
+    life_token: int = 0
     pace: int = 100
     pace_ordered_ms: int = 0
 
--- a/tests/test_restarted_server.py
+++ b/tests/test_restarted_server.py
@@ -8,6 +8,7 @@
 
 from fireflydeck.core import SystemClock
 from fireflydeck.kernel import Registry
+from fireflydeck.platform.standin.documents import put_registration
 from fireflydeck.standins.fault_proxy import FaultProxy, ProxyFault, ProxyMode
 from fireflydeck.testing.job_builders import accept_job, build_spec, build_step
 from fireflydeck.testing.platform_fleet import running_platform_fleet
@@ -21,6 +22,8 @@
 _SILENT_S = 0.4
 _TIMEOUT_MS = 20_000
 _TASKS = 6
+_LABEL = "b"
+"""Label that the tasks require; the second server gets it when the first one is cut off."""
 
 
 def _prepare(fleet):
@@ -62,20 +65,22 @@
                 tmp_path, entries=1, servers=2, link=link, prepare=_prepare
             ) as fleet:
                 first, other = fleet.servers["i-1"], fleet.servers["i-2"]
-                accept_job(fleet.store.rows, build_spec(build_step(count=_TASKS)))
-                await wait_until(lambda: _has_all(fleet), what="start of all tasks")
+                rows, address = fleet.store.rows, links["server-1"].address
+                put_registration(rows, "i-1", address=address, labels=[_LABEL, "r1-3"])
+                step = build_step(count=_TASKS, required_label=_LABEL)
+                accept_job(rows, build_spec(step))
+                await wait_until(lambda: _runs(first, _TASKS), what="start of all tasks")
                 fleet.server_apps["i-1"].are_orders_late = True
                 await anyio.sleep(_SILENT_S)
                 fleet.server_apps["i-1"].are_orders_late = False
                 first.crash(clock_ms=_NEW_CLOCK_MS)
                 fleet.server_apps["i-1"].deliver_late()
-                await wait_until(lambda: _has_all(fleet), what="second start")
-                spec = build_spec(build_step(count=_TASKS), job_id="00000000000000c7")
-                accept_job(fleet.store.rows, spec)
-                await wait_until(lambda: _is_running(first), what="runs in the new life")
+                await wait_until(lambda: _runs(first, _TASKS), what="start in the new life")
                 await links["server-1"].set_fault(ProxyFault(mode=ProxyMode.FREEZE))
+                address = links["server-2"].address
+                put_registration(rows, "i-2", address=address, labels=[_LABEL, "r1-3"])
                 await wait_until(
-                    lambda: _runs(other, 2 * _TASKS), what="all tasks", timeout_ms=_TIMEOUT_MS
+                    lambda: _runs(other, _TASKS), what="start elsewhere", timeout_ms=_TIMEOUT_MS
                 )
                 assert _overlaps(fleet) == []
             for proxy in links.values():
@@ -85,13 +90,5 @@
     anyio.run(main)
 
 
-async def _has_all(fleet):
-    return sum(len(server.running()) for server in fleet.servers.values()) == _TASKS
-
-
-async def _is_running(server):
-    return len(server.running()) > 0
-
-
 async def _runs(server, count):
     return len(server.running()) == count
