Tests that run at the same time choose their ports far apart

test_connection_that_was_not_accepted_yet_is_served_at_the_stop failed once, beside the tests with real processes: a connection to the port that its server had just closed was accepted. The two test processes had consecutive ids, 25391 and 25392, so that their ports began at 28927 and 29024; the failing test had allocated 142 ports before, counted in a second run, and was among the other one's. Which process held the port is not known. First ports of processes with close ids are now at least 496 apart, in place of 97.

--- a/fireflydeck/testing/ports.py
+++ b/fireflydeck/testing/ports.py
@@ -10,8 +10,25 @@
 _PORT_COUNT = 9_000
 """Number of ports from `_FIRST_PORT`; all are below the system's range of ephemeral ports."""
 
-_offsets = itertools.count(os.getpid() * 97 % _PORT_COUNT)
-"""Offsets to try; the start depends on the process id, so that processes rarely collide."""
+_PROCESS_STRIDE = 5563
+
+
+def _first_offset(process_id: int) -> int:
+    """Return the offset of the first port that a process tries.
+
+    Processes with close ids, such as those of tests that run at the same time, begin far apart.
+
+    Examples
+    --------
+    >>> offsets = sorted(_first_offset(process_id) for process_id in range(10))
+    >>> min(later - earlier for earlier, later in itertools.pairwise(offsets))
+    496
+    """
+    return process_id * _PROCESS_STRIDE % _PORT_COUNT
+
+
+_offsets = itertools.count(_first_offset(os.getpid()))
+"""Offsets of the ports to try."""
 
 
 def free_address() -> str:
