--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -31,6 +31,7 @@
 from fireflydeck.scheduling.order_sender import OrderSender
 from fireflydeck.scheduling.organisation_usage import OrganisationUsage
 from fireflydeck.scheduling.pacing import Pacer
+from fireflydeck.scheduling.queued_jobs import QueuedJobs
 from fireflydeck.scheduling.retention import Retention
 from fireflydeck.scheduling.roster import Roster, placeholder
 from fireflydeck.scheduling.roster_rows import NO_WORK, PossibleWork, RosterEntry
@@ -41,10 +42,12 @@
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import SessionSet
 from fireflydeck.scheduling.start_planner import StartPlanner
+from fireflydeck.scheduling.task_placement import TaskPlacer
 from fireflydeck.scheduling.ticket_cache import TicketCache
 from fireflydeck.scheduling.vm_fleet import VmFleet, VmOperationTimes
 from fireflydeck.scheduling.vm_operation_record import VmOperationRecord
 from fireflydeck.scheduling.vm_operations import VmOperationRunner
+from fireflydeck.scheduling.work_estimates import WorkEstimates
 from fireflydeck.workload.lifecycle import Attempt, Job, job_state
 
 __all__ = ["OrdersFactory", "TenureScheduler"]
@@ -180,18 +183,7 @@
         self._reports.pacer = Pacer(
             clock, partial(self._run_in_background, "pace", self._sender.send_pace)
         )
-        self._planner = StartPlanner(
-            first_token=tenure.first_token,
-            operators=operators,
-            clock=clock,
-            usage=self._usage,
-            ticket_cache=ticket_cache,
-            sender=self._sender,
-            reserve=self._run_tracker.reserve,
-            drop=self._run_tracker.drop,
-            may_start=self._roster.may_start,
-            fail_job=self._run_tracker.fail_job,
-        )
+        self._planner = self._make_planner(ticket_cache)
         self._run_tracker.planner = self._planner
         self._run_tracker.sender = self._sender
         self._retention = Retention(
@@ -204,6 +196,27 @@
         )
         self._vm_operations = self._make_vm_operations(vm_orders, vm_operation_times)
 
+    def _make_planner(self, ticket_cache: TicketCache) -> StartPlanner:
+        estimates = WorkEstimates()
+        return StartPlanner(
+            operators=self._operators,
+            clock=self._clock,
+            sender=self._sender,
+            jobs=QueuedJobs(
+                clock=self._clock, estimates=estimates, fail_job=self._run_tracker.fail_job
+            ),
+            estimates=estimates,
+            placer=TaskPlacer(
+                first_token=self._tenure.first_token,
+                clock=self._clock,
+                usage=self._usage,
+                ticket_cache=ticket_cache,
+                reserve=self._run_tracker.reserve,
+                drop=self._run_tracker.drop,
+            ),
+            may_start=self._roster.may_start,
+        )
+
     def _make_vm_operations(
         self, vm_orders: VmOrders, vm_operation_times: VmOperationTimes
     ) -> VmOperationRunner:
--- a/fireflydeck/scheduling/tests/test_pool_room.py
+++ b/fireflydeck/scheduling/tests/test_pool_room.py
@@ -8,6 +8,7 @@
 
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
 from fireflydeck.scheduling.pool_room import PoolRoom
+from fireflydeck.scheduling.queued_jobs import QueuedJobs
 from fireflydeck.scheduling.server_life import ServerLife
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.tests.fleet import running_fleet
@@ -76,8 +77,7 @@
         await fleet.advance_ms(1000)
         assert len(fleet.starts()) == 2 * _SERVERS
         planner_passes, looks = Counter(), Counter()
-        planner = fleet.leader.scheduler.current._planner
-        fits, rank = Server.fits, type(planner)._ranked_jobs
+        fits, rank = Server.fits, QueuedJobs.ranked
 
         def counted_fits(server, step):
             looks["fits"] += 1
@@ -88,7 +88,7 @@
             return rank(*args)
 
         monkeypatch.setattr(Server, "fits", counted_fits)
-        monkeypatch.setattr(type(planner), "_ranked_jobs", counted_rank)
+        monkeypatch.setattr(QueuedJobs, "ranked", counted_rank)
         await fleet.advance_ms(500)
         assert planner_passes["plan"] > 0
         assert looks["fits"] <= planner_passes["plan"] * _SERVERS * _LOOKS_PER_PASS
