--- a/fireflydeck/entry/peer_messages.py
+++ b/fireflydeck/entry/peer_messages.py
@@ -79,9 +79,17 @@
 
 @frozen
 class SuccessionQuery(Message):
-    """Query whether a process could hold the lease after the term of the querying one."""
+    """Query whether a process could hold the lease after the term of the querying one.
+
+    Parameters
+    ----------
+    from_smaller_vm
+        Whether only a process on a large VM should agree. Unknown to older builds, which then do
+        not agree.
+    """
 
     term: int
+    from_smaller_vm: bool | None = None
 
 
 @frozen
--- a/fireflydeck/entry/succession_link.py
+++ b/fireflydeck/entry/succession_link.py
@@ -13,6 +13,7 @@
 _NOTICE_PATH = "/succession"
 _TIMEOUT_MS = 300
 _MAX_QUERIED_PEERS = 3
+_MAX_PEERS_QUERIED_FOR_LARGER_VM = 32
 _YES = b"\1"
 _NO = b"\0"
 
@@ -32,13 +33,15 @@
         link.add_handler(_QUERY_PATH, self._serve_query)
         link.add_handler(_NOTICE_PATH, self._serve_notice)
 
-    async def find(self, term: int) -> str | None:
+    async def find(self, term: int, *, from_smaller_vm: bool = False) -> str | None:
         """Query the processes that called this one most recently, concurrently.
 
         Return the address of the first one that answers that it could hold the lease, or `None`.
+        Only a part of the processes is on large VMs, so more of them are queried for one of these.
         """
         candidates: list[str] = []
-        content = SuccessionQuery(term).encode()
+        content = SuccessionQuery(term, from_smaller_vm or None).encode()
+        count = _MAX_PEERS_QUERIED_FOR_LARGER_VM if from_smaller_vm else _MAX_QUERIED_PEERS
 
         async def query_peer(peer: str) -> None:
             received = await self._link.post(peer, _QUERY_PATH, content, _TIMEOUT_MS)
@@ -47,7 +50,7 @@
                 tasks.cancel_scope.cancel()
 
         async with create_task_group() as tasks:
-            for peer in self._link.peers()[:_MAX_QUERIED_PEERS]:
+            for peer in self._link.peers()[:count]:
                 tasks.start_soon(query_peer, peer)
         return candidates[0] if candidates else None
 
@@ -57,7 +60,10 @@
 
     async def _serve_query(self, content: bytes) -> bytes:
         query = SuccessionQuery.decode(content)
-        return _YES if await self._lease.can_take_over(query.term) else _NO
+        can_take_over = await self._lease.can_take_over(
+            query.term, from_smaller_vm=bool(query.from_smaller_vm)
+        )
+        return _YES if can_take_over else _NO
 
     async def _serve_notice(self, content: bytes) -> bytes:
         notice = SuccessionNotice.decode(content)
--- a/fireflydeck/entry/tests/test_peer_link.py
+++ b/fireflydeck/entry/tests/test_peer_link.py
@@ -13,7 +13,7 @@
 from fireflydeck.core.rows import StoredRow
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 from fireflydeck.entry.peer_link import EntryPeerLink
-from fireflydeck.entry.peer_messages import ForwardedRequest
+from fireflydeck.entry.peer_messages import ForwardedRequest, SuccessionQuery
 from fireflydeck.entry.succession_link import SuccessionLink
 from fireflydeck.kernel import EventLog, Registry
 from fireflydeck.ownership import LeaseKeeper
@@ -194,6 +194,20 @@
         assert await successors.find(1) == (address if is_found else None)
 
 
+@pytest.mark.parametrize(("from_smaller_vm", "found"), [(False, True), (True, False)])
+async def test_process_on_a_small_vm_does_not_relieve_another_one(from_smaller_vm, found):
+    """A lease that moves between small VMs stops the scheduling for nothing."""
+
+    async def agree_like_a_small_vm(request):
+        query = SuccessionQuery.decode(await request.read())
+        return web.Response(body=b"\0" if query.from_smaller_vm else b"\1")
+
+    async with _link_to(agree_like_a_small_vm) as (link, address):
+        successors = SuccessionLink(link, link._lease)
+        peer = await successors.find(1, from_smaller_vm=from_smaller_vm)
+        assert peer == (address if found else None)
+
+
 @pytest.mark.parametrize("content", [b"", b"\xc1", b"\x93", b"\x01", b"\xc0"])
 async def test_unreadable_state_of_a_job_is_none(content):
     async with _link_to(_answer_with_bytes(content)) as (link, _):
--- a/fireflydeck/ownership/candidacy.py
+++ b/fireflydeck/ownership/candidacy.py
@@ -10,6 +10,9 @@
 """A new holder first reads the rows of all retained jobs, which needs this bandwidth."""
 _TAKE_OVER_SLACK_MS = 150
 """Added to the lease's time to live, since the clocks of two processes may differ in rate."""
+_HOLDER_GRACE_MS = 300
+"""Time for the holder to renew its lease after an outage of the store, which it survives as well as
+the candidates. Its last call may still be waiting for an answer."""
 _SMALL_VM_DELAY_MS = 500
 """Longer than the difference between the times at which two processes see a lease become free."""
 
@@ -44,12 +47,19 @@
 
 
 def lease_free_at_ms(
-    record: LeaseRecord | None, *, name: str, unchanged_since_ms: int, candidate_delay_ms: int
+    record: LeaseRecord | None,
+    *,
+    name: str,
+    unchanged_since_ms: int,
+    candidate_delay_ms: int,
+    regained_ms: int | None = None,
 ) -> int:
     """Return when a process may acquire the lease, unless its row changes before then.
 
     A lease under the process's own name was acquired before its restart. It may be acquired
-    immediately, since the earlier process has ended.
+    immediately, since the earlier process has ended. After an outage of the store the lease has
+    expired for all processes at once; the holder then gets time to renew it, and processes on
+    larger VMs to acquire it first.
 
     Parameters
     ----------
@@ -61,6 +71,9 @@
         When the process last saw the row change, on its own clock.
     candidate_delay_ms
         How long the process waits before it acquires a free lease.
+    regained_ms
+        When the store answered the process again after it had not, on the process's own clock;
+        `None` if it has always answered.
 
     Returns
     -------
@@ -73,4 +86,7 @@
         return unchanged_since_ms + candidate_delay_ms
     delay_ms = max(0, candidate_delay_ms - record.candidate_delay_ms)
     expiry_ms = record.ttl_ms + _TAKE_OVER_SLACK_MS + 1 if record.holder else 0
-    return unchanged_since_ms + expiry_ms + delay_ms
+    free_at_ms = unchanged_since_ms + expiry_ms + delay_ms
+    if regained_ms is None:
+        return free_at_ms
+    return max(free_at_ms, regained_ms + _HOLDER_GRACE_MS + delay_ms)
--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -10,6 +10,7 @@
 from fireflydeck.core.rows import ABSENT_VERSION, RowKey, RowStore, RowWrite, StoredRow
 from fireflydeck.kernel import Event, EventLog, Registry, Service, keep_running
 from fireflydeck.ownership.candidacy import lease_free_at_ms
+from fireflydeck.ownership.larger_vm_search import LargerVmSearch
 from fireflydeck.ownership.lease_rows import CALL_TIMEOUT_MS, LeaseRows
 from fireflydeck.ownership.lease_validity import NOT_VALID
 from fireflydeck.ownership.records import (
@@ -81,6 +82,8 @@
         self._candidate_delay_ms = candidate_delay_ms
         self._record: LeaseRecord | None = None
         self._unchanged_since_ms = clock.now_ms()
+        self._regained_ms: int | None = None
+        self._larger_vm_search = LargerVmSearch()
         # Sequence number of the last renewal sent, and the time at which it was first sent.
         self._sent_renewal: tuple[int, int] | None = None
         self._renewal_latency_ms = 0
@@ -189,13 +192,20 @@
         if self._tenure is tenure:
             self._end_tenure(why)
 
-    async def can_take_over(self, term: int) -> bool:
+    async def can_take_over(self, term: int, *, from_smaller_vm: bool = False) -> bool:
         """Return whether this process can take the lease over from the holder of the term.
 
         The store must answer it quickly, and its VM must be as large as the holder's.
+
+        Parameters
+        ----------
+        from_smaller_vm
+            Whether this process must be on a large VM.
         """
         if self._stopping or self._tenure is not None:
             return False
+        if from_smaller_vm and self._candidate_delay_ms > 0:
+            return False
         sent_ms = self._clock.now_ms()
         with anyio.move_on_after(_MAX_SUCCESSION_READ_MS / _MS_PER_S):
             rows = await self._rows.read()
@@ -294,13 +304,9 @@
         if self._tenure is not tenure:
             return
         if result is None:
-            latency_ms = self._clock.now_ms() - sent_ms
-            self._renewal_latency_ms = latency_ms
-            self._confirm(renewed, sent_ms)
-            if renewed.ttl_ms != record.ttl_ms:
-                self._log_ttl(renewed, latency_ms)
-            self._ttl_ms = min(_MAX_TTL_MS, max(_TTL_MS, latency_ms * _TTL_LATENCY_FACTOR))
-            await self._clock.sleep_ms(max(_RETRY_DELAY_MS, _RENEWAL_INTERVAL_MS - latency_ms))
+            latency_ms = self._record_renewal(renewed, sent_ms)
+            if not await self._move_to_larger_vm(tenure):
+                await self._clock.sleep_ms(max(_RETRY_DELAY_MS, _RENEWAL_INTERVAL_MS - latency_ms))
             return
         if result.reason != Reason.CONFLICT:
             self._rows.health.record_failure(result)
@@ -312,14 +318,22 @@
         if not (is_unresolved and await self._resolve_renewal()):
             await self._clock.sleep_ms(_RETRY_DELAY_MS)
 
-    def _log_ttl(self, record: LeaseRecord, latency_ms: int) -> None:
-        self._log.emit(
-            Event.LEASE_TTL_CHANGED,
-            term=record.term,
-            ttl_ms=record.ttl_ms,
-            latency_ms=latency_ms,
-            valid_for_ms=self._valid_for_ms(),
-        )
+    def _record_renewal(self, renewed: LeaseRecord, sent_ms: int) -> int:
+        """Record a renewal that the store has confirmed; return its latency in milliseconds."""
+        latency_ms = self._clock.now_ms() - sent_ms
+        earlier = self._record
+        self._renewal_latency_ms = latency_ms
+        self._confirm(renewed, sent_ms)
+        if earlier is not None and renewed.ttl_ms != earlier.ttl_ms:
+            self._log.emit(
+                Event.LEASE_TTL_CHANGED,
+                term=renewed.term,
+                ttl_ms=renewed.ttl_ms,
+                latency_ms=latency_ms,
+                valid_for_ms=self._valid_for_ms(),
+            )
+        self._ttl_ms = min(_MAX_TTL_MS, max(_TTL_MS, latency_ms * _TTL_LATENCY_FACTOR))
+        return latency_ms
 
     async def _resolve_renewal_with_timeout(self) -> bool:
         """Resolve the renewal within a time limit that follows from the last renewal's latency."""
@@ -338,7 +352,23 @@
         unconfirmed_ms = self._clock.now_ms() - self._validity.confirmed_ms
         if unconfirmed_ms < self._ttl_ms * _HAND_OVER_FRACTION:
             return False
-        peer = await self._successors.find(tenure.term)
+        return await self._hand_over_to_peer(tenure)
+
+    async def _move_to_larger_vm(self, tenure: Tenure) -> bool:
+        """Hand the lease over to a process on a larger VM if there is one.
+
+        Returns whether the tenure was ended for the hand-over.
+        """
+        if self._successors is None or self._candidate_delay_ms == 0:
+            return False
+        if not self._larger_vm_search.begin_if_due(self._clock.now_ms()):
+            return False
+        return await self._hand_over_to_peer(tenure, from_smaller_vm=True)
+
+    async def _hand_over_to_peer(self, tenure: Tenure, *, from_smaller_vm: bool = False) -> bool:
+        if self._successors is None:
+            return False
+        peer = await self._successors.find(tenure.term, from_smaller_vm=from_smaller_vm)
         if peer is None or self._tenure is not tenure:
             return False
         self._end_tenure("handed over", peer=peer)
@@ -384,10 +414,13 @@
 
     async def _watch(self) -> None:
         """Follow the lease's row until the lease is free, then take it over."""
+        was_failing = self._rows.health.is_failing
         rows = await self._rows.read()
         if rows is None:
             await self._clock.sleep_ms(_WATCH_PAUSE_MS)
             return
+        if was_failing:
+            self._regained_ms = self._clock.now_ms()
         self._apply_rows(rows)
         while not self._stopping and self._tenure is None:
             if self._is_free():
@@ -414,6 +447,7 @@
             name=self._process_name,
             unchanged_since_ms=self._unchanged_since_ms,
             candidate_delay_ms=self._candidate_delay_ms,
+            regained_ms=self._regained_ms,
         )
 
     async def _take_over(self) -> None:
@@ -449,6 +483,7 @@
         )
         self._ttl_ms = _TTL_MS
         self._confirm(record, sent_ms)
+        self._larger_vm_search.restart(self._clock.now_ms())
         self._tenure = Tenure(record.term, result.ok, self._clock.now_ms(), earlier_term)
         self._notify()
 
--- a/fireflydeck/ownership/succession.py
+++ b/fireflydeck/ownership/succession.py
@@ -1,4 +1,4 @@
-"""Interface through which a lease holder that can't reach the store finds a successor."""
+"""Interface through which a lease holder that should not go on finds a successor."""
 
 from abc import ABC, abstractmethod
 
@@ -9,10 +9,15 @@
     """Processes that may take the lease over from its holder."""
 
     @abstractmethod
-    async def find(self, term: int) -> str | None:
+    async def find(self, term: int, *, from_smaller_vm: bool = False) -> str | None:
         """Return the address of a process that can take the lease over from the holder of `term`.
 
         Returns `None` if there is none.
+
+        Parameters
+        ----------
+        from_smaller_vm
+            Whether only processes on large VMs qualify, since the holder is on a small one.
         """
 
     @abstractmethod
--- a/fireflydeck/testing/successors.py
+++ b/fireflydeck/testing/successors.py
@@ -24,11 +24,11 @@
         self.searches = 0
         self.is_notice_lost = False
 
-    async def find(self, term: int) -> str | None:
+    async def find(self, term: int, *, from_smaller_vm: bool = False) -> str | None:
         """Return the index of the first member that may take the lease over."""
         self.searches += 1
         for index, lease in enumerate(self._others()):
-            if await lease.can_take_over(term):
+            if await lease.can_take_over(term, from_smaller_vm=from_smaller_vm):
                 return str(index)
         return None
 
