--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -165,6 +165,20 @@
     6201: EventNote(
         trigger="A submission was read from the store.", fields=("job", "queue", "version")
     ),
+    6207: EventNote(
+        trigger="A pool has more work than it can do in time, and the organisation of a new job "
+        "has its share already. The job is started after those within the shares.",
+        action="If it goes on: raise the organisation's weight, or add VMs to the pool.",
+        fields=(
+            "job",
+            "organisation",
+            "pool",
+            "work_core_s",
+            "organisation_core_s",
+            "all_core_s",
+            "pool_core_s",
+        ),
+    ),
     6202: EventNote(trigger="A cancellation was read from the store.", fields=("job",)),
     6203: EventNote(
         trigger="The outcome of a job was stored and is visible to callers from now on.",
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -120,6 +120,7 @@
     )
     FLEET_KNOWN = _Definition(6109, "info", "no run of an earlier holder is unknown any more")
     JOB_KNOWN = _Definition(6201, "info", "submission of a job read")
+    JOB_BEYOND_SHARE = _Definition(6207, "info", "job is beyond its organisation's share")
     JOB_CANCELLED = _Definition(6202, "info", "job cancelled, its runs are stopped")
     JOB_ENDED = _Definition(6203, "info", "outcome of a job is stored")
     JOBS_REMOVED = _Definition(
--- a/fireflydeck/policy/job_order.py
+++ b/fireflydeck/policy/job_order.py
@@ -7,12 +7,24 @@
 from fireflydeck.core.fleet_configuration import JobQueue
 from fireflydeck.workload.specification import StepSpec
 
-__all__ = ["JobRank", "SortKey", "longest_chain_ms", "objective_ms", "rank_job"]
-
-_NEW_JOB_TIME_FACTOR = 1.2
+__all__ = [
+    "NEW_JOB_TIME_FACTOR",
+    "JobRank",
+    "SortKey",
+    "longest_chain_ms",
+    "objective_ms",
+    "rank_job",
+]
+
+NEW_JOB_TIME_FACTOR = 1.2
 """Factor on the remaining time of a job that has not started, when its deadline is checked."""
 
 
+_WITHIN_SHARE_GROUP = 1
+"""Group of the started jobs within their organisation's share; new ones are in the next group."""
+_BEYOND_SHARE_GROUP = 3
+_LATE_GROUP = 5
+
 SortKey = tuple[int, int, float]
 """Group, priority and deadline of a job."""
 
@@ -22,8 +34,9 @@
     """Sort key of a job; the job with the smallest rank is served first.
 
     Long-running jobs come first, then jobs that can still meet their deadline, then the others.
-    Among those that can still meet it, jobs that have started come first, since the work done on
-    them is lost if they become late. Within a group the order is by priority, then by deadline.
+    Among those that can still meet it, jobs within their organisation's share come first, then
+    jobs that have started, since the work done on them is lost if they become late. Within a group
+    the order is by priority, then by deadline.
     """
 
     group: int
@@ -64,6 +77,7 @@
     is_long_running: bool,
     has_started: bool,
     now_ms: int,
+    is_beyond_share: bool = False,
 ) -> JobRank:
     """Return the rank of a job.
 
@@ -75,10 +89,13 @@
         Time that the job still needs if each of its tasks starts as soon as it may.
     priority
         Priority of the job's queue; the smallest number is served first.
+    is_beyond_share
+        Whether the job's organisation had its share of a full pool already.
     """
     if is_long_running:
         return JobRank(0, priority, deadline_ms)
-    factor = 1.0 if has_started else _NEW_JOB_TIME_FACTOR
+    factor = 1.0 if has_started else NEW_JOB_TIME_FACTOR
     if now_ms + remaining_ms * factor > deadline_ms:
-        return JobRank(3, priority, deadline_ms)
-    return JobRank(1 if has_started else 2, priority, deadline_ms)
+        return JobRank(_LATE_GROUP, priority, deadline_ms)
+    group = _BEYOND_SHARE_GROUP if is_beyond_share else _WITHIN_SHARE_GROUP
+    return JobRank(group if has_started else group + 1, priority, deadline_ms)
--- a/fireflydeck/scheduling/pool_rebalancer.py
+++ b/fireflydeck/scheduling/pool_rebalancer.py
@@ -12,12 +12,11 @@
 from fireflydeck.policy.pool_forecast import PoolForecast
 from fireflydeck.policy.pool_rebalancing import MovableVm, PoolLoad, VmMove, choose_moves
 from fireflydeck.scheduling.demand import PoolDemand
-from fireflydeck.scheduling.servers import Server
+from fireflydeck.scheduling.servers import MILLICORES_PER_CORE, Server, available_cores
 from fireflydeck.scheduling.vm_fleet import CALL_TIMEOUT_MS, VmFleet
 
 __all__ = ["PoolRebalancer"]
 
-_MILLICORES_PER_CORE = 1000
 _ARRIVAL_SLACK_MS = 700
 """Time after a move until the VM is discovered, answers a heartbeat and is given work."""
 
@@ -127,8 +126,8 @@
             needed_cores=max(
                 self._forecast.expected_cores(pool.name, lead_time_ms), demand.steady_cores
             ),
-            available_cores=sum(map(_available_cores, servers)),
-            incoming_cores=sum(vm.capacity.cpu for vm in incoming_vms) / _MILLICORES_PER_CORE,
+            available_cores=sum(map(available_cores, servers)),
+            incoming_cores=sum(vm.capacity.cpu for vm in incoming_vms) / MILLICORES_PER_CORE,
             min_vms=demand.min_vms,
             vms=len(servers) + len(incoming_vms),
             required_labels=demand.required_labels,
@@ -158,7 +157,7 @@
         return MovableVm(
             name=vm.name,
             pool=vm.pool,
-            cores=vm.capacity.cpu / _MILLICORES_PER_CORE,
+            cores=vm.capacity.cpu / MILLICORES_PER_CORE,
             idle_ms=0 if idle_since_ms is None else self.clock.now_ms() - idle_since_ms,
             labels=vm.labels,
             unsuitable_pools=frozenset(unsuitable_pools),
@@ -193,16 +192,3 @@
             self.fleet.uncordon(vm.server_id)
             return
         self.fleet.record_order(vm, move.target, 0, is_accepted=result.is_ok())
-
-
-def _available_cores(server: Server) -> float:
-    """Return the cores of a backend server that long-running tasks don't use.
-
-    Best-effort fill tasks don't count, since they reserve no cores.
-    """
-    long_running_millicores = sum(
-        attempt.task.step.demand.cpu
-        for attempt in server.attempts.values()
-        if attempt.task.step.long_running and not attempt.task.step.fill
-    )
-    return (server.registration.capacity.cpu - long_running_millicores) / _MILLICORES_PER_CORE
--- a/fireflydeck/scheduling/pool_room.py
+++ b/fireflydeck/scheduling/pool_room.py
@@ -3,7 +3,7 @@
 from attrs import define, field
 
 from fireflydeck.core.placement import Resources
-from fireflydeck.scheduling.servers import Server, reserved_resources
+from fireflydeck.scheduling.servers import Server, available_cores, reserved_resources
 from fireflydeck.workload.specification import StepSpec
 
 __all__ = ["PoolRoom"]
@@ -36,6 +36,10 @@
             self._too_large.append(demand)
         return found
 
+    def cores_for_jobs(self) -> float:
+        """Return the cores that long-running tasks leave."""
+        return sum(map(available_cores, self.servers))
+
     def forget_full(self) -> None:
         """Look at all servers again, since capacity became free during the pass."""
         self._too_large.clear()
--- a/fireflydeck/scheduling/queued_jobs.py
+++ b/fireflydeck/scheduling/queued_jobs.py
@@ -7,6 +7,7 @@
 from fireflydeck.core import Clock
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
 from fireflydeck.policy.job_order import SortKey, rank_job
+from fireflydeck.scheduling.share_tracker import ShareLevel, ShareTracker, has_weighted_shares
 from fireflydeck.scheduling.work_estimates import WorkEstimates
 from fireflydeck.workload.lifecycle import (
     Job,
@@ -53,6 +54,7 @@
 
     clock: Clock
     estimates: WorkEstimates
+    shares: ShareTracker
     fail_job: Callable[[Job], None]
     _queued: dict[str, QueuedJob] = field(factory=dict, init=False)
 
@@ -69,6 +71,7 @@
     def remove(self, job: Job) -> None:
         """Remove a job."""
         self._queued.pop(job.id, None)
+        self.shares.forget(job)
 
     def invalidate_ready_tasks(self, job: Job) -> None:
         """Compute the ready tasks of a job again at the next planning pass."""
@@ -76,6 +79,26 @@
         if queued is not None:
             queued.ready = None
 
+    def assign_shares(
+        self, configuration: FleetConfiguration, cores: dict[str, float], now_ms: int
+    ) -> None:
+        """Assign new jobs to the shares of their organisations, if these have different weights.
+
+        Parameters
+        ----------
+        cores
+            Cores that long-running tasks leave, by pool.
+        """
+        if not has_weighted_shares(configuration):
+            return
+        jobs = [
+            (queue, queued.job)
+            for queued in self._queued.values()
+            if not queued.is_long_running and queued.job.is_open
+            if (queue := configuration.queue(queued.job.spec.queue)) is not None
+        ]
+        self.shares.assign(configuration, jobs, cores, now_ms)
+
     def ranked(
         self, configuration: FleetConfiguration, now_ms: int
     ) -> list[tuple[JobQueue, QueuedJob]]:
@@ -94,6 +117,7 @@
                 is_long_running=queued.is_long_running,
                 has_started=queued.job.is_in_progress,
                 now_ms=now_ms,
+                is_beyond_share=self.shares.level(queued.job) == ShareLevel.BEYOND,
             )
             ranked.append((job_rank.sort_key, queued.job.id, queue, queued))
         ranked.sort(key=lambda item: item[:2])
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -10,7 +10,9 @@
 from fireflydeck.workload.lifecycle import Attempt
 from fireflydeck.workload.specification import StepSpec
 
-__all__ = ["Server", "reserved_resources"]
+__all__ = ["MILLICORES_PER_CORE", "Server", "available_cores", "reserved_resources"]
+
+MILLICORES_PER_CORE = 1000
 
 
 @define(eq=False)
@@ -138,3 +140,16 @@
 def reserved_resources(step: StepSpec) -> Resources:
     """Return what a task of the step reserves; fill tasks reserve no processor time."""
     return step.demand.without_cpu() if step.fill else step.demand
+
+
+def available_cores(server: Server) -> float:
+    """Return the cores of a backend server that long-running tasks don't use.
+
+    Best-effort fill tasks don't count, since they reserve no cores.
+    """
+    long_running_millicores = sum(
+        attempt.task.step.demand.cpu
+        for attempt in server.attempts.values()
+        if attempt.task.step.long_running and not attempt.task.step.fill
+    )
+    return (server.registration.capacity.cpu - long_running_millicores) / MILLICORES_PER_CORE
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -41,6 +41,7 @@
 from fireflydeck.scheduling.server_reports import ServerReports
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import SessionSet
+from fireflydeck.scheduling.share_tracker import ShareTracker
 from fireflydeck.scheduling.start_planner import StartPlanner
 from fireflydeck.scheduling.task_placement import TaskPlacer
 from fireflydeck.scheduling.ticket_cache import TicketCache
@@ -203,7 +204,10 @@
             clock=self._clock,
             sender=self._sender,
             jobs=QueuedJobs(
-                clock=self._clock, estimates=estimates, fail_job=self._run_tracker.fail_job
+                clock=self._clock,
+                estimates=estimates,
+                shares=ShareTracker(estimates=estimates, log=self._log, metrics=self._metrics),
+                fail_job=self._run_tracker.fail_job,
             ),
             estimates=estimates,
             placer=TaskPlacer(
--- a/fireflydeck/scheduling/work_estimates.py
+++ b/fireflydeck/scheduling/work_estimates.py
@@ -53,14 +53,20 @@
 
     def task_ms(self, task: Task) -> float:
         """Return the expected duration of a run of the task, from its start."""
-        return self._step_ms(task.job, task.key.occurrence, task.key.step)
+        return self.step_ms(task.job, task.key.occurrence, task.key.step)
+
+    def step_ms(self, job: Job, occurrence: int, number: int) -> float:
+        """Return the expected duration of a run of a step's tasks, in milliseconds."""
+        measured_ms = self._measured_ms.get(job.id, {}).get((occurrence, number))
+        if measured_ms is not None:
+            return measured_ms
+        estimated_ms = job.spec.steps[number].estimated_ms
+        return self._durations.expected_ms(job.spec.queue, estimated_ms)
 
     def deadline_ms(self, job: Job, queue: JobQueue) -> float:
         """Return the time at which the first open occurrence of the job should be completed."""
         occurrence = _first_open_occurrence(job)
-        durations = [
-            self._step_ms(job, occurrence, number) for number in range(len(job.spec.steps))
-        ]
+        durations = [self.step_ms(job, occurrence, number) for number in range(len(job.spec.steps))]
         chain_ms = longest_chain_ms(job.spec.steps, durations)
         return occurrence_due_ms(job, occurrence) + objective_ms(chain_ms, queue)
 
@@ -68,18 +74,11 @@
         """Return the time until the first open occurrence is done if its tasks start now."""
         occurrence = _first_open_occurrence(job)
         durations = [
-            self._step_ms(job, occurrence, number) * _remaining_fraction(job, occurrence, number)
+            self.step_ms(job, occurrence, number) * _remaining_fraction(job, occurrence, number)
             for number in range(len(job.spec.steps))
         ]
         return longest_chain_ms(job.spec.steps, durations)
 
-    def _step_ms(self, job: Job, occurrence: int, number: int) -> float:
-        measured_ms = self._measured_ms.get(job.id, {}).get((occurrence, number))
-        if measured_ms is not None:
-            return measured_ms
-        estimated_ms = job.spec.steps[number].estimated_ms
-        return self._durations.expected_ms(job.spec.queue, estimated_ms)
-
 
 def _first_open_occurrence(job: Job) -> int:
     open_occurrences = (key[0] for key, count in job.open_tasks.items() if count > 0)
