--- a/fireflydeck/scheduling/wave_runner.py
+++ b/fireflydeck/scheduling/wave_runner.py
@@ -100,7 +100,7 @@
             if all(order.wave != wave.number for order in self.fleet.open_orders.values()):
                 await self._report(wave, WaveState.COMPLETED)
             return
-        self._relocate(pending)
+        self._relocate(wave, pending)
         down_count = self._count_vms_down(wave)
         for name in choose_vms_to_drain(
             [self._describe_vm(vm, demand) for vm in pending if vm.state == ListedVmState.UP],
@@ -112,10 +112,13 @@
         ready = [vm for vm in pending if self._is_ready(vm)]
         await self._begin_maintenance(wave, ready[: max(0, wave.max_at_once - down_count)])
 
-    def _relocate(self, pending: list[ListedVm]) -> None:
+    def _relocate(self, wave: MaintenanceWave, pending: list[ListedVm]) -> None:
         """Stop long-running tasks on VMs with pending maintenance; they restart elsewhere."""
         servers = [server for vm in pending if (server := self.fleet.server_of(vm)) is not None]
-        for attempt in choose_relocations(servers, list(self.fleet.servers.values())):
+        left_ms = wave.duration_ms - self._age_ms(wave)
+        for attempt in choose_relocations(
+            servers, list(self.fleet.servers.values()), left_ms=left_ms
+        ):
             self.log.emit(
                 Event.RUN_RELOCATED,
                 task=attempt.task.name,
@@ -126,8 +129,10 @@
             self.request_stop(attempt)
 
     def _is_urgent(self, wave: MaintenanceWave) -> bool:
-        age_ms = self.clock.now_ms() - self._first_seen_ms[wave.number]
-        return age_ms > wave.duration_ms * _URGENT_AFTER_FRACTION
+        return self._age_ms(wave) > wave.duration_ms * _URGENT_AFTER_FRACTION
+
+    def _age_ms(self, wave: MaintenanceWave) -> int:
+        return self.clock.now_ms() - self._first_seen_ms[wave.number]
 
     def _count_vms_down(self, wave: MaintenanceWave) -> int:
         """Count the wave's VMs that are, or may be, down for their maintenance.
