--- a/fireflydeck/scheduling/relocation.py
+++ b/fireflydeck/scheduling/relocation.py
@@ -50,13 +50,11 @@
     chosen: dict[str, Attempt] = {}
     for source, attempt in candidates:
         pool, task = source.registration.pool, attempt.task
-        if pool in chosen:
+        if pool in chosen or not (is_available(task) and may_disrupt([attempt])):
             continue
         is_urgent = pending[_step_key(task)] * _RELOCATION_MS >= left_ms
         targets = (server for server in servers if _is_target(server, pool, task))
-        if not any(_has_room(target, task, is_urgent=is_urgent) for target in targets):
-            continue
-        if is_available(task) and may_disrupt([attempt]):
+        if any(_has_room(target, task, is_urgent=is_urgent) for target in targets):
             chosen[pool] = attempt
     return list(chosen.values())
 
