--- a/fireflydeck/scheduling/queued_jobs.py
+++ b/fireflydeck/scheduling/queued_jobs.py
@@ -1,12 +1,13 @@
 """Open jobs of the lease holder, and the order in which their tasks are started."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 from attrs import define, field
 
 from fireflydeck.core import Clock
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
 from fireflydeck.policy.job_order import SortKey, rank_job
+from fireflydeck.scheduling.pool_room import PoolRoom
 from fireflydeck.scheduling.share_tracker import ShareLevel, ShareTracker, has_weighted_shares
 from fireflydeck.scheduling.work_estimates import WorkEstimates
 from fireflydeck.workload.lifecycle import (
@@ -57,6 +58,7 @@
     shares: ShareTracker
     fail_job: Callable[[Job], None]
     _queued: dict[str, QueuedJob] = field(factory=dict, init=False)
+    _new_jobs: dict[str, QueuedJob] = field(factory=dict, init=False)
 
     def __iter__(self) -> Iterator[QueuedJob]:
         return iter(self._queued.values())
@@ -66,11 +68,14 @@
         long_running = any(step.long_running for step in job.spec.steps)
         queued = QueuedJob(job, long_running)
         self._queued[job.id] = queued
+        if not long_running:
+            self._new_jobs[job.id] = queued
         return queued
 
     def remove(self, job: Job) -> None:
         """Remove a job."""
         self._queued.pop(job.id, None)
+        self._new_jobs.pop(job.id, None)
         self.shares.forget(job)
 
     def invalidate_ready_tasks(self, job: Job) -> None:
@@ -80,16 +85,24 @@
             queued.ready = None
 
     def assign_shares(
-        self, configuration: FleetConfiguration, cores: dict[str, float], now_ms: int
+        self, configuration: FleetConfiguration, rooms: Mapping[str, PoolRoom], now_ms: int
     ) -> None:
         """Assign new jobs to the shares of their organisations, if these have different weights.
 
-        Parameters
-        ----------
-        cores
-            Cores that long-running tasks leave, by pool.
+        Jobs whose pool has no servers yet are assigned in a later pass.
         """
-        if not has_weighted_shares(configuration):
+        if not self._new_jobs or not has_weighted_shares(configuration):
+            return
+        pools_with_new_jobs = {
+            queue.pool
+            for queued in self._new_jobs.values()
+            if queued.job.is_open
+            if (queue := configuration.queue(queued.job.spec.queue)) is not None
+        }
+        cores = {
+            pool: rooms[pool].cores_for_jobs() for pool in pools_with_new_jobs if pool in rooms
+        }
+        if not cores:
             return
         jobs = [
             (queue, queued.job)
@@ -98,6 +111,11 @@
             if (queue := configuration.queue(queued.job.spec.queue)) is not None
         ]
         self.shares.assign(configuration, jobs, cores, now_ms)
+        self._new_jobs = {
+            job_id: queued
+            for job_id, queued in self._new_jobs.items()
+            if self.shares.level(queued.job) is None
+        }
 
     def ranked(
         self, configuration: FleetConfiguration, now_ms: int
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -156,8 +156,7 @@
         now_ms = self.clock.now_ms()
         self.placer.hidden_usage = hidden
         rooms = self._rooms(servers, now_ms)
-        cores = {pool: room.cores_for_jobs() for pool, room in rooms.items()}
-        self.jobs.assign_shares(configuration, cores, now_ms)
+        self.jobs.assign_shares(configuration, rooms, now_ms)
         starts: list[Start] = []
         for queue, queued in self.jobs.ranked(configuration, now_ms):
             room = rooms.get(queue.pool)
