--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -7,9 +7,10 @@
 from attrs import evolve
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
-from fireflydeck.core.rows import ABSENT_VERSION, RowKey, RowStore, RowWrite, StoredRow
+from fireflydeck.core.rows import RowKey, RowStore, RowWrite, StoredRow
 from fireflydeck.kernel import Event, EventLog, Registry, Service, keep_running
 from fireflydeck.ownership.candidacy import lease_free_at_ms
+from fireflydeck.ownership.fenced_commits import FencedCommits
 from fireflydeck.ownership.larger_vm_search import LargerVmSearch
 from fireflydeck.ownership.lease_rows import CALL_TIMEOUT_MS, LeaseRows
 from fireflydeck.ownership.lease_validity import NOT_VALID
@@ -87,16 +88,17 @@
         # Sequence number of the last renewal sent, and the time at which it was first sent.
         self._sent_renewal: tuple[int, int] | None = None
         self._renewal_latency_ms = 0
-        self._commits = 0
         self._validity = NOT_VALID
         self._tenure: Tenure | None = None
         self._ttl_ms = _TTL_MS
         self._stopping = False
-        self._commit_lock = anyio.Lock()
         self._take_over_lock = anyio.Lock()
         self._change_listeners: list[Callable[[Tenure | None], None]] = []
         self._pending_source: Callable[[], dict[str, int] | None] = dict
         self._successors: Successors | None = None
+        self._fenced_commits = FencedCommits(
+            self._rows, clock, current_tenure=lambda: self._tenure, end_tenure=self._end_tenure
+        )
 
     @property
     def name(self) -> str:
@@ -234,48 +236,8 @@
                 self._apply_rows(rows or {})
 
     async def commit(self, writes: list[RowWrite], removals: list[RowKey]) -> Failure | None:
-        """Write and remove rows of the lease's partition; retry until the outcome is known.
-
-        Returns `None` once the changes are stored, a `NOT_OWNER` failure if this process does not
-        hold the lease or loses it before that, or a `BAD_REQUEST` failure if the store refuses
-        these changes for good.
-        """
-        async with self._commit_lock:
-            tenure = self._tenure
-            self._commits += 1
-            while tenure is not None and self._tenure is tenure:
-                marker = f"{tenure.term}.{self._commits}".encode()
-                failure = await self._rows.commit(marker, writes, removals)
-                if failure is None:
-                    return None
-                if failure.reason != Reason.CONFLICT:
-                    self._rows.health.record_failure(failure)
-                if failure.reason == Reason.BAD_REQUEST:
-                    return failure
-                if failure.ran != Ran.UNKNOWN and failure.reason != Reason.CONFLICT:
-                    await self._clock.sleep_ms(_RETRY_DELAY_MS)
-                elif await self._last_stored_marker() == marker:
-                    return None
-        return Failure(Reason.NOT_OWNER, "lease.commit", detail="the lease was lost")
-
-    async def _last_stored_marker(self) -> bytes:
-        """Return the marker of the last commit that took effect, and update the commit version.
-
-        Called after a conflict or a commit with unknown outcome: either an earlier commit of this
-        process took effect, or the lease is lost. Returns an empty marker if the store does not
-        answer or the tenure has ended.
-        """
-        rows = await self._rows.read()
-        if rows is None or self._tenure is None:
-            await self._clock.sleep_ms(_RETRY_DELAY_MS)
-            return b""
-        lease = rows.get(LEASE_ROW)
-        if lease is not None and decode_lease(lease.value).term != self._tenure.term:
-            self._end_tenure("taken by another process")
-            return b""
-        commits = rows.get(COMMIT_ROW)
-        self._rows.commit_version = commits.version if commits else ABSENT_VERSION
-        return commits.value if commits else b""
+        """Write and remove rows of the lease's partition; see `FencedCommits.commit`."""
+        return await self._fenced_commits.commit(writes, removals)
 
     async def _run(self) -> None:
         while not self._stopping:
