--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -51,14 +51,19 @@
             await client.close()
 
 
-def run_entry(metrics_port: int) -> None:
+def run_entry(metrics_port: int, reservations: int = 0) -> None:
     """Run the entry role until SIGTERM.
 
     Parameters
     ----------
     metrics_port
         Port of ``/metrics`` on the VM's address.
+    reservations
+        Number of waiting tasks and gangs of a pool for which capacity is reserved; 0 for none.
     """
+    if type(reservations) is not int or reservations < 0:
+        print("fireflydeck entry: --reservations must be 0 or more", file=sys.stderr)
+        sys.exit(_EXIT_CODE_BAD_SETTINGS)
     path = settings_path()
     try:
         settings = load_node_settings(path)
@@ -67,7 +72,7 @@
         sys.exit(_EXIT_CODE_BAD_SETTINGS)
     sink = configure_bounded_logging()
     clients = _PlatformClients(settings)
-    kernel = _build_kernel(settings, metrics_port, clients)
+    kernel = _build_kernel(settings, metrics_port, clients, reservations)
     forward_library_log(kernel.log)
     kernel.add(SettingsWatch(path, settings, kernel.clock, kernel.log))
     kernel.add(sink)
@@ -82,7 +87,9 @@
         await clients.close()
 
 
-def _build_kernel(settings: NodeSettings, metrics_port: int, clients: _PlatformClients) -> Kernel:
+def _build_kernel(
+    settings: NodeSettings, metrics_port: int, clients: _PlatformClients, reservations: int
+) -> Kernel:
     kernel = Kernel(settings.name, "entry", SystemClock())
     clock, log, metrics = kernel.clock, kernel.log, kernel.metrics
     store = clients.store
@@ -132,6 +139,7 @@
             advisor=clients.advisor,
             vm_operation_times=times,
             status_ms=settings.bounds.outcome_retention_ms,
+            reservations=reservations,
         )
     )
     kernel.add(link)
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -247,6 +247,25 @@
         "protect a serving task on the same backend server, or faster again.",
         fields=("task", "run", "server", "percent", "taken"),
     ),
+    6320: EventNote(
+        trigger="A ready task, or a gang of `tasks` tasks, found no place (only with "
+        "`--reservations`; at most one line per job and second, and 20 per second in total). "
+        "`reason` says why it waits; with `reserved`, it is expected to start in `expected_in_ms` "
+        "on the servers in `reserved_on`.",
+        action='See "Why does this large job wait?" in OPERATIONS.md.',
+        fields=(
+            "job",
+            "task",
+            "tasks",
+            "cpu",
+            "memory_mb",
+            "reason",
+            "expected_in_ms",
+            "reserved_on",
+            "waited_ms",
+            "held_ms",
+        ),
+    ),
     6501: EventNote(
         trigger="A call to the platform's VM interface failed; it is retried.",
         action="Check whether the interface works; waves and moves make no progress until it does.",
--- a/fireflydeck/policy/durations.py
+++ b/fireflydeck/policy/durations.py
@@ -1,6 +1,6 @@
 """Expected task durations, learned from ended tasks since callers' estimates are inaccurate."""
 
-from math import exp, log
+from math import exp, log, sqrt
 
 from attrs import define
 
@@ -10,6 +10,10 @@
 """Minimum number of recorded steps before the durations of a queue are used."""
 _MIN_DURATION_MS = 1.0
 """Lower bound of a duration before its logarithm is taken."""
+_MIN_SPREAD = 0.15
+"""Least spread: also tasks whose estimates were exact so far may take longer."""
+_UNLEARNED_SPREAD = 0.4
+"""Spread of durations around estimates that are off by a factor of 0.6 to 2.2."""
 
 
 @define
@@ -67,3 +71,13 @@
         weight = durations.variance / variance if variance > 0 else 1.0
         corrected = log(max(_MIN_DURATION_MS, estimated_ms)) - errors.mean
         return exp(weight * corrected + (1 - weight) * durations.mean)
+
+    def spread(self, queue: str) -> float:
+        """Return the standard deviation of the logarithm of a duration from the expected one."""
+        durations, errors = self._durations.get(queue), self._errors.get(queue)
+        if durations is None or errors is None or durations.count < _MIN_STEPS:
+            return _UNLEARNED_SPREAD
+        variance = durations.variance + errors.variance
+        if variance <= 0:
+            return _MIN_SPREAD
+        return max(_MIN_SPREAD, sqrt(durations.variance * errors.variance / variance))
--- a/fireflydeck/policy/job_order.py
+++ b/fireflydeck/policy/job_order.py
@@ -7,7 +7,14 @@
 from fireflydeck.core.fleet_configuration import JobQueue
 from fireflydeck.workload.specification import StepSpec
 
-__all__ = ["JobRank", "SortKey", "longest_chain_ms", "objective_ms", "rank_job"]
+__all__ = [
+    "JobRank",
+    "SortKey",
+    "is_on_time",
+    "longest_chain_ms",
+    "objective_ms",
+    "rank_job",
+]
 
 _NEW_JOB_TIME_FACTOR = 1.2
 """Factor on the remaining time of a job that has not started, when its deadline is checked."""
@@ -56,6 +63,14 @@
     return chain_ms * queue.slack_factor + queue.target_latency_ms
 
 
+def is_on_time(
+    *, deadline_ms: float, remaining_ms: float, has_started: bool, now_ms: float
+) -> bool:
+    """Return whether a job can still meet its deadline; see `rank_job` for the parameters."""
+    factor = 1.0 if has_started else _NEW_JOB_TIME_FACTOR
+    return now_ms + remaining_ms * factor <= deadline_ms
+
+
 def rank_job(
     *,
     deadline_ms: float,
@@ -78,7 +93,11 @@
     """
     if is_long_running:
         return JobRank(0, priority, deadline_ms)
-    factor = 1.0 if has_started else _NEW_JOB_TIME_FACTOR
-    if now_ms + remaining_ms * factor > deadline_ms:
+    if not is_on_time(
+        deadline_ms=deadline_ms,
+        remaining_ms=remaining_ms,
+        has_started=has_started,
+        now_ms=now_ms,
+    ):
         return JobRank(3, priority, deadline_ms)
     return JobRank(1 if has_started else 2, priority, deadline_ms)
--- a/fireflydeck/scheduling/scheduler.py
+++ b/fireflydeck/scheduling/scheduler.py
@@ -28,6 +28,8 @@
         Times of the platform for VM operations, in milliseconds.
     status_ms
         Time for which callers may query the outcome of a job, in milliseconds.
+    reservations
+        Number of waiting tasks and gangs of a pool for which capacity is reserved; 0 for none.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         advisor: PlacementAdvisor,
         vm_operation_times: VmOperationTimes,
         status_ms: int,
+        reservations: int = 0,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -52,6 +55,7 @@
         self._advisor = advisor
         self._vm_operation_times = vm_operation_times
         self._status_ms = status_ms
+        self._reservations = reservations
         self._lease: LeaseKeeper | None = None
         self._operators: OperatorDocuments | None = None
         self._changed = anyio.Event()
@@ -131,6 +135,7 @@
             advisor=self._advisor,
             vm_operation_times=self._vm_operation_times,
             status_ms=self._status_ms,
+            reservations=self._reservations,
         )
         self._current = current
         try:
--- a/fireflydeck/scheduling/servers.py
+++ b/fireflydeck/scheduling/servers.py
@@ -39,6 +39,8 @@
         Capacity reserved by its attempts.
     attempts
         Attempts placed on it, by the name of the task and the run number.
+    change_count
+        Number of changes of its attempts; a forecast of an earlier number is out of date.
     session_wake
         Set to end the wait of an idle session.
     """
@@ -56,6 +58,7 @@
     has_pending_maintenance: bool = False
     used: Resources = Factory(Resources)
     attempts: dict[tuple[str, int], Attempt] = Factory(dict)
+    change_count: int = 0
     session_wake: anyio.Event = Factory(anyio.Event)
 
     @property
@@ -127,12 +130,14 @@
         """Reserve the capacity of an attempt."""
         self.attempts[attempt.task.name, attempt.run] = attempt
         self.used = self.used + reserved_resources(attempt.task.step)
+        self.change_count += 1
         self.session_wake.set()
 
     def remove(self, attempt: Attempt) -> None:
         """Free the capacity of an attempt."""
         if self.attempts.pop((attempt.task.name, attempt.run), None) is not None:
             self.used = self.used - reserved_resources(attempt.task.step)
+            self.change_count += 1
 
 
 def reserved_resources(step: StepSpec) -> Resources:
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -24,6 +24,7 @@
 )
 from fireflydeck.scheduling.pool_room import PoolRoom
 from fireflydeck.scheduling.queued_jobs import QueuedJob, QueuedJobs
+from fireflydeck.scheduling.reservations import Reservations
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.task_placement import Start, TaskPlacer
 from fireflydeck.scheduling.work_estimates import StepKey, WorkEstimates
@@ -46,6 +47,8 @@
         Chooses backend servers and reserves capacity on them.
     may_start
         Returns whether tasks of a queue may be started in its pool.
+    reservations
+        Reserves capacity for waiting tasks; `None` if nothing is reserved.
     """
 
     operators: OperatorDocuments
@@ -55,6 +58,7 @@
     estimates: WorkEstimates
     placer: TaskPlacer
     may_start: Callable[[JobQueue], bool]
+    reservations: Reservations | None = None
     _inflow: Inflow = field(factory=Inflow, init=False)
 
     # Jobs
@@ -75,6 +79,8 @@
         self.jobs.remove(job)
         self.estimates.forget(job)
         self.placer.ticket_cache.forget_job(job.id)
+        if self.reservations is not None:
+            self.reservations.forget_job(job.id)
 
     def invalidate_ready_tasks(self, job: Job) -> None:
         """Compute the ready tasks of a job again at the next planning pass."""
@@ -155,6 +161,8 @@
             return []
         now_ms = self.clock.now_ms()
         self.placer.hidden_usage = hidden
+        if self.reservations is not None:
+            self.reservations.begin_pass(configuration, hidden)
         rooms = self._rooms(servers, now_ms)
         starts: list[Start] = []
         for queue, queued in self.jobs.ranked(configuration, now_ms):
@@ -164,6 +172,8 @@
             if hidden.may_include(queued.job) or not self.may_start(queue):
                 continue
             starts.extend(self._place_job(configuration, queued, room, now_ms))
+        if self.reservations is not None:
+            self.reservations.end_pass(rooms)
         return starts
 
     def _place_job(
@@ -179,6 +189,8 @@
             placed = self.placer.place_all_or_none(configuration, tasks, room)
             if not placed:
                 waiting_steps.add(step)
+                if self.reservations is not None:
+                    self.reservations.add_waiting(queued, tasks, room)
             starts.extend(placed)
         return starts
 
@@ -203,4 +215,5 @@
         for server in servers.values():
             if server.accepts_starts(now_ms) and server.registration.data_centre not in evacuated:
                 by_pool.setdefault(server.registration.pool, []).append(server)
-        return {pool: PoolRoom(members) for pool, members in by_pool.items()}
+        open_room = self.reservations.open_room if self.reservations is not None else PoolRoom
+        return {pool: open_room(members) for pool, members in by_pool.items()}
--- a/fireflydeck/scheduling/task_placement.py
+++ b/fireflydeck/scheduling/task_placement.py
@@ -54,13 +54,15 @@
         first_run = (self.first_token - 1) * _RUN_NUMBERS_PER_TOKEN + 1
         min_run = max([first_run, *(task.last_run + 1 for task in tasks)])
         starts: list[Start] = []
+        if not room.may_fit(tasks):
+            return starts
         for task in tasks:
             start = self._place(configuration, task, room, min_run)
             if start is None:
                 for _, attempt in starts:
                     self.drop(attempt)
                 if starts:
-                    room.forget_full()
+                    room.withdraw_starts(attempt for _, attempt in starts)
                 return []
             starts.append(start)
         return starts
@@ -69,25 +71,27 @@
         self, configuration: FleetConfiguration, task: Task, room: PoolRoom, min_run: int
     ) -> Start | None:
         step = task.step
-        usable = room.servers_with_room(step)
+        usable = room.servers_for(task)
         queue = configuration.queue(task.job.spec.queue)
         if queue is not None and queue.advisor is not None:
             with_ticket = self.ticket_cache.servers_with_ticket(task, room.servers, queue.advisor)
             usable = [server for server in usable if server in with_ticket]
         organisation = task.job.spec.organisation
+        demand = step.demand + room.reserved_demand(organisation)
         if not usable or not self.usage.allows(
-            configuration, organisation, step.demand, self.hidden_usage
+            configuration, organisation, demand, self.hidden_usage
         ):
             return None
         racks = _racks_of_step(task, room.servers) if step.same_rack else set()
         candidates = [self._candidate(server, task, racks) for server in usable]
-        server_id = choose_server(step, candidates)
+        server_id = choose_server(step, candidates, room.best_fit)
         if server_id is None:
             return None
         server = next(server for server in usable if server.id == server_id)
         now_ms = self.clock.now_ms()
         attempt = start_attempt(task, server_id, min_run=min_run, now_ms=now_ms)
         self.reserve(attempt)
+        room.record_start(attempt)
         return server, attempt
 
     def _candidate(self, server: Server, task: Task, racks: set[str]) -> Candidate:
@@ -108,6 +112,7 @@
             free=server.free,
             labels=server.registration.labels,
             rack=server.registration.rack,
+            capacity=server.registration.capacity,
             same_step_tasks=same_step_tasks,
             has_failed_before=server.id in task.failed_servers,
             interferes=interferes,
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -32,6 +32,7 @@
 from fireflydeck.scheduling.organisation_usage import OrganisationUsage
 from fireflydeck.scheduling.pacing import Pacer
 from fireflydeck.scheduling.queued_jobs import QueuedJobs
+from fireflydeck.scheduling.reservations import Reservations
 from fireflydeck.scheduling.retention import Retention
 from fireflydeck.scheduling.roster import Roster, placeholder
 from fireflydeck.scheduling.roster_rows import NO_WORK, PossibleWork, RosterEntry
@@ -74,6 +75,8 @@
         Times of the platform for VM operations, in milliseconds.
     status_ms
         Time for which callers may query the outcome of a job, in milliseconds.
+    reservations
+        Number of waiting tasks and gangs of a pool for which capacity is reserved; 0 for none.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         advisor: PlacementAdvisor,
         vm_operation_times: VmOperationTimes,
         status_ms: int,
+        reservations: int = 0,
     ) -> None:
         self._tenure = tenure
         self._store = store
@@ -183,7 +187,7 @@
         self._reports.pacer = Pacer(
             clock, partial(self._run_in_background, "pace", self._sender.send_pace)
         )
-        self._planner = self._make_planner(ticket_cache)
+        self._planner = self._make_planner(ticket_cache, reservations)
         self._run_tracker.planner = self._planner
         self._run_tracker.sender = self._sender
         self._retention = Retention(
@@ -196,7 +200,7 @@
         )
         self._vm_operations = self._make_vm_operations(vm_orders, vm_operation_times)
 
-    def _make_planner(self, ticket_cache: TicketCache) -> StartPlanner:
+    def _make_planner(self, ticket_cache: TicketCache, reservations: int) -> StartPlanner:
         estimates = WorkEstimates()
         return StartPlanner(
             operators=self._operators,
@@ -215,6 +219,17 @@
                 drop=self._run_tracker.drop,
             ),
             may_start=self._roster.may_start,
+            reservations=Reservations(
+                max_per_pool=reservations,
+                clock=self._clock,
+                log=self._log,
+                metrics=self._metrics,
+                estimates=estimates,
+                usage=self._usage,
+                ticket_cache=ticket_cache,
+            )
+            if reservations > 0
+            else None,
         )
 
     def _make_vm_operations(
--- a/fireflydeck/scheduling/tests/fleet.py
+++ b/fireflydeck/scheduling/tests/fleet.py
@@ -50,6 +50,7 @@
             advisor=fleet.advisor,
             vm_operation_times=_TIMES,
             status_ms=STATUS_MS,
+            reservations=fleet.reservations,
         )
         self.registry = Registry()
         for service in (self.lease, self.operators, self.scheduler):
@@ -82,7 +83,8 @@
 class Fleet:
     """Fleet of a store, backend servers ``s1``, ``s2``, ... and members ``m1``, ``m2``, ..."""
 
-    def __init__(self, servers=2, members=1, **configuration):
+    def __init__(self, servers=2, members=1, reservations=0, **configuration):
+        self.reservations = reservations
         self.clock = FakeClock()
         self.rows = MemoryRows()
         self.log = RecordingLog()
--- a/fireflydeck/scheduling/work_estimates.py
+++ b/fireflydeck/scheduling/work_estimates.py
@@ -55,14 +55,26 @@
         """Return the expected duration of a run of the task, from its start."""
         return self._step_ms(task.job, task.key.occurrence, task.key.step)
 
+    def spread(self, task: Task) -> float:
+        """Return the standard deviation of the logarithm of a run's duration.
+
+        It is that of the queue also for steps whose durations are known, since single tasks of a
+        step last several times as long as the others.
+        """
+        return self._durations.spread(task.job.spec.queue)
+
     def deadline_ms(self, job: Job, queue: JobQueue) -> float:
         """Return the time at which the first open occurrence of the job should be completed."""
+        due_ms = occurrence_due_ms(job, _first_open_occurrence(job))
+        return due_ms + self.objective_ms(job, queue)
+
+    def objective_ms(self, job: Job, queue: JobQueue) -> float:
+        """Return the time within which an occurrence of the job should be completed."""
         occurrence = _first_open_occurrence(job)
         durations = [
             self._step_ms(job, occurrence, number) for number in range(len(job.spec.steps))
         ]
-        chain_ms = longest_chain_ms(job.spec.steps, durations)
-        return occurrence_due_ms(job, occurrence) + objective_ms(chain_ms, queue)
+        return objective_ms(longest_chain_ms(job.spec.steps, durations), queue)
 
     def remaining_ms(self, job: Job) -> float:
         """Return the time until the first open occurrence is done if its tasks start now."""
