--- a/fireflydeck/policy/tests/test_reservation.py
+++ b/fireflydeck/policy/tests/test_reservation.py
@@ -134,3 +134,12 @@
     assert holds.admits(_cores(4), end_ms=5000)
     assert not holds.admits(_cores(5), end_ms=5000)
     assert holds.amount == _cores(60)
+    holds.add(
+        "third",
+        at_ms=2000,
+        until_ms=5000,
+        amount=_cores(8),
+        free=_cores(0),
+        releases=[(1000, _cores(64)), (1500, _cores(8))],
+    )
+    assert [hold.spare for hold in holds.holds] == [_cores(4), _cores(4), _cores(4)]
--- a/fireflydeck/scheduling/reservable_room.py
+++ b/fireflydeck/scheduling/reservable_room.py
@@ -172,10 +172,9 @@
     def reserve(self, name: str, request: ReservationRequest, fit: Fit) -> None:
         """Reserve the capacity of a fit."""
         until_ms = fit.at_ms + request.duration_ms
-        for server in self.servers:
-            count = fit.counts.get(server.id, 0)
-            if count == 0:
-                continue
+        holding = [server for server in self.servers if server.id in fit.counts]
+        for server in holding:
+            count = fit.counts[server.id]
             forecast = self._forecasts.of(server, self.now_ms)
             self._holds.setdefault(server.id, ServerHolds()).add(
                 name,
@@ -186,9 +185,10 @@
                 releases=forecast.releases,
             )
         self.reservations += 1
-        self._reserved = [server for server in self.servers if server.id in self._holds]
-        open_servers = [server for server in self.servers if server.id not in self._holds]
-        self._unreserved.servers = open_servers
+        self._reserved += [server for server in holding if server not in self._reserved]
+        self._unreserved.servers = [
+            server for server in self._unreserved.servers if server.id not in fit.counts
+        ]
 
     def note_waiting(self, demand: Resources) -> None:
         """Record the demand of a task that found no place."""
--- a/fireflydeck/scheduling/reservations.py
+++ b/fireflydeck/scheduling/reservations.py
@@ -36,7 +36,7 @@
 
 _TRIES_PER_RESERVATION = 2
 """Tasks considered for each reservation; it bounds the duration of a planning pass."""
-_MIN_CANDIDATES = 64
+_MIN_CANDIDATES = 32
 """Least number of servers for which the expected ends of runs are looked at.
 
 These are the servers with most of the needed capacity free; the others are looked at only if the
@@ -242,7 +242,7 @@
         kept: frozenset[str],
     ) -> Fit | None:
         """Return where tasks fit, if possible on servers whose maintenance is not pending."""
-        usable = [server for server in room.servers if _may_hold(server, task)]
+        usable = _able_servers(room.servers, task)
         if queue.advisor is not None:
             usable = self.ticket_cache.servers_with_ticket(task, usable, queue.advisor)
         staying = [server for server in usable if not server.has_pending_maintenance]
@@ -312,12 +312,15 @@
     return [server for server in servers if server.id in chosen]
 
 
-def _may_hold(server: Server, task: Task) -> bool:
-    """Return whether a server, if it were empty, could run a task."""
-    step, registration = task.step, server.registration
-    if step.required_label and step.required_label not in registration.labels:
-        return False
-    return registration.capacity.covers(reserved_resources(step))
+def _able_servers(servers: list[Server], task: Task) -> list[Server]:
+    """Return the servers that could run a task if they were empty."""
+    label, demand = task.step.required_label, reserved_resources(task.step)
+    return [
+        server
+        for server in servers
+        if server.registration.capacity.covers(demand)
+        and (not label or label in server.registration.labels)
+    ]
 
 
 def _for_task(
--- a/fireflydeck/scheduling/tests/test_reservations.py
+++ b/fireflydeck/scheduling/tests/test_reservations.py
@@ -32,9 +32,12 @@
 class _SmallTasks:
     """A stream of small jobs; there are always `waiting` of them more than have started."""
 
-    def __init__(self, fleet, *, cores=4, waiting=20, estimates_ms=range(300, 900), **fields):
+    def __init__(
+        self, fleet, *, cores=4, waiting=20, estimates_ms=range(300, 900), label="", **fields
+    ):
         self._fleet, self._waiting, self._fields = fleet, waiting, fields
-        self._cores, self._estimates_ms = cores, estimates_ms
+        self._estimates_ms = estimates_ms
+        self._step_fields = {"demand": _cores(cores), "required_label": label}
         self._random = Random(1)
         self._submitted = 0
 
@@ -43,7 +46,7 @@
             while self._submitted - len(self._fleet.started_ms) < self._waiting:
                 self._submitted += 1
                 estimated_ms = self._random.choice(self._estimates_ms)
-                step = build_step(demand=_cores(self._cores), estimated_ms=estimated_ms)
+                step = build_step(estimated_ms=estimated_ms, **self._step_fields)
                 spec = build_spec(step, job_id=f"{self._submitted:016x}", **self._fields)
                 self._fleet.submit(spec)
             self._fleet.step_ms(_STEP_MS)
@@ -57,6 +60,13 @@
     return fleet.submit(spec)
 
 
+def _submit_long_jobs(fleet, count, **fields):
+    """Submit jobs of one task; a single job would rank first once its first task has started."""
+    for number in range(count):
+        step = build_step(estimated_ms=5000, **fields)
+        fleet.submit(build_spec(step, job_id=f"{0xE00 + number:016x}"))
+
+
 def _waited_ms(fleet, job_id=_LARGE):
     """Return the wait of the first task of a job, or `None` if it has not started."""
     return fleet.started_ms.get(f"{job_id}.0.0.0")
@@ -135,19 +145,31 @@
 def test_reservation_counts_towards_the_cap_of_its_organisation():
     """Small tasks of the same organisation must not use up the cap that the large one needs."""
     limited = JobOrganisation(name="museum", keys=frozenset(), limit=Resources(48_000))
-    fleet = _fleet(organisations=(limited,), servers=1)
-    others = _SmallTasks(fleet, organisation="library")
+    fleet = _fleet(organisations=(limited,), servers=0)
+    fleet.add_servers(1, _cores(32, 64), labels=frozenset({"a"}))
+    others = _SmallTasks(fleet, label="a", organisation="library")
     others.advance_ms(1000)
-    _submit_large(fleet, demand=_cores(32))
+    _submit_large(fleet, demand=_cores(32), required_label="a")
     fleet.step_ms(_STEP_MS)
     fleet.add_servers(2, _cores(32, 64), labels=frozenset({"b"}))
-    step = build_step(count=8, demand=_cores(4), estimated_ms=5000, required_label="b")
-    fleet.submit(build_spec(step, job_id="00000000000000e1"))
+    _submit_long_jobs(fleet, 8, demand=_cores(4), required_label="b")
     others.advance_ms(1500)
     assert _waited_ms(fleet) is not None
     assert fleet.usage.used("museum").cpu <= 48_000
 
 
+def test_long_tasks_together_use_only_what_is_spare_beside_a_reservation():
+    """Each of them alone would fit beside the large task, but not both."""
+    fleet = _fleet(servers=1)
+    fleet.submit(build_spec(build_step(demand=_cores(16)), job_id="00000000000000e1"))
+    fleet.step_ms(_STEP_MS)
+    _submit_large(fleet, demand=_cores(20))
+    _submit_long_jobs(fleet, 2, demand=_cores(8))
+    fleet.advance_ms(1000)
+    assert _waited_ms(fleet) is not None
+    assert fleet.servers["s1"].used.cpu == 28_000
+
+
 def test_capacity_is_held_no_longer_than_the_bound():
     """Runs that never end must not keep other capacity idle for a large task for good."""
     fleet = _fleet(servers=1, duration_ms=lambda attempt: float("inf"))
