--- a/fireflydeck/scheduling/reservable_room.py
+++ b/fireflydeck/scheduling/reservable_room.py
@@ -1,6 +1,6 @@
 """Free capacity of a pool during a planning pass in which capacity is reserved."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 from math import inf
 
 from attrs import define, field
@@ -19,6 +19,7 @@
 from fireflydeck.scheduling.servers import Server, reserved_resources
 from fireflydeck.scheduling.work_estimates import WorkEstimates
 from fireflydeck.workload.lifecycle import Attempt, Task
+from fireflydeck.workload.specification import StepSpec
 
 __all__ = ["ReservableRoom"]
 
@@ -38,8 +39,9 @@
         Reserved demand in all pools, by organisation.
     backfilled_starts
         Number of starts on servers with reservations.
-    tries
-        Number of waiting tasks and gangs for which a reservation was considered.
+    checked, fits_computed, reservations
+        Number of waiting tasks and gangs for which a reservation was considered, for which the
+        earliest time was computed, and for which capacity was reserved.
     largest_waiting
         Largest demand for CPU and for memory among the tasks that found no place.
     """
@@ -49,19 +51,20 @@
     now_ms: int
     reserved_by_organisation: dict[str, Resources]
     backfilled_starts: int = field(default=0, init=False)
-    tries: int = field(default=0, init=False)
+    checked: int = field(default=0, init=False)
+    fits_computed: int = field(default=0, init=False)
     reservations: int = field(default=0, init=False)
     largest_waiting: Resources = field(factory=Resources, init=False)
     _holds: dict[str, ServerHolds] = field(factory=dict, init=False)
     _reserved: list[Server] = field(factory=list, init=False)
-    _unreserved: PoolRoom = field(init=False)
+    _unreserved: "_ShrinkingRoom" = field(init=False)
     _refused: dict[Resources, float] = field(factory=dict, init=False)
     _longest_factors: dict[str, float] = field(factory=dict, init=False)
     _ends_ms: dict[tuple[str, int], float] = field(factory=dict, init=False)
 
     @_unreserved.default
-    def _all_servers(self) -> PoolRoom:
-        return PoolRoom(self.servers)
+    def _all_servers(self) -> "_ShrinkingRoom":
+        return _ShrinkingRoom(self.servers)
 
     @property
     def best_fit(self) -> BestFit:
@@ -186,9 +189,7 @@
             )
         self.reservations += 1
         self._reserved += [server for server in holding if server not in self._reserved]
-        self._unreserved.servers = [
-            server for server in self._unreserved.servers if server.id not in fit.counts
-        ]
+        self._unreserved.remove(fit.counts)
 
     def note_waiting(self, demand: Resources) -> None:
         """Record the demand of a task that found no place."""
@@ -207,6 +208,41 @@
         return sum(amount.cpu for amount in free if not amount.covers(largest)) / 1000
 
 
+@define(eq=False)
+class _ShrinkingRoom(PoolRoom):
+    """Room that remembers which servers had room for a demand.
+
+    Servers without room for a demand have none for a larger one, so only those that had room for
+    the smaller one are looked at again.
+    """
+
+    _found: dict[Resources, list[Server]] = field(factory=dict, init=False)
+
+    def servers_with_room(self, step: StepSpec) -> list[Server]:
+        """Return the servers whose free capacity is enough for a task of the step."""
+        demand = reserved_resources(step)
+        known = self._found.get(demand)
+        if known is None:
+            smaller = (found for other, found in self._found.items() if demand.covers(other))
+            known = min(smaller, key=len, default=self.servers)
+        if known:
+            known = [server for server in known if server.fits(step)]
+        self._found[demand] = known
+        return known
+
+    def remove(self, server_ids: Container[str]) -> None:
+        """Remove servers."""
+        self.servers = [server for server in self.servers if server.id not in server_ids]
+        self._found = {
+            demand: [server for server in found if server.id not in server_ids]
+            for demand, found in self._found.items()
+        }
+
+    def forget_full(self) -> None:
+        """Look at all servers again, since capacity became free during the pass."""
+        self._found.clear()
+
+
 def _after_holds(forecast: ServerForecast, holds: ServerHolds) -> ServerForecast:
     releases: Sequence = [*forecast.releases, *holds.releases()]
     return ServerForecast(
--- a/fireflydeck/scheduling/reservations.py
+++ b/fireflydeck/scheduling/reservations.py
@@ -34,8 +34,14 @@
 
 __all__ = ["Reservations", "WaitReason"]
 
-_TRIES_PER_RESERVATION = 2
-"""Tasks considered for each reservation; it bounds the duration of a planning pass."""
+_FITS_PER_RESERVATION = 2
+"""Waiting tasks whose earliest time is computed for each reservation of a pass.
+
+Together with `_MAX_CHECKED` it bounds the duration of a planning pass. Some of these tasks get no
+reservation, for instance since they would be late by then.
+"""
+_MAX_CHECKED = 32
+"""Waiting tasks of a pool that are checked in a pass; most at a time may wait for one limit."""
 _MIN_CANDIDATES = 32
 """Least number of servers for which the expected ends of runs are looked at.
 
@@ -154,14 +160,15 @@
             return
         queue = self._configuration.queue(queued.job.spec.queue)
         room.note_waiting(reserved_resources(tasks[0].step))
-        is_tried = (
+        is_considered = (
             room.reservations < self.max_per_pool
-            and room.tries < self.max_per_pool * _TRIES_PER_RESERVATION
+            and room.fits_computed < self.max_per_pool * _FITS_PER_RESERVATION
+            and room.checked < _MAX_CHECKED
         )
-        if queue is None or not is_tried:
+        if queue is None or not is_considered:
             self._wait_log.write(tasks, WaitReason.NO_CAPACITY)
             return
-        room.tries += 1
+        room.checked += 1
         holding = self._holdings.setdefault(queued.job.id, {}).setdefault(tasks[0].name, _Holding())
         self._reserve(queued, queue, tasks, room, holding)
 
@@ -185,6 +192,7 @@
             duration_ms=room.longest_ms(task),
             same_rack=task.step.same_rack,
         )
+        room.fits_computed += 1
         fit = self._earliest_fit(request, task, queue, room, kept)
         if fit is None:
             self._wait_log.write(tasks, WaitReason.NO_SERVER)
--- a/fireflydeck/scheduling/task_placement.py
+++ b/fireflydeck/scheduling/task_placement.py
@@ -76,11 +76,11 @@
         if queue is not None and queue.advisor is not None:
             with_ticket = self.ticket_cache.servers_with_ticket(task, room.servers, queue.advisor)
             usable = [server for server in usable if server in with_ticket]
+        if not usable:
+            return None
         organisation = task.job.spec.organisation
         demand = step.demand + room.reserved_demand(organisation)
-        if not usable or not self.usage.allows(
-            configuration, organisation, demand, self.hidden_usage
-        ):
+        if not self.usage.allows(configuration, organisation, demand, self.hidden_usage):
             return None
         racks = _racks_of_step(task, room.servers) if step.same_rack else set()
         candidates = [self._candidate(server, task, racks) for server in usable]
--- a/fireflydeck/settings/catalogue.py
+++ b/fireflydeck/settings/catalogue.py
@@ -16,6 +16,18 @@
 ROLES = ("gateway", "dispatcher", "controller", "ctl")
 _DAEMONS = ("gateway", "dispatcher", "controller")
 _ADDRESS_FORMAT = "an IP address and a port, such as 10.0.0.5:8080"
+_ENTRY_FLAGS = (
+    ("--metrics_port", "a port", "required", "Port of `/metrics` on the address of the VM."),
+    (
+        "--reservations",
+        "0 or more",
+        "`0`",
+        "Number of waiting tasks and gangs of a pool for which capacity is reserved; with 0 "
+        "nothing is reserved, and tasks go to the server with the least free CPU. See "
+        "[reservations](design/reservations.md).",
+    ),
+)
+"""Flags of the entry role: flag, allowed values, default and meaning."""
 _SECRET_FORMAT = "16 characters or more, from the environment only"
 
 SETTINGS = (
@@ -194,4 +206,14 @@
             setting.doc,
         )
         lines.append("| " + " | ".join(cells) + " |")
+    lines += [
+        "",
+        "## Flags of `fireflydeck entry`",
+        "",
+        "The entry role has its settings in the platform's settings file, and these flags:",
+        "",
+        "| flag | allowed | default | meaning |",
+        "|---|---|---|---|",
+    ]
+    lines += [f"| `{flag}` | " + " | ".join(cells) + " |" for flag, *cells in _ENTRY_FLAGS]
     return "\n".join(lines) + "\n"
