--- a/fireflydeck/policy/job_order.py
+++ b/fireflydeck/policy/job_order.py
@@ -11,6 +11,7 @@
     "NEW_JOB_TIME_FACTOR",
     "JobRank",
     "SortKey",
+    "is_on_time",
     "longest_chain_ms",
     "objective_ms",
     "rank_job",
@@ -69,6 +70,14 @@
     return chain_ms * queue.slack_factor + queue.target_latency_ms
 
 
+def is_on_time(
+    *, deadline_ms: float, remaining_ms: float, has_started: bool, now_ms: float
+) -> bool:
+    """Return whether a job can still meet its deadline; see `rank_job` for the parameters."""
+    factor = 1.0 if has_started else NEW_JOB_TIME_FACTOR
+    return now_ms + remaining_ms * factor <= deadline_ms
+
+
 def rank_job(
     *,
     deadline_ms: float,
@@ -94,8 +103,12 @@
     """
     if is_long_running:
         return JobRank(0, priority, deadline_ms)
-    factor = 1.0 if has_started else NEW_JOB_TIME_FACTOR
-    if now_ms + remaining_ms * factor > deadline_ms:
+    if not is_on_time(
+        deadline_ms=deadline_ms,
+        remaining_ms=remaining_ms,
+        has_started=has_started,
+        now_ms=now_ms,
+    ):
         return JobRank(_LATE_GROUP, priority, deadline_ms)
     group = _BEYOND_SHARE_GROUP if is_beyond_share else _WITHIN_SHARE_GROUP
     return JobRank(group if has_started else group + 1, priority, deadline_ms)
