--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -222,7 +222,8 @@
     ),
     6305: EventNote(
         trigger="A run that an earlier holder started was adopted under this term; if `others` is "
-        "true, the task has another run and this one is stopped.",
+        "true, the task has another run and this one is stopped, unless it is the second run of a "
+        "task of a speculative step.",
         fields=("task", "run", "server", "others"),
     ),
     6306: EventNote(
@@ -247,6 +248,27 @@
         "protect a serving task on the same backend server, or faster again.",
         fields=("task", "run", "server", "percent", "taken"),
     ),
+    6310: EventNote(
+        trigger="A run has taken longer than `straggler_ms` and is expected to take "
+        "`remaining_ms` more, a copy `copy_ms` in all; the copy's start follows as 6301. `copies` "
+        "of the `budget` for the pool's running tasks are used.",
+        action="If there are many and few of them win (`speculative_copies_won_total`): the tasks "
+        "are long themselves; ask the caller to submit them without `speculative`.",
+        fields=(
+            "task",
+            "run",
+            "server",
+            "first_run",
+            "first_server",
+            "elapsed_ms",
+            "expected_ms",
+            "straggler_ms",
+            "remaining_ms",
+            "copy_ms",
+            "copies",
+            "budget",
+        ),
+    ),
     6501: EventNote(
         trigger="A call to the platform's VM interface failed; it is retried.",
         action="Check whether the interface works; waves and moves make no progress until it does.",
--- a/fireflydeck/kernel/metrics.py
+++ b/fireflydeck/kernel/metrics.py
@@ -24,7 +24,7 @@
         self._registry = MetricRegistry()
         self._metrics: dict[str, Counter | Gauge | Histogram] = {}
 
-    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Increase a counter by `amount`."""
         self._metric(name, Counter).add(labels, amount)
 
--- /dev/null
+++ b/fireflydeck/policy/speculation.py
@@ -0,0 +1,185 @@
+"""Decision which runs get a speculative copy, from the learned spread of durations."""
+
+from bisect import bisect_left, bisect_right
+from collections import deque
+from collections.abc import Iterable, Sequence
+from operator import neg
+
+from attrs import Factory, define, frozen
+
+__all__ = [
+    "CopyDecision",
+    "DurationSpread",
+    "RunProgress",
+    "SurvivalCurve",
+    "choose_copies",
+    "copy_budget",
+]
+
+_BUDGET_FRACTION = 0.05
+"""Part of the running tasks of a pool that may have a copy; more than the 3% that last long."""
+_MIN_ENDS = 8
+"""Minimum number of ended runs before a spread of durations is used."""
+_MIN_LONGER_ENDS = 3
+"""Minimum number of longer runs from which the remaining time of a run is estimated."""
+_STRAGGLER_QUANTILE = 0.9
+_MIN_STRAGGLER_RATIO = 1.3
+"""Lower bound of the ratio at which a run is a straggler, if all durations are nearly equal."""
+_UNKNOWN_STRAGGLER_RATIO = 2.2
+"""Ratio used until a spread is known; the largest error of callers' estimates."""
+_MIN_GAIN = 1.2
+"""Factor by which the remaining time of a run must exceed the duration of a copy."""
+_MAX_OBSERVATIONS = 512
+
+
+@frozen
+class SurvivalCurve:
+    """Kaplan-Meier estimate of the distribution of a ratio, from ended and unfinished runs.
+
+    A run that has not ended counts as longer than it has run so far. Leaving such runs out would
+    make durations look shorter than they are, since short runs end first.
+
+    Parameters
+    ----------
+    ends
+        Ratios of the ended runs, in ascending order.
+    survival
+        For each of `ends`, the estimated part of the runs that last longer.
+    areas
+        For each of `ends`, the integral of the survival from there on.
+    """
+
+    ends: tuple[float, ...]
+    survival: tuple[float, ...]
+    areas: tuple[float, ...]
+
+    @classmethod
+    def of(cls, ended: Iterable[float], unfinished: Iterable[float] = ()) -> "SurvivalCurve":
+        """Return the estimate from ratios of ended runs, and of others as far as they have run."""
+        ends, open_ratios = sorted(ended), sorted(unfinished)
+        alive = 1.0
+        survival: list[float] = []
+        for position, ratio in enumerate(ends):
+            longer_open = len(open_ratios) - bisect_left(open_ratios, ratio)
+            at_risk = len(ends) - position + longer_open
+            alive *= 1 - 1 / at_risk
+            survival.append(alive)
+        areas = [0.0] * len(ends)
+        for position in range(len(ends) - 2, -1, -1):
+            width = ends[position + 1] - ends[position]
+            areas[position] = areas[position + 1] + survival[position] * width
+        return cls(tuple(ends), tuple(survival), tuple(areas))
+
+    def quantile(self, fraction: float) -> float | None:
+        """Return the ratio up to which a fraction of the runs end; `None` if too few have ended."""
+        position = bisect_left(self.survival, fraction - 1, key=neg)
+        return self.ends[position] if position < len(self.ends) else None
+
+    def remaining(self, ratio: float) -> float | None:
+        """Return the mean remaining time of a run that has reached a ratio, as a ratio.
+
+        Returns `None` if too few longer runs are known.
+        """
+        first = bisect_right(self.ends, ratio)
+        if len(self.ends) - first < _MIN_LONGER_ENDS:
+            return None
+        alive = self.survival[first - 1] if first else 1.0
+        return self.ends[first] - ratio + self.areas[first] / alive
+
+
+@define(eq=False)
+class DurationSpread:
+    """Latest durations of the runs of a queue, relative to what was expected of each.
+
+    Parameters
+    ----------
+    ended
+        Ratios of runs that ended `done`.
+    unfinished
+        Ratios up to which runs were observed that were stopped or lost.
+    """
+
+    ended: deque[float] = Factory(lambda: deque(maxlen=_MAX_OBSERVATIONS))
+    unfinished: deque[float] = Factory(lambda: deque(maxlen=_MAX_OBSERVATIONS))
+
+    def curve(self, running: Iterable[float] = ()) -> SurvivalCurve:
+        """Return the distribution, also from the ratios that running runs have reached."""
+        return SurvivalCurve.of(self.ended, [*self.unfinished, *running])
+
+
+@frozen(kw_only=True)
+class RunProgress:
+    """Only run of a task that may get a copy.
+
+    Parameters
+    ----------
+    task
+        Name of the task.
+    elapsed_ms
+        Time that the run has taken, at least.
+    expected_ms
+        Duration that was expected of it.
+    curve
+        Distribution of durations relative to the expected ones.
+    """
+
+    task: str
+    elapsed_ms: float
+    expected_ms: float
+    curve: SurvivalCurve
+
+
+@frozen(kw_only=True)
+class CopyDecision:
+    """A run that should get a copy, with the figures that decided so.
+
+    Parameters
+    ----------
+    straggler_ms
+        Duration above which the run counts as a straggler.
+    remaining_ms
+        Expected time until the run ends.
+    copy_ms
+        Expected duration of a copy.
+    """
+
+    run: RunProgress
+    straggler_ms: float
+    remaining_ms: float
+    copy_ms: float
+
+
+def copy_budget(running_tasks: int) -> int:
+    """Return how many tasks of a pool may have a copy at a time."""
+    return max(1, int(running_tasks * _BUDGET_FRACTION))
+
+
+def choose_copies(runs: Sequence[RunProgress]) -> list[CopyDecision]:
+    """Return the stragglers whose copies are expected to end first, the largest gain first."""
+    decisions = [decision for run in runs if (decision := _decide(run)) is not None]
+    decisions.sort(key=lambda item: (item.copy_ms - item.remaining_ms, item.run.task))
+    return decisions
+
+
+def _decide(run: RunProgress) -> CopyDecision | None:
+    if run.expected_ms <= 0:
+        return None
+    curve = run.curve
+    is_known = len(curve.ends) >= _MIN_ENDS
+    quantile = curve.quantile(_STRAGGLER_QUANTILE) if is_known else _UNKNOWN_STRAGGLER_RATIO
+    median = curve.quantile(0.5) if is_known else 1.0
+    ratio = run.elapsed_ms / run.expected_ms
+    if quantile is None or median is None or ratio < max(_MIN_STRAGGLER_RATIO * median, quantile):
+        return None
+    remaining = curve.remaining(ratio)
+    if remaining is None:
+        # Too few longer runs are known: it is taken to exceed the usual duration by as much again.
+        remaining = ratio - median
+    if remaining < _MIN_GAIN * median:
+        return None
+    return CopyDecision(
+        run=run,
+        straggler_ms=max(_MIN_STRAGGLER_RATIO * median, quantile) * run.expected_ms,
+        remaining_ms=remaining * run.expected_ms,
+        copy_ms=median * run.expected_ms,
+    )
--- a/fireflydeck/scheduling/fleet_knowledge.py
+++ b/fireflydeck/scheduling/fleet_knowledge.py
@@ -33,6 +33,11 @@
 """Time after the start of a tenure at which every lease granted by earlier holders has expired."""
 _LATE_START_MS = MAX_ORDER_DELAY_MS + lease_duration_ms(MAX_LEASE_MS) + _EXPIRY_SLACK_MS
 """Time after the start of a tenure at which runs by late starts of earlier holders have ended."""
+_START_EXPIRY_MS = lease_duration_ms(SERVER_LEASE_MS) + _EXPIRY_SLACK_MS
+"""Time after the start of a tenure at which backend servers reject starts of earlier holders.
+
+A start names the end of its lease on the backend server's clock and is rejected after it.
+"""
 
 
 @define(eq=False, kw_only=True)
@@ -58,6 +63,11 @@
         """Return what may be running without the holder's knowledge at this moment."""
         return HiddenUsage(self._hidden_work(), self.tenure.since_version, self.jobs.values())
 
+    def may_hide_start(self, job: Job) -> bool:
+        """Return whether a start that an earlier holder sent for the job may yet take effect."""
+        is_late = self.clock.now_ms() >= self.tenure.since_ms + _START_EXPIRY_MS
+        return not is_late and self.hidden_usage().may_include(job)
+
     def _hidden_work(self) -> PossibleWork:
         hidden = [server for server in self.servers.values() if self.may_hide_runs(server)]
         if not hidden and self.servers and not self._is_complete:
--- a/fireflydeck/scheduling/order_sender.py
+++ b/fireflydeck/scheduling/order_sender.py
@@ -75,7 +75,7 @@
         now_ms = self.clock.now_ms()
         task = attempt.task
         ticket = self._ticket(server, task)
-        if ticket is None or not self._may_start(server, task, now_ms):
+        if attempt.stop_requested or ticket is None or not self._may_start(server, task, now_ms):
             self.drop(attempt)
             return
         life = server.life
--- a/fireflydeck/scheduling/run_tracker.py
+++ b/fireflydeck/scheduling/run_tracker.py
@@ -2,17 +2,19 @@
 
 from collections.abc import Callable, Iterable
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from fireflydeck.core import Clock
-from fireflydeck.core.backend_orders import EndedRun, HeartbeatReport
+from fireflydeck.core.backend_orders import EndedRun, HeartbeatReport, RunEnd
 from fireflydeck.kernel import Event, EventLog, Metrics
 from fireflydeck.observation.operator_documents import OperatorDocuments
 from fireflydeck.scheduling.job_tracker import JobTracker
 from fireflydeck.scheduling.journal import ProgressJournal
 from fireflydeck.scheduling.order_sender import OrderSender
 from fireflydeck.scheduling.organisation_usage import OrganisationUsage
+from fireflydeck.scheduling.server_life import ServerLife
 from fireflydeck.scheduling.servers import Server
+from fireflydeck.scheduling.speculative_copies import SpeculativeCopies
 from fireflydeck.scheduling.start_planner import StartPlanner
 from fireflydeck.workload.lifecycle import (
     Attempt,
@@ -23,6 +25,7 @@
     confirm_attempt,
     create_occurrence_of,
     mark_running,
+    may_have_copy,
     record_run_end,
     remove_attempt,
 )
@@ -32,6 +35,15 @@
 _STOP_RETRY_MS = 400
 
 
+@frozen
+class _HeldEnd:
+    """End `done` that is not recorded yet, and the life of the server that reported it."""
+
+    server: Server
+    life: ServerLife
+    ended: EndedRun
+
+
 @define(eq=False, kw_only=True)
 class RunTracker:
     """Tracker that updates jobs, backend servers and organisations' usage on each event of a run.
@@ -42,6 +54,8 @@
         Sends an order in the background; called with the step, the function and its arguments.
     request_planning
         Requests another planning pass.
+    may_hide_start
+        Returns whether a start that an earlier holder sent for a job may yet take effect.
     """
 
     servers: dict[str, Server]
@@ -54,13 +68,17 @@
     metrics: Metrics
     run_in_background: Callable[..., None]
     request_planning: Callable[[], None]
+    may_hide_start: Callable[[Job], bool]
+    copies: SpeculativeCopies
     planner: StartPlanner = field(init=False)
     sender: OrderSender = field(init=False)
+    _held_ends: list[_HeldEnd] = field(factory=list, init=False)
 
     def reserve(self, attempt: Attempt) -> None:
         """Reserve the capacity that an attempt uses."""
         self.servers[attempt.server_id].add(attempt)
         self.usage.add(attempt)
+        self.copies.on_reserved(attempt)
 
     def drop(self, attempt: Attempt) -> None:
         """Forget an attempt that does not run and never will, and free its capacity."""
@@ -72,6 +90,7 @@
         if server is not None and (attempt.task.name, attempt.run) in server.attempts:
             server.remove(attempt)
             self.usage.remove(attempt)
+            self.copies.on_released(attempt)
             self.planner.invalidate_ready_tasks(attempt.task.job)
         self.request_planning()
 
@@ -118,13 +137,50 @@
         """Record the end of a run; it is acknowledged once the resulting progress is stored."""
         life = server.life
         life.last_end = ended.number
+        if self._must_hold(ended):
+            self._hold_end(server, ended)
+            return
         commit_number = self._record_end(server, ended)
         if life.unstored_ends or commit_number > 0:
-            newest = life.unstored_ends[-1][1] if life.unstored_ends else 0
-            life.unstored_ends.append((ended.number, max(commit_number, newest)))
+            life.unstored_ends.append((ended.number, commit_number))
         else:
             life.stored_end = ended.number
 
+    def _must_hold(self, ended: EndedRun) -> bool:
+        """Return whether another run of a task could start after its end `done` was recorded."""
+        task = self._task(ended.task)
+        if task is None or ended.end != RunEnd.DONE or not may_have_copy(task.step):
+            return False
+        if task.done or not task.job.is_open:
+            return False
+        return self.may_hide_start(task.job) or any(
+            attempt.phase in (AttemptPhase.STARTING, AttemptPhase.UNCERTAIN)
+            for run, attempt in task.attempts.items()
+            if run != ended.run
+        )
+
+    def _hold_end(self, server: Server, ended: EndedRun) -> None:
+        """Stop the other runs of a task, whose end `done` is recorded once none can start."""
+        server.life.unstored_ends.append((ended.number, None))
+        self._held_ends.append(_HeldEnd(server, server.life, ended))
+        task = self._task(ended.task)
+        if task is None:
+            return
+        attempt = task.attempts.get(ended.run)
+        if attempt is not None:
+            self.copies.on_ended(attempt, ended.end)
+            self.drop(attempt)
+        for other in task.attempts.values():
+            self.request_stop(other)
+
+    def record_held_ends(self) -> None:
+        """Record the ends that were held back and need not be any more."""
+        for held in [held for held in self._held_ends if not self._must_hold(held.ended)]:
+            self._held_ends.remove(held)
+            commit_number = self._record_end(held.server, held.ended)
+            held.life.release_end(held.ended.number, commit_number)
+            held.server.session_wake.set()
+
     def _record_end(self, server: Server, ended: EndedRun) -> int:
         """Record an end; return the number of the commit that stores the state after it.
 
@@ -147,6 +203,8 @@
             max_attempts=max_attempts,
         )
         self.metrics.count("runs_ended_total", end=ended.end.value)
+        if attempt is not None:
+            self.copies.on_ended(attempt, ended.end)
         changed = record_run_end(task, ended, max_attempts=max_attempts, now_ms=self.clock.now_ms())
         self.planner.record_end(server, task, attempt, ended)
         if attempt is not None:
@@ -183,7 +241,8 @@
                 continue
             attempt.life_token = server.life.fencing_token
             attempt.reported_available = row.percent >= 100
-            if row.checkpoint:
+            is_second = attempt.is_copy and len(attempt.task.attempts) > 1
+            if row.checkpoint and not is_second:
                 attempt.task.checkpoint = row.checkpoint
             mark_running(attempt, now_ms)
             if attempt.stop_requested and now_ms - attempt.changed_ms > _STOP_RETRY_MS:
@@ -210,7 +269,8 @@
             self.log.emit(Event.RUN_UNKNOWN, task=name, run=run, server=server.id)
             self.run_in_background("stop", self.sender.stop_unknown_run, server, name, run)
             return
-        others = bool(task.attempts)
+        others = len(task.attempts)
+        max_others = 1 if may_have_copy(task.step) else 0
         attempt = confirm_attempt(task, run, server.id, now_ms)
         attempt.server_id = server.id
         attempt.life_token = server.life.fencing_token
@@ -218,8 +278,8 @@
             attempt.pace = 0
         self.reserve(attempt)
         self.planner.invalidate_ready_tasks(task.job)
-        self.log.emit(Event.RUN_ADOPTED, task=name, run=run, server=server.id, others=others)
-        if others or task.done or not task.job.is_open:
+        self.log.emit(Event.RUN_ADOPTED, task=name, run=run, server=server.id, others=others > 0)
+        if others > max_others or task.done or not task.job.is_open:
             self.request_stop(attempt)
 
     def _task(self, name: str) -> Task | None:
--- a/fireflydeck/scheduling/server_life.py
+++ b/fireflydeck/scheduling/server_life.py
@@ -90,7 +90,10 @@
     acknowledged_end
         Number of the newest end that was acknowledged to the server as stored.
     unstored_ends
-        Ends that wait for a commit, as pairs of the number of the end and that of the commit.
+        Ends that wait for a commit, as pairs of the number of the end and that of the commit, which
+        is `None` while the end is held back.
+    stored_commit
+        Number of the newest finished commit that this life was told of.
     coverage
         How completely its runs are known.
     """
@@ -106,7 +109,8 @@
     last_end: int = 0
     stored_end: int = 0
     acknowledged_end: int = 0
-    unstored_ends: deque[tuple[int, int]] = Factory(deque)
+    unstored_ends: deque[tuple[int, int | None]] = Factory(deque)
+    stored_commit: int = 0
     coverage: RunCoverage = RunCoverage.UNHEARD
 
     @property
@@ -191,8 +195,21 @@
         commit_number
             Number of the newest finished commit.
         """
-        while self.unstored_ends and self.unstored_ends[0][1] <= commit_number:
-            self.stored_end = self.unstored_ends.popleft()[0]
+        self.stored_commit = max(self.stored_commit, commit_number)
+        while self.unstored_ends:
+            number, needed_commit = self.unstored_ends[0]
+            if needed_commit is None or needed_commit > self.stored_commit:
+                return
+            self.stored_end = number
+            self.unstored_ends.popleft()
+
+    def release_end(self, number: int, commit_number: int) -> None:
+        """Let an end that was held back wait for a commit; 0 if its state is stored already."""
+        for position, (held_number, _) in enumerate(self.unstored_ends):
+            if held_number == number:
+                self.unstored_ends[position] = (number, commit_number)
+                break
+        self.record_stored_ends(self.stored_commit)
 
     def succeeded_by(self, *, fencing_token: int, now_ms: int) -> "ServerLife":
         """Return the next life, of which nothing is known yet."""
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -25,6 +25,7 @@
 from fireflydeck.scheduling.pool_room import PoolRoom
 from fireflydeck.scheduling.queued_jobs import QueuedJob, QueuedJobs
 from fireflydeck.scheduling.servers import Server
+from fireflydeck.scheduling.speculative_copies import SpeculativeCopies
 from fireflydeck.scheduling.task_placement import Start, TaskPlacer
 from fireflydeck.scheduling.work_estimates import StepKey, WorkEstimates
 from fireflydeck.workload.lifecycle import Attempt, Job, Task
@@ -44,6 +45,8 @@
         Expected durations of tasks.
     placer
         Chooses backend servers and reserves capacity on them.
+    copies
+        Plans speculative copies after all other starts.
     may_start
         Returns whether tasks of a queue may be started in its pool.
     """
@@ -54,6 +57,7 @@
     jobs: QueuedJobs
     estimates: WorkEstimates
     placer: TaskPlacer
+    copies: SpeculativeCopies
     may_start: Callable[[JobQueue], bool]
     _inflow: Inflow = field(factory=Inflow, init=False)
 
@@ -74,6 +78,7 @@
         """Remove a job from the schedule."""
         self.jobs.remove(job)
         self.estimates.forget(job)
+        self.copies.forget(job)
         self.placer.ticket_cache.forget_job(job.id)
 
     def invalidate_ready_tasks(self, job: Job) -> None:
@@ -164,6 +169,7 @@
             if hidden.may_include(queued.job) or not self.may_start(queue):
                 continue
             starts.extend(self._place_job(configuration, queued, room, now_ms))
+        starts.extend(self.copies.plan(configuration, servers, rooms, self.jobs, hidden))
         return starts
 
     def _place_job(
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -36,11 +36,13 @@
 from fireflydeck.scheduling.roster import Roster, placeholder
 from fireflydeck.scheduling.roster_rows import NO_WORK, PossibleWork, RosterEntry
 from fireflydeck.scheduling.row_shortener import JobRowShortener
+from fireflydeck.scheduling.run_durations import RunDurations
 from fireflydeck.scheduling.run_tracker import RunTracker
 from fireflydeck.scheduling.server_life import ServerLife
 from fireflydeck.scheduling.server_reports import ServerReports
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import SessionSet
+from fireflydeck.scheduling.speculative_copies import SpeculativeCopies
 from fireflydeck.scheduling.start_planner import StartPlanner
 from fireflydeck.scheduling.task_placement import TaskPlacer
 from fireflydeck.scheduling.ticket_cache import TicketCache
@@ -48,7 +50,7 @@
 from fireflydeck.scheduling.vm_operation_record import VmOperationRecord
 from fireflydeck.scheduling.vm_operations import VmOperationRunner
 from fireflydeck.scheduling.work_estimates import WorkEstimates
-from fireflydeck.workload.lifecycle import Attempt, Job, job_state
+from fireflydeck.workload.lifecycle import Attempt, Job, job_state, may_have_copy
 
 __all__ = ["OrdersFactory", "TenureScheduler"]
 
@@ -151,6 +153,10 @@
         self._journal = ProgressJournal(
             lease, clock, log, on_commit=self._on_commit, fail_job=self._fail_job
         )
+        self._estimates = WorkEstimates()
+        self._copies = SpeculativeCopies(
+            clock=clock, log=log, metrics=metrics, durations=RunDurations(self._estimates)
+        )
         self._run_tracker = RunTracker(
             servers=self._servers,
             job_tracker=self._job_tracker,
@@ -162,6 +168,8 @@
             metrics=metrics,
             run_in_background=self._run_in_background,
             request_planning=self.request_planning,
+            may_hide_start=self._knowledge.may_hide_start,
+            copies=self._copies,
         )
         ticket_cache = TicketCache(
             advisor, clock, log, self._run_in_background, self.request_planning
@@ -197,23 +205,26 @@
         self._vm_operations = self._make_vm_operations(vm_orders, vm_operation_times)
 
     def _make_planner(self, ticket_cache: TicketCache) -> StartPlanner:
-        estimates = WorkEstimates()
+        placer = TaskPlacer(
+            first_token=self._tenure.first_token,
+            clock=self._clock,
+            usage=self._usage,
+            ticket_cache=ticket_cache,
+            reserve=self._run_tracker.reserve,
+            drop=self._run_tracker.drop,
+        )
+        self._copies.placer = placer
+        self._copies.may_start = self._roster.may_start
         return StartPlanner(
             operators=self._operators,
             clock=self._clock,
             sender=self._sender,
             jobs=QueuedJobs(
-                clock=self._clock, estimates=estimates, fail_job=self._run_tracker.fail_job
-            ),
-            estimates=estimates,
-            placer=TaskPlacer(
-                first_token=self._tenure.first_token,
-                clock=self._clock,
-                usage=self._usage,
-                ticket_cache=ticket_cache,
-                reserve=self._run_tracker.reserve,
-                drop=self._run_tracker.drop,
+                clock=self._clock, estimates=self._estimates, fail_job=self._fail_exhausted_job
             ),
+            estimates=self._estimates,
+            placer=placer,
+            copies=self._copies,
             may_start=self._roster.may_start,
         )
 
@@ -412,6 +423,17 @@
     def _fail_job(self, job: Job) -> None:
         self._run_tracker.fail_job(job)
 
+    def _fail_exhausted_job(self, job: Job) -> None:
+        """Fail a job that has a task without further attempts, unless a run of it may be unknown.
+
+        A task that may have a copy can still end `done` by a run that is not known yet.
+        """
+        hidden = self._knowledge.hidden_usage()
+        if any(map(may_have_copy, job.spec.steps)) and hidden.may_include(job):
+            self._planner.invalidate_ready_tasks(job)
+            return
+        self._run_tracker.fail_job(job)
+
     def _on_commit(self, commit_number: int) -> None:
         for server in self._servers.values():
             if server.life.unstored_ends:
@@ -465,6 +487,7 @@
             self._plan_wake = anyio.Event()
             if not self._lease.is_valid():
                 continue
+            self._run_tracker.record_held_ends()
             self._roster.store_changed_work()
             starts: Iterable[tuple[Server, Attempt]] = self._planner.plan(
                 self._servers, self._knowledge.hidden_usage()
--- a/fireflydeck/scheduling/tests/fleet.py
+++ b/fireflydeck/scheduling/tests/fleet.py
@@ -37,6 +37,7 @@
         self.store = FakeRowStore(clock, fleet.rows)
         self.lease = LeaseKeeper(self.store, clock, log, name=name, address=f"{name}:1")
         self.operators = OperatorDocuments(self.store, clock, log)
+        self.metrics = Metrics()
         self.orders = {}
         self.unreachable = set()
         self.start_outcome = None
@@ -44,7 +45,7 @@
             store=self.store,
             clock=clock,
             log=log,
-            metrics=Metrics(),
+            metrics=self.metrics,
             make_orders=lambda registration: self._orders(fleet, registration.server_id),
             vm_orders=fleet.vm_orders,
             advisor=fleet.advisor,
--- a/fireflydeck/scheduling/work_estimates.py
+++ b/fireflydeck/scheduling/work_estimates.py
@@ -55,6 +55,10 @@
         """Return the expected duration of a run of the task, from its start."""
         return self._step_ms(task.job, task.key.occurrence, task.key.step)
 
+    def queue_task_ms(self, task: Task) -> float:
+        """Return the expected duration of a run from its estimate and the queue's durations."""
+        return self._durations.expected_ms(task.job.spec.queue, task.step.estimated_ms)
+
     def deadline_ms(self, job: Job, queue: JobQueue) -> float:
         """Return the time at which the first open occurrence of the job should be completed."""
         occurrence = _first_open_occurrence(job)
--- a/fireflydeck/workload/lifecycle.py
+++ b/fireflydeck/workload/lifecycle.py
@@ -23,9 +23,11 @@
     "confirm_attempt",
     "create_due_occurrences",
     "create_occurrence_of",
+    "has_active_run",
     "has_used_attempts",
     "is_finished",
     "job_state",
+    "may_have_copy",
     "mark_running",
     "occurrence_due_ms",
     "ready_tasks",
@@ -84,6 +86,12 @@
         Speed to which it was last throttled, in percent of full speed; 0 if it is not known.
     pace_ordered_ms
         Time of the last order that changed the speed.
+    started_ms
+        When the start was decided; `None` for a run that an earlier holder started.
+    is_copy
+        Whether it is the speculative copy of an earlier run.
+    is_resumed
+        Whether it starts from a checkpoint.
     """
 
     task: "Task"
@@ -96,6 +104,13 @@
     life_token: int = 0
     pace: int = 100
     pace_ordered_ms: int = 0
+    started_ms: int | None = None
+    is_copy: bool = False
+    is_resumed: bool = False
+
+    def min_elapsed_ms(self, now_ms: int) -> int:
+        """Return how long the run has taken at least; its start may precede this tenure."""
+        return now_ms - (self.changed_ms if self.started_ms is None else self.started_ms)
 
     def set_phase(self, phase: AttemptPhase, now_ms: int) -> None:
         """Change the phase and record the time of the change."""
@@ -280,11 +295,17 @@
     Its run number is higher than that of any earlier attempt of the task, and at least `min_run`.
     """
     task.last_run = max(task.last_run + 1, min_run)
-    return _add_attempt(task, task.last_run, server_id, AttemptPhase.STARTING, now_ms)
+    attempt = _add_attempt(task, task.last_run, server_id, AttemptPhase.STARTING, now_ms)
+    attempt.started_ms = now_ms
+    attempt.is_resumed = task.step.checkpointing and bool(task.checkpoint)
+    return attempt
 
 
 def _add_attempt(task: Task, run: int, server_id: str, phase: AttemptPhase, now_ms: int) -> Attempt:
     attempt = Attempt(task, run, server_id, phase, now_ms)
+    for other in task.attempts.values() if may_have_copy(task.step) else ():
+        attempt.is_copy = attempt.is_copy or other.run < run
+        other.is_copy = other.is_copy or run < other.run
     task.attempts[run] = attempt
     task.job.attempt_count += 1
     return attempt
@@ -324,14 +345,14 @@
 def record_run_end(task: Task, ended: EndedRun, *, max_attempts: int | None, now_ms: int) -> bool:
     """Record the end of a run; return whether the job's stored progress changes.
 
-    The job fails once `max_attempts` runs of the task have failed. While that number is not known
-    (`None`), a failed run is recorded and leaves the job open.
+    The job fails once `max_attempts` runs of the task have failed and no other run of it is active.
+    While that number is not known (`None`), a failed run is recorded and leaves the job open.
     """
     known = _pop_attempt(task, ended.run)
     task.job.has_started = True
     task.last_run = max(task.last_run, ended.run)
     task.waiting_since_ms = now_ms
-    if ended.checkpoint:
+    if ended.checkpoint and not (known is not None and known.is_copy and task.attempts):
         task.checkpoint = ended.checkpoint
     job = task.job
     if task.done or not job.is_open or task.step.long_running:
@@ -344,12 +365,25 @@
         task.failed_runs.add(ended.run)
         if known is not None:
             task.failed_servers.add(known.server_id)
-        if max_attempts is not None and has_used_attempts(task, max_attempts):
+        has_used_all = max_attempts is not None and has_used_attempts(task, max_attempts)
+        if has_used_all and not has_active_run(task):
             job.outcome = JobOutcome.FAILED
         return True
     return False
 
 
+def may_have_copy(step: StepSpec) -> bool:
+    """Return whether two runs of a task of the step may be active at once."""
+    return step.speculative and not (step.gang or step.long_running)
+
+
+def has_active_run(task: Task) -> bool:
+    """Return whether another run of a task that may have a copy can still end `done`."""
+    return may_have_copy(task.step) and any(
+        not attempt.stop_requested for attempt in task.attempts.values()
+    )
+
+
 def has_used_attempts(task: Task, max_attempts: int) -> bool:
     """Return whether `max_attempts` runs of a task have failed, so that it may not run again.
 
