--- a/fireflydeck/scheduling/tests/test_speculative_copies.py
+++ b/fireflydeck/scheduling/tests/test_speculative_copies.py
@@ -8,6 +8,7 @@
 
 from fireflydeck.core import Ran
 from fireflydeck.core.backend_orders import RunEnd, StartOutcome
+from fireflydeck.core.placement import Resources
 from fireflydeck.platform.standin.documents import (
     put_configuration,
     put_evacuation,
@@ -94,14 +95,17 @@
         assert fleet.servers["s3"].starts == [(TASK, 2)]
 
 
-async def test_no_copy_while_a_task_waits_for_capacity():
-    async with running_fleet(servers=2, cpu_limit=200_000) as fleet:
+@pytest.mark.parametrize(("limit", "copies"), [(200_000, 0), (60_000, 1)])
+async def test_no_copy_while_a_task_waits_for_capacity(limit, copies):
+    """The copy would fit beside the wide tasks; one that waits for the limit is no reason."""
+    async with running_fleet(servers=2, cpu_limit=limit) as fleet:
+        await start_slow_task(fleet)
         for server in fleet.servers.values():
             server.duration_ms = 20_000
-        await start_slow_task(fleet)
-        fleet.servers["s2"].duration_ms = 20_000
-        accept_job(fleet.rows, build_spec(build_step(count=40), job_id=_OTHER_JOB))
-        await fleet.advance_ms(6000, check=no_duplicate_runs(fleet))
+        wide = build_step(count=3, demand=Resources(28_000, 1000), estimated_ms=20_000)
+        accept_job(fleet.rows, build_spec(wide, job_id=_OTHER_JOB))
+        await fleet.advance_ms(6000)
+        assert len(fleet.running()) == 3 + copies
 
 
 async def test_no_copy_beyond_the_limit_of_the_organisation():
@@ -155,6 +159,24 @@
         assert len(fleet.starts()) == 2
 
 
+async def test_next_holder_that_does_not_hear_of_the_copy_starts_no_third_run():
+    async with running_fleet(servers=3, members=2) as fleet:
+        await start_slow_task(fleet)
+        for name in ("s2", "s3"):
+            fleet.servers[name].duration_ms = 20_000
+        await fleet.advance_ms(COPY_DUE_MS)
+        second = next(member for member in fleet.members if not member.is_leader)
+        second.unreachable = {
+            name for name, server in fleet.servers.items() if name != "s1" and server.running()
+        }
+        await _lose_leader(fleet)
+
+        def check():
+            assert len(fleet.running()) <= 2
+
+        await fleet.advance_ms(9000, check=check)
+
+
 async def test_next_holder_keeps_both_runs_and_starts_no_third():
     async with running_fleet(servers=3, members=2) as fleet:
         await start_slow_task(fleet, slow_ms=9000)
