--- a/fireflydeck/policy/speculation.py
+++ b/fireflydeck/policy/speculation.py
@@ -3,6 +3,7 @@
 from bisect import bisect_left, bisect_right
 from collections import deque
 from collections.abc import Iterable, Sequence
+from functools import cached_property
 from operator import neg
 
 from attrs import Factory, define, frozen
@@ -70,6 +71,20 @@
             areas[position] = areas[position + 1] + survival[position] * width
         return cls(tuple(ends), tuple(survival), tuple(areas))
 
+    @cached_property
+    def median(self) -> float:
+        """Return the usual ratio: the median, or 1 until enough runs have ended."""
+        median = self.quantile(0.5) if len(self.ends) >= _MIN_ENDS else None
+        return 1.0 if median is None else median
+
+    @cached_property
+    def straggler_ratio(self) -> float:
+        """Return the ratio from which a run counts as a straggler."""
+        quantile = self.quantile(_STRAGGLER_QUANTILE) if len(self.ends) >= _MIN_ENDS else None
+        if quantile is None:
+            return _UNKNOWN_STRAGGLER_RATIO * self.median
+        return max(_MIN_STRAGGLER_RATIO * self.median, quantile)
+
     def quantile(self, fraction: float) -> float | None:
         """Return the ratio up to which a fraction of the runs end; `None` if too few have ended."""
         position = bisect_left(self.survival, fraction - 1, key=neg)
@@ -109,7 +124,7 @@
 
 @frozen(kw_only=True)
 class RunProgress:
-    """Only run of a task that may get a copy.
+    """A task's only run, which may get a copy.
 
     Parameters
     ----------
@@ -128,6 +143,11 @@
     expected_ms: float
     curve: SurvivalCurve
 
+    @property
+    def straggler_ms(self) -> float:
+        """Return the duration from which the run counts as a straggler."""
+        return self.expected_ms * self.curve.straggler_ratio
+
 
 @frozen(kw_only=True)
 class CopyDecision:
@@ -135,8 +155,6 @@
 
     Parameters
     ----------
-    straggler_ms
-        Duration above which the run counts as a straggler.
     remaining_ms
         Expected time until the run ends.
     copy_ms
@@ -144,7 +162,6 @@
     """
 
     run: RunProgress
-    straggler_ms: float
     remaining_ms: float
     copy_ms: float
 
@@ -162,24 +179,17 @@
 
 
 def _decide(run: RunProgress) -> CopyDecision | None:
-    if run.expected_ms <= 0:
+    if run.expected_ms <= 0 or run.elapsed_ms < run.straggler_ms:
         return None
-    curve = run.curve
-    is_known = len(curve.ends) >= _MIN_ENDS
-    quantile = curve.quantile(_STRAGGLER_QUANTILE) if is_known else _UNKNOWN_STRAGGLER_RATIO
-    median = curve.quantile(0.5) if is_known else 1.0
     ratio = run.elapsed_ms / run.expected_ms
-    if quantile is None or median is None or ratio < max(_MIN_STRAGGLER_RATIO * median, quantile):
-        return None
-    remaining = curve.remaining(ratio)
+    remaining = run.curve.remaining(ratio)
     if remaining is None:
         # Too few longer runs are known: it is taken to exceed the usual duration by as much again.
-        remaining = ratio - median
-    if remaining < _MIN_GAIN * median:
+        remaining = ratio - run.curve.median
+    if remaining < _MIN_GAIN * run.curve.median:
         return None
     return CopyDecision(
         run=run,
-        straggler_ms=max(_MIN_STRAGGLER_RATIO * median, quantile) * run.expected_ms,
         remaining_ms=remaining * run.expected_ms,
-        copy_ms=median * run.expected_ms,
+        copy_ms=run.curve.median * run.expected_ms,
     )
--- a/fireflydeck/scheduling/speculative_copies.py
+++ b/fireflydeck/scheduling/speculative_copies.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from heapq import heappop, heappush
 
 from attrs import define, field
 
@@ -12,7 +13,6 @@
 from fireflydeck.policy.speculation import (
     CopyDecision,
     RunProgress,
-    SurvivalCurve,
     choose_copies,
     copy_budget,
 )
@@ -26,8 +26,13 @@
 
 __all__ = ["SpeculativeCopies"]
 
-_CHECK_INTERVAL_MS = 100
-"""Time between two checks for stragglers, since a check costs more than other planning passes."""
+_CHECK_INTERVAL_MS = 50
+"""Time between two planning passes that check runs."""
+_MAX_CHECKED_RUNS = 200
+"""Number of runs that a planning pass checks, to bound its duration."""
+_MIN_RECHECK_MS = 100
+_MAX_RECHECK_MS = 5000
+"""Bounds of the time between two checks of a run; the upper one lets ended runs be forgotten."""
 _MILLICORE_MS_PER_CORE_S = 1_000_000
 
 
@@ -51,6 +56,10 @@
     placer: TaskPlacer = field(init=False)
     may_start: Callable[[JobQueue], bool] = field(init=False)
     _active: dict[str, Task] = field(factory=dict, init=False)
+    _with_copy: dict[str, Task] = field(factory=dict, init=False)
+    # Runs by the time at which they are checked next; numbered, since attempts have no order.
+    _checks: list[tuple[float, int, Attempt]] = field(factory=list, init=False)
+    _check_number: int = field(default=0, init=False)
     _next_check_ms: int = field(default=0, init=False)
 
     # Runs
@@ -58,8 +67,12 @@
     def on_reserved(self, attempt: Attempt) -> None:
         """Record that a run is about to start or was adopted."""
         if may_have_copy(attempt.task.step):
-            self._active[attempt.task.name] = attempt.task
+            task = attempt.task
+            self._active[task.name] = task
+            if len(task.attempts) > 1:
+                self._with_copy[task.name] = task
             self.durations.begin(attempt)
+            self._check_at(attempt, self.clock.now_ms() + _MIN_RECHECK_MS)
 
     def on_released(self, attempt: Attempt) -> None:
         """Record that a run is over; without `on_ended` before, it ended early."""
@@ -72,6 +85,8 @@
                 self.metrics.count(
                     "speculative_copies_stopped_core_seconds_total", used / _MILLICORE_MS_PER_CORE_S
                 )
+            if len(attempt.task.attempts) < 2:
+                self._with_copy.pop(attempt.task.name, None)
             if not attempt.task.attempts:
                 self._active.pop(attempt.task.name, None)
 
@@ -114,23 +129,16 @@
             copy, since they may have one.
         """
         now_ms = self.clock.now_ms()
-        if not self._active or now_ms < self._next_check_ms:
+        if now_ms < self._next_check_ms:
             return []
         self._next_check_ms = now_ms + _CHECK_INTERVAL_MS
         starts: list[Start] = []
-        for pool, tasks in self._tasks_by_pool(configuration, rooms).items():
-            running = sum(
-                len(server.attempts)
-                for server in servers.values()
-                if server.registration.pool == pool
-            )
-            copies = sum(len(task.attempts) > 1 for task in tasks)
-            budget = copy_budget(running - copies)
-            if copies >= budget:
-                continue
-            decisions = self._decisions(configuration, tasks, hidden, now_ms)
+        for pool, runs in self._due_runs(configuration, hidden, now_ms).items():
+            decisions = choose_copies(runs) if pool in rooms else []
             if not decisions or self._has_waiting(configuration, pool, jobs, now_ms):
                 continue
+            copies = self._count_copies(configuration, pool)
+            budget = copy_budget(_count_runs(servers, pool) - copies)
             for decision in decisions:
                 if copies >= budget:
                     break
@@ -142,46 +150,36 @@
                     self._log_start(pool, start, decision, copies=copies, budget=budget)
         return starts
 
-    def _tasks_by_pool(
-        self, configuration: FleetConfiguration, rooms: dict[str, PoolRoom]
-    ) -> dict[str, list[Task]]:
-        by_pool: dict[str, list[Task]] = defaultdict(list)
-        for task in self._active.values():
-            queue = configuration.queue(task.job.spec.queue)
-            if queue is not None and queue.pool in rooms:
-                by_pool[queue.pool].append(task)
-        return by_pool
-
-    def _decisions(
-        self,
-        configuration: FleetConfiguration,
-        tasks: list[Task],
-        hidden: HiddenUsage,
-        now_ms: int,
-    ) -> list[CopyDecision]:
-        """Return the tasks of a pool that should get a copy."""
-        curves = self.durations.curves(tasks, now_ms)
-        progress: list[RunProgress] = []
-        for task in tasks:
-            queue = configuration.queue(task.job.spec.queue)
-            if not _may_get_copy(task, now_ms) or hidden.may_include(task.job):
+    def _due_runs(
+        self, configuration: FleetConfiguration, hidden: HiddenUsage, now_ms: int
+    ) -> dict[str, list[RunProgress]]:
+        """Return the stragglers by pool, and set the time of the next check of each run."""
+        due: dict[str, list[RunProgress]] = defaultdict(list)
+        for _ in range(_MAX_CHECKED_RUNS):
+            if not self._checks or self._checks[0][0] > now_ms:
+                break
+            _, _, attempt = heappop(self._checks)
+            task = attempt.task
+            if attempt.run not in task.attempts:
                 continue
-            if queue is None or not self.may_start(queue):
+            run = self.durations.progress(attempt, now_ms)
+            wait_ms = (run.straggler_ms - run.elapsed_ms) / 2
+            self._check_at(attempt, now_ms + min(max(_MIN_RECHECK_MS, wait_ms), _MAX_RECHECK_MS))
+            queue = configuration.queue(task.job.spec.queue)
+            if queue is None or wait_ms > 0 or not _may_get_copy(task, now_ms):
                 continue
-            progress.append(self._progress(task, curves, now_ms))
-        return choose_copies(progress)
+            if self.may_start(queue) and not hidden.may_include(task.job):
+                due[queue.pool].append(run)
+        return due
 
-    def _progress(
-        self, task: Task, curves: dict[tuple[str, bool], SurvivalCurve], now_ms: int
-    ) -> RunProgress:
-        attempt = next(iter(task.attempts.values()))
-        expected_ms, is_measured = self.durations.expected_ms(attempt)
-        return RunProgress(
-            task=task.name,
-            elapsed_ms=attempt.min_elapsed_ms(now_ms),
-            expected_ms=expected_ms,
-            curve=curves[task.job.spec.queue, is_measured],
-        )
+    def _check_at(self, attempt: Attempt, at_ms: float) -> None:
+        self._check_number += 1
+        heappush(self._checks, (at_ms, self._check_number, attempt))
+
+    def _count_copies(self, configuration: FleetConfiguration, pool: str) -> int:
+        """Return the number of tasks of a pool's queues that have two runs."""
+        queues = (configuration.queue(task.job.spec.queue) for task in self._with_copy.values())
+        return sum(queue is not None and queue.pool == pool for queue in queues)
 
     def _has_waiting(
         self, configuration: FleetConfiguration, pool: str, jobs: QueuedJobs, now_ms: int
@@ -191,8 +189,10 @@
         A task whose organisation is at its limit would not start with more capacity either.
         """
         for queued in jobs:
+            if not queued.ready or not queued.job.is_open:
+                continue
             queue = configuration.queue(queued.job.spec.queue)
-            if queue is None or queue.pool != pool or not queued.job.is_open:
+            if queue is None or queue.pool != pool:
                 continue
             if self._waits(configuration, queued, now_ms):
                 return True
@@ -252,7 +252,7 @@
             first_server=first.server_id,
             elapsed_ms=round(decision.run.elapsed_ms),
             expected_ms=round(decision.run.expected_ms),
-            straggler_ms=round(decision.straggler_ms),
+            straggler_ms=round(decision.run.straggler_ms),
             remaining_ms=round(decision.remaining_ms),
             copy_ms=round(decision.copy_ms),
             copies=copies,
@@ -267,3 +267,9 @@
     attempt = next(iter(task.attempts.values()))
     is_running = attempt.phase == AttemptPhase.RUNNING and not attempt.stop_requested
     return is_running and task.not_before_ms <= now_ms
+
+
+def _count_runs(servers: dict[str, Server], pool: str) -> int:
+    """Return the number of runs on the servers of a pool."""
+    members = (server for server in servers.values() if server.registration.pool == pool)
+    return sum(len(server.attempts) for server in members)
