--- a/fireflydeck/scheduling/hidden_usage.py
+++ b/fireflydeck/scheduling/hidden_usage.py
@@ -6,7 +6,7 @@
 
 from fireflydeck.core.placement import Resources
 from fireflydeck.scheduling.roster_rows import NO_WORK, PossibleWork
-from fireflydeck.workload.lifecycle import Job, unaccounted_tasks
+from fireflydeck.workload.lifecycle import Job, tasks_of_unknown_runs
 
 __all__ = ["HiddenUsage"]
 
@@ -54,13 +54,13 @@
         return self._usage.get(organisation, Resources())
 
     def _sum_demand(self) -> dict[str, tuple[Resources, Resources]]:
-        """Return the demand of the tasks that may be running, without and of fill tasks."""
+        """Return the demand of the runs that may exist, without and of fill tasks."""
         sums: dict[str, tuple[Resources, Resources]] = {}
         for job in self.jobs:
             if not self.may_include(job):
                 continue
             demand, fill = sums.get(job.spec.organisation, (Resources(), Resources()))
-            for task in unaccounted_tasks(job):
+            for task in tasks_of_unknown_runs(job):
                 if task.step.fill:
                     fill = fill + task.step.demand
                 else:
--- a/fireflydeck/scheduling/job_tracker.py
+++ b/fireflydeck/scheduling/job_tracker.py
@@ -7,7 +7,13 @@
 from fireflydeck.kernel import Event, EventLog
 from fireflydeck.observation.table_follower import TableFollower
 from fireflydeck.scheduling.row_shortener import JobRowShortener
-from fireflydeck.workload.lifecycle import Job, JobOutcome, create_due_occurrences, restore_progress
+from fireflydeck.workload.lifecycle import (
+    Job,
+    JobOutcome,
+    create_due_occurrences,
+    may_have_copy,
+    restore_progress,
+)
 from fireflydeck.workload.progress import JobProgress, decode_progress
 from fireflydeck.workload.records import (
     FLEET_PARTITION,
@@ -171,17 +177,24 @@
             return
         if not is_full_row:
             return
-        if outcome == JobOutcome.COMPLETED:
-            self._shortener.add(job_id, row.version, outcome)
-        else:
-            self._keep_ended(job_id, row, outcome)
+        self._keep_ended(job_id, row, outcome)
 
     def _keep_ended(self, job_id: str, row: StoredRow, outcome: JobOutcome) -> None:
-        """Keep an ended job, so that runs which are still being stopped are known as its own."""
+        """Keep an ended job, so that runs which are still being stopped are known as its own.
+
+        A completed job has none, unless a task of it may have had a copy.
+        """
+        is_completed = outcome == JobOutcome.COMPLETED
         try:
             job = self._decode_job(job_id, row)
         except ValueError as error:
-            self._log_unreadable(job_id, row, error)
+            if is_completed:
+                self._shortener.add(job_id, row.version, outcome)
+            else:
+                self._log_unreadable(job_id, row, error)
+            return
+        if is_completed and not any(map(may_have_copy, job.spec.steps)):
+            self._shortener.add(job_id, row.version, outcome)
             return
         job.outcome = outcome
         job.outcome_stored = True
--- a/fireflydeck/scheduling/run_tracker.py
+++ b/fireflydeck/scheduling/run_tracker.py
@@ -147,7 +147,10 @@
             life.stored_end = ended.number
 
     def _must_hold(self, ended: EndedRun) -> bool:
-        """Return whether another run of a task could start after its end `done` was recorded."""
+        """Return whether another run of a task could start after its end `done` was recorded.
+
+        A start that was sent may take effect until it is answered or its stop is accepted.
+        """
         task = self._task(ended.task)
         if task is None or ended.end != RunEnd.DONE or not may_have_copy(task.step):
             return False
--- a/fireflydeck/scheduling/tests/test_speculative_copies.py
+++ b/fireflydeck/scheduling/tests/test_speculative_copies.py
@@ -177,6 +177,51 @@
         await fleet.advance_ms(9000, check=check)
 
 
+async def test_copy_that_the_next_holder_does_not_hear_of_counts_towards_the_limit():
+    """The limit allows three tasks; the first run, the silent copy and one more use it up."""
+    async with running_fleet(servers=3, members=2, cpu_limit=6000) as fleet:
+        await start_slow_task(fleet)
+        for server in fleet.servers.values():
+            server.duration_ms = 20_000
+        await fleet.advance_ms(COPY_DUE_MS)
+        second = next(member for member in fleet.members if not member.is_leader)
+        second.unreachable = {
+            name for name, server in fleet.servers.items() if name != "s1" and server.running()
+        }
+        await _lose_leader(fleet)
+        accept_job(fleet.rows, build_spec(build_step(count=4), job_id=_OTHER_JOB))
+
+        def check():
+            assert len(fleet.running()) <= 3
+
+        await fleet.advance_ms(2000, check=check)
+        assert len(fleet.running()) == 3
+
+
+async def test_losing_run_of_a_completed_job_counts_towards_the_limit_of_the_next_holder():
+    """The job is completed and its row is still whole when the holder is lost."""
+    async with running_fleet(servers=2, members=2, cpu_limit=4000) as fleet:
+        first = fleet.leader
+        await start_slow_task(fleet, slow_ms=2000)
+        fleet.servers["s2"].duration_ms = 20_000
+        await fleet.advance_ms(COPY_DUE_MS - 400)
+        first.orders["s2"].is_unreachable = True
+        while fleet.outcome(JOB_ID) is None:
+            await fleet.advance_ms(20)
+        second = next(member for member in fleet.members if member is not first)
+        second.unreachable = {"s2"}
+        await first.lease.stop()
+        while not second.is_leader:
+            await fleet.advance_ms(20)
+        assert fleet.running() == [TASK]
+        accept_job(fleet.rows, build_spec(build_step(count=4), job_id=_OTHER_JOB))
+
+        def check():
+            assert len(fleet.running()) <= 2
+
+        await fleet.advance_ms(1200, check=check)
+
+
 async def test_next_holder_keeps_both_runs_and_starts_no_third():
     async with running_fleet(servers=3, members=2) as fleet:
         await start_slow_task(fleet, slow_ms=9000)
--- a/fireflydeck/workload/lifecycle.py
+++ b/fireflydeck/workload/lifecycle.py
@@ -35,6 +35,7 @@
     "remove_attempt",
     "restore_progress",
     "start_attempt",
+    "tasks_of_unknown_runs",
     "unaccounted_tasks",
 ]
 
@@ -284,6 +285,21 @@
             yield task
 
 
+def tasks_of_unknown_runs(job: Job) -> Iterator[Task]:
+    """Yield the task of each run that may exist without being known.
+
+    A task that may have a copy is yielded again for its second run, also when it is done: the run
+    that lost may still be active.
+    """
+    yield from unaccounted_tasks(job)
+    if not any(map(may_have_copy, job.spec.steps)):
+        return
+    for task in job.tasks.values():
+        has_second_run = may_have_copy(task.step) and len(task.attempts) < 2
+        if has_second_run and (not job.is_open or _dependencies_done(job, task.key)):
+            yield task
+
+
 def _dependencies_done(job: Job, key: TaskKey) -> bool:
     step = job.spec.steps[key.step]
     return all(job.open_tasks[key.occurrence, earlier] == 0 for earlier in step.depends_on)
