--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -269,6 +269,12 @@
             "budget",
         ),
     ),
+    6311: EventNote(
+        trigger="A run ended `done` while a start of a second run of its task could still take "
+        "effect; its 6303 follows once that is over.",
+        action="If that takes seconds: the other run's backend server does not answer, see 6105.",
+        fields=("task", "run", "server"),
+    ),
     6501: EventNote(
         trigger="A call to the platform's VM interface failed; it is retried.",
         action="Check whether the interface works; waves and moves make no progress until it does.",
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -140,6 +140,7 @@
     )
     ADVICE_RECEIVED = _Definition(6308, "info", "placement advisor answered for a step")
     PACE_SENT = _Definition(6309, "info", "speed of a best-effort task ordered")
+    END_HELD = _Definition(6311, "info", "end of a run held back, another run could still start")
     COPY_PLANNED = _Definition(6310, "info", "speculative copy of a slow run planned")
     VM_CALL_FAILED = _Definition(6501, "warning", "call to the platform's VM interface failed")
     VM_EMPTIED = _Definition(6502, "info", "draining of a VM for its maintenance began")
--- a/fireflydeck/scheduling/run_tracker.py
+++ b/fireflydeck/scheduling/run_tracker.py
@@ -166,9 +166,12 @@
         """Stop the other runs of a task, whose end `done` is recorded once none can start."""
         server.life.unstored_ends.append((ended.number, None))
         self._held_ends.append(_HeldEnd(server, server.life, ended))
+        self.log.emit(Event.END_HELD, task=ended.task, run=ended.run, server=server.id)
         task = self._task(ended.task)
         if task is None:
             return
+        task.is_end_held = True
+        self.planner.invalidate_ready_tasks(task.job)
         attempt = task.attempts.get(ended.run)
         if attempt is not None:
             self.copies.on_ended(attempt, ended.end)
--- a/fireflydeck/scheduling/tests/test_speculative_copies.py
+++ b/fireflydeck/scheduling/tests/test_speculative_copies.py
@@ -263,6 +263,24 @@
         assert fleet.running() == []
 
 
+async def test_copy_that_fails_while_the_end_is_held_back_does_not_fail_the_job():
+    """The copy's server went silent after the start and reports the failure after the other end."""
+    async with running_fleet(servers=2, max_attempts=1) as fleet:
+        await start_slow_task(fleet, slow_ms=2200)
+        fleet.servers["s2"].end_of_next = RunEnd.FAILED
+        orders = fleet.leader.orders["s2"]
+        orders.next_starts = [OrderFault.ANSWER_LOST]
+        while not _copies(fleet):
+            await fleet.advance_ms(2, step_ms=2)
+        orders.is_unreachable = True
+        await fleet.advance_ms(1400)
+        assert fleet.outcome(JOB_ID) is None
+        orders.is_unreachable = False
+        await fleet.advance_ms(1000)
+        assert [run.end for run in _copies(fleet)] == [RunEnd.FAILED]
+        assert fleet.outcome(JOB_ID) == "completed"
+
+
 async def test_late_copy_of_a_lost_holder_never_starts_after_the_recorded_end():
     """The next holder does not know the copy, and the copy's server does not answer it."""
     async with running_fleet(servers=2, members=2) as fleet:
--- a/fireflydeck/workload/lifecycle.py
+++ b/fireflydeck/workload/lifecycle.py
@@ -139,6 +139,8 @@
         Runs that are not known to have ended, by run number.
     failed_servers
         Backend servers where a run of this task failed.
+    is_end_held
+        Whether a run has ended `done` and this is recorded once no other run of it can start.
     """
 
     job: "Job"
@@ -152,6 +154,7 @@
     waiting_since_ms: int = 0
     attempts: dict[int, Attempt] = Factory(dict)
     failed_servers: set[str] = Factory(set)
+    is_end_held: bool = False
 
     @property
     def failures(self) -> int:
@@ -269,7 +272,7 @@
 def ready_tasks(job: Job) -> Iterator[Task]:
     """Yield the tasks that wait for a start and whose step's dependencies are done."""
     if job.is_open:
-        yield from unaccounted_tasks(job)
+        yield from (task for task in unaccounted_tasks(job) if not task.is_end_held)
 
 
 def unaccounted_tasks(job: Job) -> Iterator[Task]:
@@ -394,9 +397,9 @@
 
 
 def has_active_run(task: Task) -> bool:
-    """Return whether another run of a task that may have a copy can still end `done`."""
-    return may_have_copy(task.step) and any(
-        not attempt.stop_requested for attempt in task.attempts.values()
+    """Return whether another run of a task that may have a copy has ended `done` or still can."""
+    return may_have_copy(task.step) and (
+        task.is_end_held or any(not attempt.stop_requested for attempt in task.attempts.values())
     )
 
 
