--- a/fireflydeck/platform/standin/documents.py
+++ b/fireflydeck/platform/standin/documents.py
@@ -227,9 +227,13 @@
     _remove(rows, REGISTRATION_TABLE, server_id)
 
 
-def submission_document(payload: str, *, tasks: int, estimated_ms: int = 600) -> bytes:
+def submission_document(
+    payload: str, *, tasks: int, estimated_ms: int = 600, is_speculative: bool = False
+) -> bytes:
     """Return a submission of a job with one step."""
-    step = {"count": tasks, "cpu": 500, "estimated_ms": estimated_ms}
+    step: dict[str, Any] = {"count": tasks, "cpu": 500, "estimated_ms": estimated_ms}
+    if is_speculative:
+        step["speculative"] = True
     return orjson.dumps({"spec": payload, "steps": [step]})
 
 
--- a/fireflydeck/soak/callers.py
+++ b/fireflydeck/soak/callers.py
@@ -24,6 +24,9 @@
 _TIMEOUT_S = 3.0
 _MAX_TRIES = 5
 _MAX_TASKS = 3
+_ESTIMATED_MS = 400
+_LOW_ESTIMATED_MS = 120
+"""Estimate below the shortest duration of a task."""
 _REFUSED_STATUSES = (429, 503)
 _UNCERTAIN_STATUSES = (500, 502, 504)
 _UNKNOWN_JOB_STATUS = 410
@@ -43,6 +46,8 @@
     ----------
     addresses
         Caller addresses of the entry processes.
+    is_speculative
+        Whether the tasks may have copies. Their estimates are low then, so that copies are made.
 
     Attributes
     ----------
@@ -53,6 +58,7 @@
     addresses: list[str]
     random: Random
     clock: Clock
+    is_speculative: bool = False
     jobs: list[JobRecord] = field(factory=list)
     _is_submitting: bool = True
     _clients: list[httpx.AsyncClient] = field(factory=list)
@@ -95,10 +101,17 @@
         tasks = self.random.randint(1, _MAX_TASKS)
         is_permanent = self.random.random() >= _WITHDRAWN_KEY_SHARE
         key = PERMANENT_KEY if is_permanent else WITHDRAWN_KEY
-        return JobRecord(job_id, f"text of {job_id}", tasks, key=key)
+        return JobRecord(
+            job_id, f"text of {job_id}", tasks, key=key, is_speculative=self.is_speculative
+        )
 
     async def _submit(self, job: JobRecord) -> None:
-        body = submission_document(job.payload, tasks=job.tasks, estimated_ms=400)
+        body = submission_document(
+            job.payload,
+            tasks=job.tasks,
+            estimated_ms=_LOW_ESTIMATED_MS if job.is_speculative else _ESTIMATED_MS,
+            is_speculative=job.is_speculative,
+        )
         path = JOB_PATH_PREFIX + job.job_id
         for _ in range(self.random.randint(1, _MAX_TRIES)):
             sent_ms = self.clock.now_ms()
--- a/fireflydeck/soak/observations.py
+++ b/fireflydeck/soak/observations.py
@@ -23,6 +23,8 @@
         API key of the submissions.
     accepted_try_ms
         Time at which the first accepted submission was sent.
+    is_speculative
+        Whether two runs of each task may be active at once.
     is_cancelled
         Whether its caller requested its cancellation.
     ended_ms
@@ -48,3 +50,4 @@
     rejections: list[int] = field(factory=list)
     key: str = ""
     accepted_try_ms: int | None = None
+    is_speculative: bool = False
--- a/fireflydeck/soak/promises.py
+++ b/fireflydeck/soak/promises.py
@@ -33,8 +33,10 @@
         runs_by_task[record.task].append(record)
     found: list[Violation] = []
     for task_runs in runs_by_task.values():
-        found.extend(_overlapping_runs(task_runs))
-        found.extend(_starts_after_done(task_runs))
+        job = jobs_by_id.get(task_runs[0].job_id)
+        is_speculative = job is not None and job.is_speculative
+        found.extend(_overlapping_runs(task_runs, max_active=2 if is_speculative else 1))
+        found.extend(_starts_after_done(task_runs, is_speculative=is_speculative))
         found.extend(_unrequested_runs(jobs_by_id, task_runs))
     for job in jobs_by_id.values():
         job_runs = list(_runs_of(job, runs_by_task))
@@ -48,21 +50,30 @@
             yield from runs
 
 
-def _overlapping_runs(runs: list[RunRecord]) -> Iterator[Violation]:
-    """Find pairs of runs of one task that overlap in time."""
-    for number, earlier in enumerate(runs):
-        for later in runs[number + 1 :]:
-            if earlier.ended_ms is None or later.started_ms < earlier.ended_ms:
-                yield Violation("at most one run of a task at a time", f"{earlier} and {later}")
+def _overlapping_runs(runs: list[RunRecord], *, max_active: int) -> Iterator[Violation]:
+    """Find runs of one task that start while `max_active` others are active."""
+    promise = f"at most {'one run' if max_active == 1 else 'two runs'} of a task at a time"
+    for number, later in enumerate(runs):
+        active = [
+            earlier
+            for earlier in runs[:number]
+            if earlier.ended_ms is None or later.started_ms < earlier.ended_ms
+        ]
+        if len(active) >= max_active:
+            yield Violation(promise, f"{active} and {later}")
+
 
+def _starts_after_done(runs: list[RunRecord], *, is_speculative: bool) -> Iterator[Violation]:
+    """Find runs that start after one that is done and was acknowledged without a lapse before.
 
-def _starts_after_done(runs: list[RunRecord]) -> Iterator[Violation]:
-    """Find runs that start after one that is done and was acknowledged without a lapse before."""
+    The second run of a speculative task may start until the acknowledgement.
+    """
     for number, earlier in enumerate(runs):
-        is_done = earlier.end == RunEnd.DONE and earlier.noted_ms is not None
-        if not is_done or earlier.lapsed_before_noted:
+        if earlier.end != RunEnd.DONE or earlier.noted_ms is None or earlier.lapsed_before_noted:
             continue
         for later in runs[number + 1 :]:
+            if is_speculative and later.started_ms <= earlier.noted_ms:
+                continue
             yield Violation("what is done does not run again", f"{earlier} and {later}")
 
 
--- a/fireflydeck/soak/run.py
+++ b/fireflydeck/soak/run.py
@@ -71,6 +71,7 @@
     length_ms: int
     mean_pause_ms: int
     directory: Path
+    is_speculative: bool
     tasks: TaskGroup
     clock: Clock = field(factory=SystemClock)
     links: dict[str, FaultProxy] = field(factory=dict)
@@ -90,7 +91,9 @@
             report = SoakReport(
                 self.seed, plan_faults(self.seed, self.length_ms, self.mean_pause_ms)
             )
-            callers = Callers([entry.address for entry in fleet.entries], random, self.clock)
+            callers = Callers(
+                [entry.address for entry in fleet.entries], random, self.clock, self.is_speculative
+            )
             operator = Operator(fleet.store.rows, self.clock, self.seed, self.length_ms)
             operator.grant_keys()
             prober = ConfigurationProber(
@@ -230,7 +233,12 @@
 
 
 async def run_soak(
-    seed: int, length_ms: int, directory: Path, mean_pause_ms: int = MEAN_PAUSE_MS
+    seed: int,
+    length_ms: int,
+    directory: Path,
+    mean_pause_ms: int = MEAN_PAUSE_MS,
+    *,
+    is_speculative: bool = False,
 ) -> SoakReport:
     """Run the soak once.
 
@@ -244,9 +252,12 @@
         Directory for the settings and logs of the processes.
     mean_pause_ms
         Mean time between the starts of two consecutive single faults or series.
+    is_speculative
+        Whether the tasks of all jobs may have copies.
     """
     async with anyio.create_task_group() as tasks:
-        report = await _SoakRun(seed, length_ms, mean_pause_ms, directory, tasks).run()
+        run = _SoakRun(seed, length_ms, mean_pause_ms, directory, is_speculative, tasks)
+        report = await run.run()
         tasks.cancel_scope.cancel()
     return report
 
@@ -256,6 +267,7 @@
     minutes: float = 1.0,
     seeds: int = 1,
     pause_ms: int = MEAN_PAUSE_MS,
+    speculative: bool = False,
 ) -> None:
     """Run the soak with one seed or several consecutive ones.
 
@@ -269,12 +281,15 @@
         Number of runs.
     pause_ms
         Mean time between the starts of two consecutive single faults or series, in ms.
+    speculative
+        Whether the tasks of all jobs may have copies.
     """
     first = int(time.time()) if seed is None else seed
     failed: list[int] = []
     for number in range(first, first + seeds):
         directory = Path(tempfile.mkdtemp(prefix=f"fireflydeck-soak-{number}-"))
-        report = anyio.run(run_soak, number, int(minutes * _MS_PER_MINUTE), directory, pause_ms)
+        run = partial(run_soak, is_speculative=speculative)
+        report = anyio.run(run, number, int(minutes * _MS_PER_MINUTE), directory, pause_ms)
         print(report, flush=True)
         for violation in report.violations:
             print(f"  {violation.promise}: {violation.detail}", flush=True)
--- a/fireflydeck/soak/tests/test_promises.py
+++ b/fireflydeck/soak/tests/test_promises.py
@@ -23,6 +23,7 @@
 )
 _LOST = evolve(_RUN, end=RunEnd.LAPSED, noted_ms=None)
 _SECOND = evolve(_RUN, run=2, server="i-2", started_ms=820, ended_ms=950)
+_COPY = evolve(_SECOND, started_ms=500)
 
 
 @pytest.mark.parametrize(
@@ -38,6 +39,8 @@
             evolve(_JOB, last_state="cancelled", is_cancelled=True),
             [evolve(_LOST, started_ms=2100, ended_ms=2200)],
         ),
+        (evolve(_JOB, is_speculative=True), [_LOST, _COPY]),
+        (evolve(_JOB, is_speculative=True), [_RUN, evolve(_COPY, end=RunEnd.STOPPED)]),
         (evolve(_JOB, accepted_ms=None, ended_ms=None, refused_tries=2), []),
         (evolve(_JOB, accepted_ms=None, ended_ms=None, uncertain_tries=1), [_RUN]),
     ],
@@ -51,7 +54,17 @@
     [
         ("at most one run of a task at a time", _JOB, [_LOST, evolve(_SECOND, started_ms=799)]),
         ("at most one run of a task at a time", _JOB, [evolve(_LOST, ended_ms=None), _SECOND]),
+        (
+            "at most two runs of a task at a time",
+            evolve(_JOB, is_speculative=True),
+            [_LOST, _COPY, evolve(_LOST, run=3, started_ms=600)],
+        ),
         ("what is done does not run again", _JOB, [_RUN, _SECOND]),
+        (
+            "what is done does not run again",
+            evolve(_JOB, is_speculative=True),
+            [_RUN, evolve(_SECOND, started_ms=901)],
+        ),
         ("only what callers sent runs, as they sent it", _JOB, [evolve(_RUN, payload="other")]),
         (
             "what is refused has not run",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,11 +26,22 @@
     (2006, 30_000): "the same",
 }
 """Cause of the past failure by seed and run length in milliseconds; empty without a failure."""
+_SPECULATIVE_PLANS = {36: 14_000, 23: 14_000}
+"""Lengths by seed of runs in which tasks may have copies and the lease changes its holder."""
 _MAX_PARALLEL_RUNS = 2
 """More runs would keep the stand-ins, which all share this process, from answering in time."""
 
 
 def test_promises_are_kept(tmp_path):
+    _check_plans(tmp_path, list(_PLANS))
+
+
+def test_promises_are_kept_with_speculative_copies(tmp_path):
+    """Guards against a third run of a task, and a copy that starts after the recorded end."""
+    _check_plans(tmp_path, list(_SPECULATIVE_PLANS.items()), is_speculative=True)
+
+
+def _check_plans(tmp_path, plans, *, is_speculative=False):
     reports = []
     limiter = anyio.CapacityLimiter(_MAX_PARALLEL_RUNS)
 
@@ -38,11 +49,12 @@
         directory = tmp_path / str(seed)
         directory.mkdir()
         async with limiter:
-            reports.append(await run_soak(seed, length_ms, directory))
+            report = await run_soak(seed, length_ms, directory, is_speculative=is_speculative)
+            reports.append(report)
 
     async def main():
         async with anyio.create_task_group() as tasks:
-            for seed, length_ms in _PLANS:
+            for seed, length_ms in plans:
                 tasks.start_soon(run, seed, length_ms)
 
     anyio.run(main)
