--- a/fireflydeck/scheduling/speculative_copies.py
+++ b/fireflydeck/scheduling/speculative_copies.py
@@ -261,8 +261,17 @@
 
 
 def _may_get_copy(task: Task, now_ms: int) -> bool:
-    """Return whether the task has one run, none that failed, and may be started again."""
-    if len(task.attempts) != 1 or task.failed_runs or task.done or not task.job.is_open:
+    """Return whether the task has one run, none that failed, and may be started again.
+
+    Best-effort tasks get no copy: they are slow while they are throttled to protect serving tasks.
+    """
+    if (
+        task.step.fill
+        or len(task.attempts) != 1
+        or task.failed_runs
+        or task.done
+        or not task.job.is_open
+    ):
         return False
     attempt = next(iter(task.attempts.values()))
     is_running = attempt.phase == AttemptPhase.RUNNING and not attempt.stop_requested
