--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -26,6 +26,7 @@
 from fireflydeck.scheduling.queued_jobs import QueuedJob, QueuedJobs
 from fireflydeck.scheduling.reservations import Reservations
 from fireflydeck.scheduling.servers import Server
+from fireflydeck.scheduling.speculative_copies import SpeculativeCopies
 from fireflydeck.scheduling.task_placement import Start, TaskPlacer
 from fireflydeck.scheduling.work_estimates import StepKey, WorkEstimates
 from fireflydeck.workload.lifecycle import Attempt, Job, Task
@@ -45,6 +46,8 @@
         Expected durations of tasks.
     placer
         Chooses backend servers and reserves capacity on them.
+    copies
+        Plans speculative copies after all other starts.
     may_start
         Returns whether tasks of a queue may be started in its pool.
     reservations
@@ -57,6 +60,7 @@
     jobs: QueuedJobs
     estimates: WorkEstimates
     placer: TaskPlacer
+    copies: SpeculativeCopies
     may_start: Callable[[JobQueue], bool]
     reservations: Reservations | None = None
     _inflow: Inflow = field(factory=Inflow, init=False)
@@ -78,6 +82,7 @@
         """Remove a job from the schedule."""
         self.jobs.remove(job)
         self.estimates.forget(job)
+        self.copies.forget(job)
         self.placer.ticket_cache.forget_job(job.id)
         if self.reservations is not None:
             self.reservations.forget_job(job.id)
@@ -173,6 +178,7 @@
             if hidden.may_include(queued.job) or not self.may_start(queue):
                 continue
             starts.extend(self._place_job(configuration, queued, room, now_ms))
+        starts.extend(self.copies.plan(configuration, servers, rooms, self.jobs, hidden))
         if self.reservations is not None:
             self.reservations.end_pass(rooms)
         return starts
--- a/fireflydeck/scheduling/work_estimates.py
+++ b/fireflydeck/scheduling/work_estimates.py
@@ -55,6 +55,10 @@
         """Return the expected duration of a run of the task, from its start."""
         return self.step_ms(task.job, task.key.occurrence, task.key.step)
 
+    def queue_task_ms(self, task: Task) -> float:
+        """Return the expected duration of a run from its estimate and the queue's durations."""
+        return self._durations.expected_ms(task.job.spec.queue, task.step.estimated_ms)
+
     def step_ms(self, job: Job, occurrence: int, number: int) -> float:
         """Return the expected duration of a run of a step's tasks, in milliseconds."""
         measured_ms = self._measured_ms.get(job.id, {}).get((occurrence, number))
--- a/fireflydeck/testing/planned_fleet.py
+++ b/fireflydeck/testing/planned_fleet.py
@@ -18,9 +18,11 @@
 from fireflydeck.scheduling.organisation_usage import OrganisationUsage
 from fireflydeck.scheduling.queued_jobs import QueuedJobs
 from fireflydeck.scheduling.reservations import Reservations
+from fireflydeck.scheduling.run_durations import RunDurations
 from fireflydeck.scheduling.server_life import RunCoverage, ServerLife
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.share_tracker import ShareTracker
+from fireflydeck.scheduling.speculative_copies import SpeculativeCopies
 from fireflydeck.scheduling.start_planner import StartPlanner
 from fireflydeck.scheduling.task_placement import Start, TaskPlacer
 from fireflydeck.scheduling.ticket_cache import TicketCache
@@ -96,6 +98,22 @@
             usage=self.usage,
             ticket_cache=tickets,
         )
+        placer = TaskPlacer(
+            first_token=1,
+            clock=self.clock,
+            usage=self.usage,
+            ticket_cache=tickets,
+            reserve=self._add_attempt,
+            drop=self.drop,
+        )
+        copies = SpeculativeCopies(
+            clock=self.clock,
+            log=self.log,
+            metrics=self.metrics,
+            durations=RunDurations(self.estimates),
+        )
+        copies.placer = placer
+        copies.may_start = lambda _: True
         return StartPlanner(
             operators=operators,
             clock=self.clock,
@@ -107,14 +125,8 @@
                 fail_job=lambda _: None,
             ),
             estimates=self.estimates,
-            placer=TaskPlacer(
-                first_token=1,
-                clock=self.clock,
-                usage=self.usage,
-                ticket_cache=tickets,
-                reserve=self._add_attempt,
-                drop=self.drop,
-            ),
+            placer=placer,
+            copies=copies,
             may_start=lambda _: True,
             reservations=reservations if self.reservations else None,
         )
