--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -31,8 +31,7 @@
 from fireflydeck.scheduling.order_sender import OrderSender
 from fireflydeck.scheduling.organisation_usage import OrganisationUsage
 from fireflydeck.scheduling.pacing import Pacer
-from fireflydeck.scheduling.queued_jobs import QueuedJobs
-from fireflydeck.scheduling.reservations import Reservations
+from fireflydeck.scheduling.planner_assembly import build_start_planner
 from fireflydeck.scheduling.retention import Retention
 from fireflydeck.scheduling.roster import Roster, placeholder
 from fireflydeck.scheduling.roster_rows import NO_WORK, PossibleWork, RosterEntry
@@ -43,10 +42,7 @@
 from fireflydeck.scheduling.server_reports import ServerReports
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.session import SessionSet
-from fireflydeck.scheduling.share_tracker import ShareTracker
 from fireflydeck.scheduling.speculative_copies import SpeculativeCopies
-from fireflydeck.scheduling.start_planner import StartPlanner
-from fireflydeck.scheduling.task_placement import TaskPlacer
 from fireflydeck.scheduling.ticket_cache import TicketCache
 from fireflydeck.scheduling.vm_fleet import VmFleet, VmOperationTimes
 from fireflydeck.scheduling.vm_operation_record import VmOperationRecord
@@ -196,7 +192,22 @@
         self._reports.pacer = Pacer(
             clock, partial(self._run_in_background, "pace", self._sender.send_pace)
         )
-        self._planner = self._make_planner(ticket_cache, reservations)
+        self._planner = build_start_planner(
+            first_token=tenure.first_token,
+            operators=operators,
+            clock=clock,
+            log=log,
+            metrics=metrics,
+            sender=self._sender,
+            usage=self._usage,
+            ticket_cache=ticket_cache,
+            estimates=self._estimates,
+            copies=self._copies,
+            run_tracker=self._run_tracker,
+            may_start=self._roster.may_start,
+            fail_job=self._fail_exhausted_job,
+            reservations=reservations,
+        )
         self._run_tracker.planner = self._planner
         self._run_tracker.sender = self._sender
         self._retention = Retention(
@@ -209,46 +220,6 @@
         )
         self._vm_operations = self._make_vm_operations(vm_orders, vm_operation_times)
 
-    def _make_planner(self, ticket_cache: TicketCache, reservations: int) -> StartPlanner:
-        placer = TaskPlacer(
-            first_token=self._tenure.first_token,
-            clock=self._clock,
-            usage=self._usage,
-            ticket_cache=ticket_cache,
-            reserve=self._run_tracker.reserve,
-            drop=self._run_tracker.drop,
-        )
-        self._copies.placer = placer
-        self._copies.may_start = self._roster.may_start
-        return StartPlanner(
-            operators=self._operators,
-            clock=self._clock,
-            sender=self._sender,
-            jobs=QueuedJobs(
-                clock=self._clock,
-                estimates=self._estimates,
-                shares=ShareTracker(
-                    estimates=self._estimates, log=self._log, metrics=self._metrics
-                ),
-                fail_job=self._fail_exhausted_job,
-            ),
-            estimates=self._estimates,
-            placer=placer,
-            copies=self._copies,
-            may_start=self._roster.may_start,
-            reservations=Reservations(
-                max_per_pool=reservations,
-                clock=self._clock,
-                log=self._log,
-                metrics=self._metrics,
-                estimates=self._estimates,
-                usage=self._usage,
-                ticket_cache=ticket_cache,
-            )
-            if reservations > 0
-            else None,
-        )
-
     def _make_vm_operations(
         self, vm_orders: VmOrders, vm_operation_times: VmOperationTimes
     ) -> VmOperationRunner:
