--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -16,6 +16,8 @@
 
 _TIMEOUT_FRACTION = 0.8
 """Fraction of the caller's timeout within which an answer must be found."""
+_NOT_RUN_STATUSES = (429, 503)
+"""Statuses that promise the caller of a submission that its job never runs."""
 _MIN_FORWARD_MS = 100
 """A request is not forwarded if less time than this is left."""
 
@@ -47,6 +49,8 @@
         """Answer one request, and record the answer."""
         started_ms = self._clock.now_ms()
         answer = await self._answer_or_forward(request, started_ms)
+        if self._is_untrue_refusal(request, answer):
+            answer = unknown_outcome(Reason.STORE_UNAVAILABLE)
         self._shown.record(answer)
         self._request_log.record_answer(
             method=request.method,
@@ -66,6 +70,14 @@
             return _outdated()
         return refusal
 
+    def _is_untrue_refusal(self, request: CallerRequest, answer: CallerAnswer) -> bool:
+        """Return whether a submission is refused although an earlier attempt may be stored."""
+        return (
+            request.method == "POST"
+            and answer.status in _NOT_RUN_STATUSES
+            and self._job_requests.may_be_stored(request.job_id)
+        )
+
     async def _answer_or_forward(self, request: CallerRequest, started_ms: int) -> CallerAnswer:
         """Answer the request here, or forward it if the store is unavailable."""
         if request.was_forwarded:
@@ -95,8 +107,20 @@
             timeout_ms=remaining_ms,
         )
         self._request_log.record_forward(request, result)
+        if request.method == "POST":
+            self._record_forwarded_submission(request.job_id, result)
         return result
 
+    def _record_forwarded_submission(self, job_id: str, result: ForwardResult) -> None:
+        """Record that another process stored a job or may have stored it.
+
+        A repeated request is then not refused here, also if that process can't be reached.
+        """
+        if result.answer is not None and result.answer.status == 200:
+            self._job_requests.record_forwarded_submission(job_id, is_stored=True)
+        elif result.is_uncertain:
+            self._job_requests.record_forwarded_submission(job_id, is_stored=None)
+
     async def _answer_locally(self, request: CallerRequest, started_ms: int) -> CallerAnswer:
         """Answer the request in this process."""
         configuration = self._operators.configuration
--- a/fireflydeck/entry/intake.py
+++ b/fireflydeck/entry/intake.py
@@ -2,6 +2,7 @@
 
 from enum import StrEnum
 
+from attrs import evolve
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
@@ -15,6 +16,8 @@
     StoredRow,
 )
 from fireflydeck.entry.peer_interfaces import SubmissionAnnouncer
+from fireflydeck.entry.submission_attempts import SubmissionAttempts
+from fireflydeck.observation.store_silence import StoreSilence
 from fireflydeck.workload.records import (
     cancellation_key,
     decode_ended_row,
@@ -36,6 +39,12 @@
 """How long a call without an answer is retried; `CallerInterface` then forwards the request."""
 
 
+_MIN_RETRY_AFTER_MS = 1000
+_MAX_RETRY_AFTER_MS = 5000
+"""A caller that is refused while the store is silent is told to wait for as long as the silence
+has lasted, within these bounds, so that a few retries outlast an outage."""
+
+
 class SubmissionOutcome(StrEnum):
     """Outcome of a submission whose job is stored.
 
@@ -49,13 +58,32 @@
 class Intake:
     """Writes callers' submissions and cancellations to the store, and reads job states.
 
-    Failures have `Ran.NO` if the job is certainly not stored and never will be.
+    Failures have `Ran.NO` if the job is certainly not stored and never will be, as far as this
+    process knows: no attempt of its own to store it may have taken effect or may still do so.
+
+    Parameters
+    ----------
+    silence
+        Whether the store is silent; submissions are then not written. `None` if that is not known.
     """
 
-    def __init__(self, store: RowStore, clock: Clock, announcer: SubmissionAnnouncer) -> None:
+    def __init__(
+        self,
+        store: RowStore,
+        clock: Clock,
+        announcer: SubmissionAnnouncer,
+        silence: StoreSilence | None = None,
+    ) -> None:
         self._store = store
         self._clock = clock
         self._announcer = announcer
+        self._silence = silence or StoreSilence(clock)
+        self._attempts = SubmissionAttempts(clock)
+
+    @property
+    def attempts(self) -> SubmissionAttempts:
+        """Return the recent attempts to store submissions."""
+        return self._attempts
 
     async def submit(
         self, spec: JobSpec, *, deadline_ms: int
@@ -69,6 +97,41 @@
         deadline_ms
             Time on the process's clock until which calls are retried, in milliseconds.
         """
+        if self._silence.is_silent:
+            return self.outcome_without_store(spec.job_id)
+        self._attempts.begin(spec.job_id)
+        is_stored: bool | None = None
+        try:
+            result = await self._insert(spec, deadline_ms)
+            if result.is_ok():
+                is_stored = True
+            elif result.error.ran == Ran.NO:
+                is_stored = False
+        finally:
+            self._attempts.end(spec.job_id, is_stored=is_stored)
+        if is_stored is False and self._attempts.may_be_stored(spec.job_id):
+            return Error(evolve(result.error, ran=Ran.UNKNOWN))
+        return result
+
+    def outcome_without_store(self, job_id: str) -> Result[SubmissionOutcome, Failure]:
+        """Return the outcome of a submission that is not written because the store is silent.
+
+        The failure suggests when to retry.
+        """
+        if self._attempts.is_stored(job_id):
+            return Ok(SubmissionOutcome.KNOWN)
+        silent_ms = self._silence.duration_ms
+        return Error(
+            Failure(
+                Reason.STORE_UNAVAILABLE,
+                "store.commit",
+                detail=f"not sent, the last answer is {silent_ms} ms old",
+                ran=Ran.UNKNOWN if self._attempts.may_be_stored(job_id) else Ran.NO,
+                retry_after_ms=min(_MAX_RETRY_AFTER_MS, max(_MIN_RETRY_AFTER_MS, silent_ms)),
+            )
+        )
+
+    async def _insert(self, spec: JobSpec, deadline_ms: int) -> Result[SubmissionOutcome, Failure]:
         key = job_key(spec.job_id)
         content = encode_job_spec(spec)
         transaction = RowTransaction(
@@ -149,7 +212,8 @@
 
         After a call without an answer, the refusal of a retry does not show that nothing is
         stored: the earlier call may still take effect. A conflict then means that it took effect,
-        or that another caller's transaction did.
+        or that another caller's transaction did. While the store is silent, a transaction that is
+        certainly not applied is not sent again, which would make its outcome unknown.
         """
         started_ms = self._clock.now_ms()
         uncertain: Failure | None = None
@@ -168,6 +232,8 @@
             if elapsed_ms > limit_ms or self._clock.now_ms() + _RETRY_DELAY_MS >= deadline_ms:
                 return Error(uncertain or result.error)
             await self._clock.sleep_ms(_RETRY_DELAY_MS)
+            if uncertain is None and self._silence.is_silent:
+                return Error(result.error)
 
     async def _read_job_rows(
         self, job_id: str, deadline_ms: int
--- a/fireflydeck/entry/job_requests.py
+++ b/fireflydeck/entry/job_requests.py
@@ -99,6 +99,14 @@
             return refusal(404, Reason.UNKNOWN_JOB, "not a job's id")
         return await self._answer_job_request(request, routed, configuration)
 
+    def may_be_stored(self, job_id: str) -> bool:
+        """Return whether a recent attempt stored a job or may still do so."""
+        return self._intake.attempts.may_be_stored(job_id)
+
+    def record_forwarded_submission(self, job_id: str, *, is_stored: bool | None) -> None:
+        """Record that another process stored a job, or, with `None`, may have stored it."""
+        self._intake.attempts.record_elsewhere(job_id, is_stored=is_stored)
+
     def _is_store_silent(self) -> bool:
         """Return whether the store has not answered for so long that documents may be outdated."""
         age_ms = self._operators.age_ms
@@ -135,8 +143,6 @@
         limit = configuration.limits.max_body_bytes
         if len(request.body) > limit:
             return refusal(413, Reason.BODY_TOO_LARGE, f"more than {limit} bytes")
-        if self._is_store_silent():
-            return unavailable(Reason.STORE_UNAVAILABLE, "the store does not answer")
         try:
             spec = decode_submission(
                 request.body,
@@ -147,11 +153,23 @@
             )
         except DocumentError as error:
             return refusal(400, Reason.BAD_REQUEST, str(error))
-        result = await self._intake.submit(spec, deadline_ms=routed.deadline_ms)
-        if result.is_error():
+        if self._is_store_silent():
+            result = self._intake.outcome_without_store(routed.job_id)
+        else:
+            result = await self._intake.submit(spec, deadline_ms=routed.deadline_ms)
+        if result.is_error() and not await self._is_known_to_holder(routed.job_id, result.error):
             return self._answer_store_failure(routed, result.error)
         return CallerAnswer(200, b"{}")
 
+    async def _is_known_to_holder(self, job_id: str, failure: Failure) -> bool:
+        """Return whether the lease holder knows a job that this process failed to store.
+
+        An earlier attempt stored it then, or this one, without an answer.
+        """
+        if failure.reason != Reason.STORE_UNAVAILABLE:
+            return False
+        return await self._state_source.job_state(job_id) is not None
+
     async def _read_state(self, routed: _RoutedRequest) -> CallerAnswer:
         state = await self._state_source.job_state(routed.job_id)
         if state is None:
@@ -190,7 +208,9 @@
         """
         self._request_log.record_store_failure(routed.job_id, failure)
         if failure.ran == Ran.NO:
-            answer = unavailable(failure.reason, "the store took nothing")
+            answer = unavailable(
+                failure.reason, "the store took nothing", retry_after_ms=failure.retry_after_ms
+            )
             is_overloaded = failure.reason == Reason.TOO_MANY_REQUESTS
             return evolve(answer, is_store_unavailable=False) if is_overloaded else answer
         return unknown_outcome(failure.reason)
--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -17,8 +17,10 @@
 from fireflydeck.kernel import Kernel, dump_state, forward_library_log
 from fireflydeck.kernel.log_sink import configure_bounded_logging
 from fireflydeck.observation.operator_documents import OperatorDocuments
+from fireflydeck.observation.store_silence import MonitoredRowStore, StoreProbe, StoreSilence
 from fireflydeck.ownership.candidacy import candidate_delay_ms
 from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.ownership.records import LEASE_ROW
 from fireflydeck.platform.advisor_client import AdvisorClient
 from fireflydeck.platform.backend_server_client import BackendServerClient
 from fireflydeck.platform.node_settings import (
@@ -85,7 +87,8 @@
 def _build_kernel(settings: NodeSettings, metrics_port: int, clients: _PlatformClients) -> Kernel:
     kernel = Kernel(settings.name, "entry", SystemClock())
     clock, log, metrics = kernel.clock, kernel.log, kernel.metrics
-    store = clients.store
+    silence = StoreSilence(clock)
+    store = MonitoredRowStore(clients.store, silence, clock)
     operators = OperatorDocuments(store, clock, log)
     link_address = f"{settings.ip}:{settings.internal_ports[0]}"
     lease = LeaseKeeper(
@@ -102,7 +105,7 @@
         operators=operators,
         lease=lease,
         state_source=link,
-        intake=Intake(store, clock, link),
+        intake=Intake(store, clock, link, silence),
         clock=clock,
         request_log=request_log,
     )
@@ -116,6 +119,7 @@
     link.set_request_handler(interface.answer)
     lease.set_successors(SuccessionLink(link, lease))
     kernel.add(operators)
+    kernel.add(StoreProbe(store, silence, clock, log, key=LEASE_ROW))
     times = VmOperationTimes(
         order_lease_ms=settings.bounds.vm_order_lease_ms,
         migration_ms=settings.bounds.migration_ms,
--- a/fireflydeck/entry/tests/builders.py
+++ b/fireflydeck/entry/tests/builders.py
@@ -6,13 +6,15 @@
 from fireflydeck.testing.fleet_fakes import FakeAnnouncer
 
 
-def build_interface(*, store, operators, lease, state_source, forwarder, clock, request_log):
+def build_interface(
+    *, store, operators, lease, state_source, forwarder, clock, request_log, silence=None
+):
     """Return the callers' interface of a process."""
     job_requests = JobRequests(
         operators=operators,
         lease=lease,
         state_source=state_source,
-        intake=Intake(store, clock, FakeAnnouncer()),
+        intake=Intake(store, clock, FakeAnnouncer(), silence),
         clock=clock,
         request_log=request_log,
     )
--- a/fireflydeck/entry/tests/interface_client.py
+++ b/fireflydeck/entry/tests/interface_client.py
@@ -13,6 +13,7 @@
 from fireflydeck.entry.tests.builders import build_interface
 from fireflydeck.kernel import Metrics, Registry
 from fireflydeck.observation import OperatorDocuments
+from fireflydeck.observation.store_silence import MonitoredRowStore, StoreSilence
 from fireflydeck.ownership import LeaseKeeper
 from fireflydeck.platform.standin.documents import CALLER_HEADERS, put_configuration
 from fireflydeck.testing.ports import free_address
@@ -108,21 +109,23 @@
 async def running_interface(*, configured=True, **configuration):
     """Run the interface with a configuration, and yield a client of it."""
     clock, log = _ShiftedClock(), RecordingLog()
-    store = FakeRowStore(clock)
+    store, silence = FakeRowStore(clock), StoreSilence(clock)
+    monitored = MonitoredRowStore(store, silence, clock)
     if configured:
         put_configuration(store.rows, **configuration)
-    operators = OperatorDocuments(store, clock, log)
-    lease = LeaseKeeper(store, clock, log, name="m1", address="m1:1")
+    operators = OperatorDocuments(monitored, clock, log)
+    lease = LeaseKeeper(monitored, clock, log, name="m1", address="m1:1")
     forwarder, holder = FakeForwarder(), FakeStateSource()
     request_log = RequestLog(operators, log, Metrics())
     interface = build_interface(
-        store=store,
+        store=monitored,
         operators=operators,
         lease=lease,
         state_source=holder,
         forwarder=forwarder,
         clock=clock,
         request_log=request_log,
+        silence=silence,
     )
     async with anyio.create_task_group() as tasks:
         await operators.start(Registry(), tasks)
