--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -13,6 +13,7 @@
 from fireflydeck.ownership.larger_vm_search import LargerVmSearch
 from fireflydeck.ownership.lease_rows import CALL_TIMEOUT_MS, LeaseRows
 from fireflydeck.ownership.lease_validity import NOT_VALID
+from fireflydeck.ownership.published_overload import PublishedOverload
 from fireflydeck.ownership.records import (
     COMMIT_ROW,
     LEASE_ROW,
@@ -22,6 +23,7 @@
     decode_lease,
 )
 from fireflydeck.ownership.succession import Successors
+from fireflydeck.policy.admission import PoolOverload
 
 __all__ = ["LeaseKeeper"]
 
@@ -96,6 +98,8 @@
         self._take_over_lock = anyio.Lock()
         self._change_listeners: list[Callable[[Tenure | None], None]] = []
         self._pending_source: Callable[[], dict[str, int] | None] = dict
+        self._overload_source: Callable[[], dict[str, PoolOverload] | None] = dict
+        self._published_overload = PublishedOverload(clock)
         self._successors: Successors | None = None
 
     @property
@@ -133,6 +137,17 @@
         """
         self._pending_source = source
 
+    def set_overload_source(self, source: Callable[[], dict[str, PoolOverload] | None]) -> None:
+        """Set the function that returns the overloaded pools by name, which renewals publish.
+
+        While it returns `None`, because the jobs are not known yet, no overload is published.
+        """
+        self._overload_source = source
+
+    def overload_of(self, pool: str) -> PoolOverload | None:
+        """Return the overload of a pool; `None` if there is none, or none published recently."""
+        return self._published_overload.of_pool(pool)
+
     def set_successors(self, successors: Successors) -> None:
         """Set the possible successors for the case that only this process can't reach the store."""
         self._successors = successors
@@ -174,7 +189,7 @@
             record = self._record
             if record is None or record.term != term or record.holder != self._process_name:
                 return True
-            released = evolve(record, holder="", sequence=record.sequence + 1)
+            released = evolve(record, holder="", sequence=record.sequence + 1, overload={})
             failure = await self._rows.write_lease(released, CALL_TIMEOUT_MS)
             if failure is None:
                 return True
@@ -297,6 +312,7 @@
             sequence=record.sequence + 1,
             ttl_ms=self._validity.renewal_ttl_ms(sent_ms=sent_ms, least_ms=self._ttl_ms),
             pending=record.pending if pending is None else pending,
+            overload=self._overload_source() or {},
         )
         if self._sent_renewal is None or self._sent_renewal[0] != renewed.sequence:
             self._sent_renewal = (renewed.sequence, sent_ms)
@@ -411,10 +427,14 @@
         self._rows.health.record_answer()
         self._record = record
         self._validity = self._validity.renewed(sent_ms=sent_ms, ttl_ms=record.ttl_ms)
+        self._published_overload.publish(
+            record.overload, term=record.term, sequence=record.sequence, sent_ms=sent_ms
+        )
 
     async def _watch(self) -> None:
         """Follow the lease's row until the lease is free, then take it over."""
         was_failing = self._rows.health.is_failing
+        sent_ms = self._clock.now_ms()
         rows = await self._rows.read()
         if rows is None:
             await self._clock.sleep_ms(_WATCH_PAUSE_MS)
@@ -422,6 +442,7 @@
         if was_failing:
             self._regained_ms = self._clock.now_ms()
         self._apply_rows(rows)
+        self._observe_overload(sent_ms)
         while not self._stopping and self._tenure is None:
             if self._is_free():
                 async with self._take_over_lock:
@@ -429,10 +450,20 @@
                         await self._take_over()
                 return
             await self._clock.sleep_ms(_WATCH_PAUSE_MS)
+            sent_ms = self._clock.now_ms()
             changed = await self._rows.changes(self._watch_wait_ms())
             if changed is None:
                 return
             self._apply_rows(changed)
+            self._observe_overload(sent_ms)
+
+    def _observe_overload(self, sent_ms: int) -> None:
+        """Record the overload in the lease record after a read that was sent at a time."""
+        record = self._record
+        if record is not None:
+            self._published_overload.observe(
+                record.overload, term=record.term, sequence=record.sequence, sent_ms=sent_ms
+            )
 
     def _watch_wait_ms(self) -> int:
         return max(1, min(_MAX_WATCH_WAIT_MS, self._free_at_ms() - self._clock.now_ms()))
--- a/fireflydeck/ownership/records.py
+++ b/fireflydeck/ownership/records.py
@@ -5,6 +5,8 @@
 
 from fireflydeck.core.rows import RowKey
 from fireflydeck.core.typed_values import mistyped_fields
+from fireflydeck.ownership.published_overload import decode_overload
+from fireflydeck.policy.admission import PoolOverload
 from fireflydeck.workload.records import FLEET_PARTITION
 
 __all__ = [
@@ -86,6 +88,8 @@
     candidate_delay_ms
         How long the holder waited before it acquired a free lease, so that processes on larger VMs
         could acquire it first, in milliseconds; 0 if its own VM is large.
+    overload
+        Overloaded pools by name.
     """
 
     holder: str
@@ -95,6 +99,7 @@
     ttl_ms: int
     pending: dict[str, int] = Factory(dict)
     candidate_delay_ms: int = 0
+    overload: dict[str, PoolOverload] = Factory(dict)
 
     def encode(self) -> bytes:
         """Encode the record for its row."""
@@ -112,8 +117,9 @@
     try:
         document = msgpack.unpackb(content)
         known = {name: document[name] for name in fields_dict(LeaseRecord) if name in document}
+        known["overload"] = decode_overload(document.get("overload"))
         record = LeaseRecord(**known)
-    except (TypeError, ValueError) as error:
+    except (AttributeError, TypeError, ValueError) as error:
         raise ValueError(f"not a lease: {type(error).__name__}") from error
     if mistyped_fields(record):
         raise ValueError("not a lease: a field is invalid")
