--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -16,8 +16,9 @@
 
 _TIMEOUT_FRACTION = 0.8
 """Fraction of the caller's timeout within which an answer must be found."""
-_NOT_RUN_STATUSES = (429, 503)
-"""Statuses that promise the caller of a submission that its job never runs."""
+_NOT_SERVED_STATUS = 503
+"""Status which promises that a submission's job never runs; a 429 is only said once a stored
+refusal prevents it."""
 _MIN_FORWARD_MS = 100
 """A request is not forwarded if less time than this is left."""
 
@@ -74,7 +75,7 @@
         """Return whether a submission is refused although an earlier attempt may be stored."""
         return (
             request.method == "POST"
-            and answer.status in _NOT_RUN_STATUSES
+            and answer.status == _NOT_SERVED_STATUS
             and self._job_requests.may_be_stored(request.job_id)
         )
 
--- a/fireflydeck/entry/intake.py
+++ b/fireflydeck/entry/intake.py
@@ -1,22 +1,23 @@
 """Storage of submissions and cancellations, and reads of job states."""
 
-from enum import StrEnum
-
-from attrs import evolve
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
 from fireflydeck.core.rows import (
     ABSENT_VERSION,
     RowCondition,
-    RowKey,
     RowStore,
     RowTransaction,
     RowWrite,
     StoredRow,
 )
-from fireflydeck.entry.peer_interfaces import SubmissionAnnouncer
+from fireflydeck.entry.peer_interfaces import JobStateSource, SubmissionAnnouncer
+from fireflydeck.entry.refusals import RefusalRows
+from fireflydeck.entry.store_calls import StoreCalls, uncertain_if
 from fireflydeck.entry.submission_attempts import SubmissionAttempts
+from fireflydeck.entry.submission_outcome import SubmissionOutcome
+from fireflydeck.entry.submission_writer import SubmissionWriter
+from fireflydeck.kernel import EventLog, Metrics
 from fireflydeck.observation.store_silence import StoreSilence
 from fireflydeck.workload.records import (
     cancellation_key,
@@ -26,18 +27,9 @@
     outcome_key,
     progress_key,
 )
-from fireflydeck.workload.specification import JobSpec, encode_job_spec
-
-__all__ = ["Intake", "SubmissionOutcome"]
-
-_CALL_TIMEOUT_MS = 1200
-_MIN_CALL_TIMEOUT_MS = 50
-_RETRY_DELAY_MS = 80
-_MAX_REFUSED_RETRY_MS = 400
-"""How long a call that the store refuses is retried before the caller's request is refused."""
-_MAX_UNCERTAIN_RETRY_MS = 800
-"""How long a call without an answer is retried; `CallerInterface` then forwards the request."""
+from fireflydeck.workload.specification import JobSpec
 
+__all__ = ["Intake"]
 
 _MIN_RETRY_AFTER_MS = 1000
 _MAX_RETRY_AFTER_MS = 5000
@@ -45,16 +37,6 @@
 has lasted, within these bounds, so that a few retries outlast an outage."""
 
 
-class SubmissionOutcome(StrEnum):
-    """Outcome of a submission whose job is stored.
-
-    `ACCEPTED`: this call stored the job. `KNOWN`: a job with its id was stored already.
-    """
-
-    ACCEPTED = "accepted"
-    KNOWN = "known"
-
-
 class Intake:
     """Writes callers' submissions and cancellations to the store, and reads job states.
 
@@ -65,6 +47,10 @@
     ----------
     silence
         Whether the store is silent; submissions are then not written. `None` if that is not known.
+    state_source
+        Source that may know a stored job when the store can't be asked, or without a read.
+    refusals
+        Refusal rows of this process; without them, nobody removes the rows that it writes.
     """
 
     def __init__(
@@ -73,12 +59,21 @@
         clock: Clock,
         announcer: SubmissionAnnouncer,
         silence: StoreSilence | None = None,
+        *,
+        state_source: JobStateSource | None = None,
+        refusals: RefusalRows | None = None,
     ) -> None:
-        self._store = store
-        self._clock = clock
-        self._announcer = announcer
         self._silence = silence or StoreSilence(clock)
         self._attempts = SubmissionAttempts(clock)
+        self._state_source = state_source
+        self._calls = StoreCalls(store, clock, self._silence)
+        self._writer = SubmissionWriter(
+            self._calls,
+            self._silence,
+            refusals or RefusalRows(store, clock, EventLog(), Metrics(), writer=""),
+            announcer,
+            self._is_known,
+        )
 
     @property
     def attempts(self) -> SubmissionAttempts:
@@ -86,9 +81,14 @@
         return self._attempts
 
     async def submit(
-        self, spec: JobSpec, *, deadline_ms: int
+        self,
+        spec: JobSpec,
+        *,
+        deadline_ms: int,
+        is_refused: bool = False,
+        may_replace: bool = True,
     ) -> Result[SubmissionOutcome, Failure]:
-        """Store a job.
+        """Store a job or its refusal.
 
         A job whose id is stored already yields `SubmissionOutcome.KNOWN`, however it was submitted.
 
@@ -96,24 +96,48 @@
         ----------
         deadline_ms
             Time on the process's clock until which calls are retried, in milliseconds.
+        is_refused
+            Whether a refusal is to be stored, not the job.
+        may_replace
+            Whether the job may replace a refusal that was stored before.
         """
         if self._silence.is_silent:
-            return self.outcome_without_store(spec.job_id)
+            return await self.outcome_without_store(spec.job_id)
+        result = await self._attempt(
+            spec, deadline_ms, is_refused=is_refused, may_replace=may_replace
+        )
+        return result if result.is_ok() else await self._outcome_after(spec.job_id, result.error)
+
+    async def _attempt(
+        self, spec: JobSpec, deadline_ms: int, *, is_refused: bool, may_replace: bool
+    ) -> Result[SubmissionOutcome, Failure]:
+        """Store a job or its refusal, and record what this attempt makes of the job."""
         self._attempts.begin(spec.job_id)
         is_stored: bool | None = None
         try:
-            result = await self._insert(spec, deadline_ms)
+            result = await self._writer.settle(
+                spec, deadline_ms, is_refused=is_refused, may_replace=may_replace
+            )
             if result.is_ok():
-                is_stored = True
+                is_stored = result.ok != SubmissionOutcome.REFUSED
             elif result.error.ran == Ran.NO:
                 is_stored = False
         finally:
             self._attempts.end(spec.job_id, is_stored=is_stored)
-        if is_stored is False and self._attempts.may_be_stored(spec.job_id):
-            return Error(evolve(result.error, ran=Ran.UNKNOWN))
+        if result.is_ok() and result.ok == SubmissionOutcome.REFUSED:
+            self._attempts.settle(spec.job_id)
         return result
 
-    def outcome_without_store(self, job_id: str) -> Result[SubmissionOutcome, Failure]:
+    async def _is_known(self, job_id: str) -> bool:
+        """Return whether a job is known to be stored, without a call to the store."""
+        return self._attempts.is_stored(job_id) or await self._is_known_to_holder(job_id)
+
+    async def _is_known_to_holder(self, job_id: str) -> bool:
+        if self._state_source is None:
+            return False
+        return await self._state_source.job_state(job_id) is not None
+
+    async def outcome_without_store(self, job_id: str) -> Result[SubmissionOutcome, Failure]:
         """Return the outcome of a submission that is not written because the store is silent.
 
         The failure suggests when to retry.
@@ -121,30 +145,25 @@
         if self._attempts.is_stored(job_id):
             return Ok(SubmissionOutcome.KNOWN)
         silent_ms = self._silence.duration_ms
-        return Error(
-            Failure(
-                Reason.STORE_UNAVAILABLE,
-                "store.commit",
-                detail=f"not sent, the last answer is {silent_ms} ms old",
-                ran=Ran.UNKNOWN if self._attempts.may_be_stored(job_id) else Ran.NO,
-                retry_after_ms=min(_MAX_RETRY_AFTER_MS, max(_MIN_RETRY_AFTER_MS, silent_ms)),
-            )
+        failure = Failure(
+            Reason.STORE_UNAVAILABLE,
+            "store.commit",
+            detail=f"not sent, the last answer is {silent_ms} ms old",
+            ran=Ran.NO,
+            retry_after_ms=min(_MAX_RETRY_AFTER_MS, max(_MIN_RETRY_AFTER_MS, silent_ms)),
         )
+        return await self._outcome_after(job_id, failure)
 
-    async def _insert(self, spec: JobSpec, deadline_ms: int) -> Result[SubmissionOutcome, Failure]:
-        key = job_key(spec.job_id)
-        content = encode_job_spec(spec)
-        transaction = RowTransaction(
-            conditions=(RowCondition(key, ABSENT_VERSION),),
-            writes=(RowWrite(key, content),),
-        )
-        result = await self._commit(transaction, deadline_ms)
-        if result.is_ok():
-            self._announcer.announce(StoredRow(key, content, result.ok))
-            return Ok(SubmissionOutcome.ACCEPTED)
-        if result.error.reason == Reason.CONFLICT:
+    async def _outcome_after(
+        self, job_id: str, failure: Failure
+    ) -> Result[SubmissionOutcome, Failure]:
+        """Return the outcome of a submission that this process failed to store.
+
+        The lease holder may know the job, and earlier attempts may still store it.
+        """
+        if failure.reason == Reason.STORE_UNAVAILABLE and await self._is_known_to_holder(job_id):
             return Ok(SubmissionOutcome.KNOWN)
-        return Error(result.error)
+        return Error(uncertain_if(failure, self._attempts.may_be_stored(job_id)))
 
     async def cancel(self, job_id: str, *, deadline_ms: int) -> Result[bool, Failure]:
         """Store the cancellation of a job and return whether there is such a job."""
@@ -166,7 +185,7 @@
                 ),
                 writes=(RowWrite(cancellation, b"\0"),),
             )
-            result = await self._commit(transaction, deadline_ms)
+            result = await self._calls.commit(transaction, deadline_ms)
             if result.is_ok():
                 return Ok(True)
             if result.error.reason != Reason.CONFLICT:
@@ -197,78 +216,20 @@
         Without a stored outcome, return `default`; if that is empty, return "running" or
         "queued", depending on whether progress is stored.
         """
-        outcome = await self._read_row(outcome_key(job_id), deadline_ms)
+        outcome = await self._calls.read_row(outcome_key(job_id), deadline_ms)
         if outcome.is_error():
             return Error(outcome.error)
         if outcome.ok is not None:
             return Ok(decode_outcome(outcome.ok.value).value)
         if default:
             return Ok(default)
-        progress = await self._read_row(progress_key(job_id), deadline_ms)
+        progress = await self._calls.read_row(progress_key(job_id), deadline_ms)
         return progress.map(lambda row: "queued" if row is None else "running")
 
-    async def _commit(self, transaction: RowTransaction, deadline_ms: int) -> Result[int, Failure]:
-        """Commit a transaction, and retry for a limited time until the outcome is known.
-
-        After a call without an answer, the refusal of a retry does not show that nothing is
-        stored: the earlier call may still take effect. A conflict then means that it took effect,
-        or that another caller's transaction did. While the store is silent, a transaction that is
-        certainly not applied is not sent again, which would make its outcome unknown.
-        """
-        started_ms = self._clock.now_ms()
-        uncertain: Failure | None = None
-        while True:
-            remaining_ms = deadline_ms - self._clock.now_ms()
-            result = await self._store.commit(
-                transaction,
-                timeout_ms=max(_MIN_CALL_TIMEOUT_MS, min(_CALL_TIMEOUT_MS, remaining_ms)),
-            )
-            if result.is_ok() or result.error.reason == Reason.CONFLICT:
-                return result
-            if result.error.ran == Ran.UNKNOWN:
-                uncertain = result.error
-            elapsed_ms = self._clock.now_ms() - started_ms
-            limit_ms = _MAX_REFUSED_RETRY_MS if uncertain is None else _MAX_UNCERTAIN_RETRY_MS
-            if elapsed_ms > limit_ms or self._clock.now_ms() + _RETRY_DELAY_MS >= deadline_ms:
-                return Error(uncertain or result.error)
-            await self._clock.sleep_ms(_RETRY_DELAY_MS)
-            if uncertain is None and self._silence.is_silent:
-                return Error(result.error)
-
     async def _read_job_rows(
         self, job_id: str, deadline_ms: int
     ) -> Result[tuple[StoredRow, ...], Failure]:
         """Return the row of a job and that of its cancellation, as far as they exist."""
         key = job_key(job_id)
         before = cancellation_key(job_id).key + "\0"
-        return await self._read_range(key.table, key.partition, key.key, before, deadline_ms)
-
-    async def _read_row(self, key: RowKey, deadline_ms: int) -> Result[StoredRow | None, Failure]:
-        result = await self._read_range(
-            key.table, key.partition, key.key, key.key + "\0", deadline_ms
-        )
-        return result.map(lambda rows: rows[0] if rows else None)
-
-    async def _read_range(
-        self, table: str, partition: str, first: str, before: str, deadline_ms: int
-    ) -> Result[tuple[StoredRow, ...], Failure]:
-        """Read the rows with ``first <= key < before``, and retry for a limited time."""
-        started_ms = self._clock.now_ms()
-        while True:
-            remaining_ms = deadline_ms - self._clock.now_ms()
-            result = await self._store.read(
-                table,
-                partition,
-                first=first,
-                before=before,
-                timeout_ms=max(_MIN_CALL_TIMEOUT_MS, min(_CALL_TIMEOUT_MS, remaining_ms)),
-            )
-            if result.is_ok():
-                return Ok(result.ok.rows)
-            elapsed_ms = self._clock.now_ms() - started_ms
-            if (
-                elapsed_ms > _MAX_UNCERTAIN_RETRY_MS
-                or self._clock.now_ms() + _RETRY_DELAY_MS >= deadline_ms
-            ):
-                return Error(result.error)
-            await self._clock.sleep_ms(_RETRY_DELAY_MS)
+        return await self._calls.read_range(key.table, key.partition, key.key, before, deadline_ms)
--- a/fireflydeck/entry/job_requests.py
+++ b/fireflydeck/entry/job_requests.py
@@ -4,6 +4,7 @@
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
+from fireflydeck.entry.admission import Admission
 from fireflydeck.entry.caller_answers import refusal, unavailable, unknown_outcome
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 from fireflydeck.entry.intake import Intake
@@ -11,6 +12,7 @@
 from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.routing import QueueIndex
 from fireflydeck.entry.shown_states import ShownStates
+from fireflydeck.entry.submission_outcome import SubmissionOutcome
 from fireflydeck.observation.operator_documents import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.platform.documents import DocumentError
@@ -68,6 +70,7 @@
         self._intake = intake
         self._clock = clock
         self._request_log = request_log
+        self._admission = Admission(lease, request_log)
         self._shown_states = ShownStates(clock)
         self._index: QueueIndex | None = None
         self._indexed_configuration: FleetConfiguration | None = None
@@ -154,21 +157,26 @@
         except DocumentError as error:
             return refusal(400, Reason.BAD_REQUEST, str(error))
         if self._is_store_silent():
-            result = self._intake.outcome_without_store(routed.job_id)
-        else:
-            result = await self._intake.submit(spec, deadline_ms=routed.deadline_ms)
-        if result.is_error() and not await self._is_known_to_holder(routed.job_id, result.error):
+            return await self._answer_unwritten(routed)
+        refused = self._admission.decide(spec, routed.queue)
+        result = await self._intake.submit(
+            spec,
+            deadline_ms=routed.deadline_ms,
+            is_refused=refused is not None,
+            may_replace=not request.was_forwarded,
+        )
+        if result.is_error():
             return self._answer_store_failure(routed, result.error)
+        if result.ok == SubmissionOutcome.REFUSED:
+            return self._admission.answer(spec, routed.queue, refused)
         return CallerAnswer(200, b"{}")
 
-    async def _is_known_to_holder(self, job_id: str, failure: Failure) -> bool:
-        """Return whether the lease holder knows a job that this process failed to store.
-
-        An earlier attempt stored it then, or this one, without an answer.
-        """
-        if failure.reason != Reason.STORE_UNAVAILABLE:
-            return False
-        return await self._state_source.job_state(job_id) is not None
+    async def _answer_unwritten(self, routed: _RoutedRequest) -> CallerAnswer:
+        """Answer a submission that is not written because the store does not answer."""
+        result = await self._intake.outcome_without_store(routed.job_id)
+        if result.is_error():
+            return self._answer_store_failure(routed, result.error)
+        return CallerAnswer(200, b"{}")
 
     async def _read_state(self, routed: _RoutedRequest) -> CallerAnswer:
         state = await self._state_source.job_state(routed.job_id)
--- a/fireflydeck/entry/request_log.py
+++ b/fireflydeck/entry/request_log.py
@@ -1,13 +1,19 @@
 """Log lines and metrics about callers' requests."""
 
 from fireflydeck.core import Failure
+from fireflydeck.core.fleet_configuration import JobQueue
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest, job_id_of_path
 from fireflydeck.entry.peer_interfaces import ForwardResult
 from fireflydeck.kernel import Event, EventLog, Metrics
 from fireflydeck.observation.operator_documents import OperatorDocuments
+from fireflydeck.platform.job_documents import decode_refusal_reason
+from fireflydeck.policy.admission import JobRefusal
+from fireflydeck.workload.specification import JobSpec
 
 __all__ = ["RequestLog"]
 
+_NOT_RUN_STATUSES = (429, 503)
+"""Statuses of submissions whose jobs never run."""
 _MAX_LOGGED_JOB_ID_CHARS = 32
 """Callers may send a long text in place of a job's id."""
 _MAX_LOGGED_PATH_CHARS = 64
@@ -37,6 +43,8 @@
         status = answer.status
         self._metrics.observe_ms("request_ms", duration_ms, method=method)
         self._metrics.count("requests_total", method=method, status=str(status))
+        if method == "POST" and status in _NOT_RUN_STATUSES and not was_forwarded:
+            self._metrics.count("jobs_rejected_total", reason=decode_refusal_reason(answer.body))
         if method == "GET" and status == 200 and not self._operators.is_store_unreachable:
             return
         self._log.emit(
@@ -69,6 +77,23 @@
             store_age_ms=self._operators.age_ms,
         )
 
+    def record_refusal(self, spec: JobSpec, queue: JobQueue, refusal: JobRefusal | None) -> None:
+        """Record that a job was refused, and what that was decided by.
+
+        Without a `JobRefusal`, another request for the same job was refused at the same time.
+        """
+        self._log.emit(
+            Event.JOB_REFUSED,
+            job=spec.job_id,
+            queue=queue.name,
+            pool=queue.pool,
+            organisation=spec.organisation,
+            wait_ms=refusal.wait_ms if refusal else None,
+            objective_ms=refusal.objective_ms if refusal else None,
+            accepted=refusal.accepted if refusal else None,
+            retry_after_s=refusal.retry_after_s if refusal else None,
+        )
+
     def record_store_failure(self, job_id: str, failure: Failure) -> None:
         """Record that a call to the store for a request failed."""
         self._log.emit(
--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -10,6 +10,7 @@
 from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.job_requests import JobRequests
 from fireflydeck.entry.peer_link import EntryPeerLink
+from fireflydeck.entry.refusals import RefusalRows
 from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.server import CallerServer, StatusServer
 from fireflydeck.entry.settings_watch import SettingsWatch
@@ -101,11 +102,12 @@
     )
     link = EntryPeerLink(link_address, clock)
     request_log = RequestLog(operators, log, metrics)
+    refusals = RefusalRows(store, clock, log, metrics, writer=settings.name)
     job_requests = JobRequests(
         operators=operators,
         lease=lease,
         state_source=link,
-        intake=Intake(store, clock, link, silence),
+        intake=Intake(store, clock, link, silence, state_source=link, refusals=refusals),
         clock=clock,
         request_log=request_log,
     )
@@ -138,6 +140,7 @@
             status_ms=settings.bounds.outcome_retention_ms,
         )
     )
+    kernel.add(refusals)
     kernel.add(link)
     kernel.add(
         StatusServer(
--- a/fireflydeck/entry/submission_attempts.py
+++ b/fireflydeck/entry/submission_attempts.py
@@ -76,6 +76,13 @@
         if not found.may_be_stored:
             del self._jobs[job_id]
 
+    def settle(self, job_id: str) -> None:
+        """Record that no attempt that has ended can store the job any more."""
+        found = self._touch(job_id)
+        found.is_uncertain = False
+        if not found.may_be_stored:
+            del self._jobs[job_id]
+
     def record_elsewhere(self, job_id: str, *, is_stored: bool | None) -> None:
         """Record that another process stored the job, or, with `None`, may have stored it."""
         self._apply(self._touch(job_id), is_stored)
--- a/fireflydeck/entry/tests/builders.py
+++ b/fireflydeck/entry/tests/builders.py
@@ -7,14 +7,25 @@
 
 
 def build_interface(
-    *, store, operators, lease, state_source, forwarder, clock, request_log, silence=None
+    *,
+    store,
+    operators,
+    lease,
+    state_source,
+    forwarder,
+    clock,
+    request_log,
+    silence=None,
+    refusals=None,
 ):
     """Return the callers' interface of a process."""
     job_requests = JobRequests(
         operators=operators,
         lease=lease,
         state_source=state_source,
-        intake=Intake(store, clock, FakeAnnouncer(), silence),
+        intake=Intake(
+            store, clock, FakeAnnouncer(), silence, state_source=state_source, refusals=refusals
+        ),
         clock=clock,
         request_log=request_log,
     )
--- a/fireflydeck/entry/tests/interface_client.py
+++ b/fireflydeck/entry/tests/interface_client.py
@@ -69,7 +69,9 @@
 class InterfaceClient:
     """HTTP client of a running interface, with the parts that a test controls or inspects."""
 
-    def __init__(self, address, clock, store, operators, interface, forwarder, holder, log):
+    def __init__(
+        self, address, clock, store, operators, interface, forwarder, holder, log, lease, metrics
+    ):
         self._address = address
         self.clock = clock
         self.store = store
@@ -78,6 +80,8 @@
         self.forwarder = forwarder
         self.holder = holder
         self.log = log
+        self.lease = lease
+        self.metrics = metrics
 
     async def call(self, method, path, body=None, **headers):
         """Send one request with an HTTP client; return status, body and headers."""
@@ -116,7 +120,8 @@
     operators = OperatorDocuments(monitored, clock, log)
     lease = LeaseKeeper(monitored, clock, log, name="m1", address="m1:1")
     forwarder, holder = FakeForwarder(), FakeStateSource()
-    request_log = RequestLog(operators, log, Metrics())
+    metrics = Metrics()
+    request_log = RequestLog(operators, log, metrics)
     interface = build_interface(
         store=monitored,
         operators=operators,
@@ -143,6 +148,17 @@
             request_log=request_log,
         )
         await server.start(Registry(), tasks)
-        yield InterfaceClient(address, clock, store, operators, interface, forwarder, holder, log)
+        yield InterfaceClient(
+            address,
+            clock,
+            store,
+            operators,
+            interface,
+            forwarder,
+            holder,
+            log,
+            lease,
+            metrics,
+        )
         await server.stop()
         tasks.cancel_scope.cancel()
--- a/fireflydeck/entry/tests/test_caller_interface.py
+++ b/fireflydeck/entry/tests/test_caller_interface.py
@@ -18,6 +18,7 @@
     JOB_ID,
 )
 from fireflydeck.workload import job_key
+from fireflydeck.workload.records import JOBS_TABLE
 
 pytestmark = pytest.mark.anyio
 
@@ -112,10 +113,14 @@
         assert (await client.call("GET", path))[1] == f'{{"state":"{holder_state}"}}'.encode()
 
 
-@pytest.mark.parametrize(("outage", "status"), [(Ran.NO, 503), (Ran.UNKNOWN, 504)])
-async def test_store_outage(outage, status):
+@pytest.mark.parametrize(("is_unanswered", "status"), [(False, 503), (True, 504)])
+async def test_store_outage(is_unanswered, status):
+    """Only the write of the job gets no answer: a store that answers no call is not written to."""
     async with running_interface() as client:
-        client.store.outage = outage
+        if is_unanswered:
+            client.store.unanswered_tables = {JOBS_TABLE}
+        else:
+            client.store.outage = Ran.NO
         headers = {DEADLINE_HEADER: "900"}
         answer = await client.call("POST", f"/swatch/{JOB_ID}", _BODY, **headers)
         assert answer[0] == status
@@ -165,7 +170,7 @@
 @pytest.mark.parametrize("peer_status", [401, 503])
 async def test_submission_with_an_unknown_outcome_here_is_not_refused_by_a_peer(peer_status):
     async with running_interface() as client:
-        client.store.outage = Ran.UNKNOWN
+        client.store.unanswered_tables = {JOBS_TABLE}
         client.forwarder.answer = CallerAnswer(peer_status, b"{}")
         status, _, _ = await client.call("POST", f"/swatch/{JOB_ID}", _BODY)
         assert status == 504
--- a/fireflydeck/entry/tests/test_intake.py
+++ b/fireflydeck/entry/tests/test_intake.py
@@ -5,7 +5,8 @@
 
 from fireflydeck.core import Ran
 from fireflydeck.core.rows import RowTransaction, RowWrite
-from fireflydeck.entry.intake import Intake, SubmissionOutcome
+from fireflydeck.entry.intake import Intake
+from fireflydeck.entry.submission_outcome import SubmissionOutcome
 from fireflydeck.testing.clock import FakeClock
 from fireflydeck.testing.fleet_fakes import FakeAnnouncer
 from fireflydeck.testing.job_builders import JOB_ID, build_spec
--- a/fireflydeck/entry/tests/test_silent_store.py
+++ b/fireflydeck/entry/tests/test_silent_store.py
@@ -11,15 +11,14 @@
 
 from fireflydeck.core import Ran
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
-from fireflydeck.entry.intake import Intake, SubmissionOutcome
 from fireflydeck.entry.submission_attempts import SubmissionAttempts
+from fireflydeck.entry.submission_outcome import SubmissionOutcome
 from fireflydeck.entry.tests.interface_client import running_interface
-from fireflydeck.observation.store_silence import MonitoredRowStore, StoreSilence
+from fireflydeck.entry.tests.processes import EntryProcess
 from fireflydeck.platform.standin.documents import CALLER_HEADERS, submission_document
 from fireflydeck.testing.clock import FakeClock
-from fireflydeck.testing.fleet_fakes import FakeAnnouncer
 from fireflydeck.testing.job_builders import JOB_ID, build_spec
-from fireflydeck.testing.rows import FakeRowStore, RowStoreFault
+from fireflydeck.testing.rows import RowStoreFault
 from fireflydeck.workload import job_key
 
 pytestmark = pytest.mark.anyio
@@ -28,40 +27,8 @@
 _BODY = submission_document("text", tasks=1)
 
 
-class _Process:
-    """Intake of one process whose store the test controls."""
-
-    def __init__(self, rows=None):
-        self.clock = FakeClock()
-        self.store = FakeRowStore(self.clock, rows)
-        self.silence = StoreSilence(self.clock)
-        monitored = MonitoredRowStore(self.store, self.silence, self.clock)
-        self.intake = Intake(monitored, self.clock, FakeAnnouncer(), self.silence)
-
-    def fall_silent(self):
-        """Let all calls fail without an answer from now on, and record the first of them."""
-        self.store.outage = Ran.UNKNOWN
-        self.silence.record_no_answer(self.clock.now_ms())
-
-    async def submit(self, job_id=JOB_ID):
-        """Submit a job; the clock advances until the outcome is known."""
-        results = []
-
-        async def run():
-            deadline_ms = self.clock.now_ms() + 2000
-            results.append(
-                await self.intake.submit(build_spec(job_id=job_id), deadline_ms=deadline_ms)
-            )
-
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(run)
-            while not results:
-                await self.clock.advance_ms(10)
-        return results[0]
-
-
 async def test_new_submission_is_refused_without_a_write():
-    process = _Process()
+    process = EntryProcess(FakeClock())
     process.fall_silent()
     started_ms = process.clock.now_ms()
     error = (await process.submit()).error
@@ -75,7 +42,7 @@
     ("silent_ms", "retry_after_ms"), [(300, 1000), (2500, 2500), (30_000, 5000)]
 )
 async def test_retry_after_grows_with_the_silence(silent_ms, retry_after_ms):
-    process = _Process()
+    process = EntryProcess(FakeClock())
     process.fall_silent()
     await process.clock.advance_ms(silent_ms)
     assert (await process.submit()).error.retry_after_ms == retry_after_ms
@@ -84,7 +51,7 @@
 @pytest.mark.parametrize("fault", [RowStoreFault.LATE, RowStoreFault.ANSWER_LOST])
 async def test_repeated_submission_with_an_earlier_attempt_is_not_refused(fault):
     """Guard against a 503 for a job whose first write takes effect 12 s later."""
-    process = _Process()
+    process = EntryProcess(FakeClock())
     process.store.next_commits = [fault, *[RowStoreFault.NO_EFFECT] * 100]
     assert (await process.submit()).error.ran == Ran.UNKNOWN
     await process.clock.advance_ms(11_000)
@@ -94,7 +61,7 @@
 
 
 async def test_store_that_refuses_does_not_settle_an_earlier_attempt():
-    process = _Process()
+    process = EntryProcess(FakeClock())
     process.store.next_commits = [RowStoreFault.LATE, *[RowStoreFault.NO_EFFECT] * 100]
     assert (await process.submit()).error.ran == Ran.UNKNOWN
     process.silence.record_answer()
@@ -105,14 +72,14 @@
 
 async def test_accepted_job_stays_accepted_during_the_silence():
     """Guard against a 503 for a request that is repeated seconds after its 200."""
-    process = _Process()
+    process = EntryProcess(FakeClock())
     await process.submit()
     process.fall_silent()
     assert (await process.submit()).ok == SubmissionOutcome.KNOWN
 
 
 async def test_submission_that_the_store_refused_is_not_sent_into_a_silence():
-    process = _Process()
+    process = EntryProcess(FakeClock())
     process.store.next_commits = [RowStoreFault.REFUSED]
     async with anyio.create_task_group() as tasks:
         results = []
@@ -128,7 +95,7 @@
 
 
 async def test_disconnected_caller_leaves_an_uncertain_attempt():
-    process = _Process()
+    process = EntryProcess(FakeClock())
     process.store.answer_delay_ms = 500
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(process.submit)
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -316,6 +316,23 @@
         action="If there are many: look for a client that uses another protocol on this port.",
         fields=("status", "detail"),
     ),
+    6405: EventNote(
+        trigger="A submission was refused with 429 and the refusal is stored: `wait_ms` is the "
+        "time until the job could have started, more than three times its `objective_ms`, and the "
+        "hash of its id is outside the fraction `accepted` of its organisation. The figures are "
+        "null if another request for the same job was refused at the same time.",
+        action="Nothing for a short burst; see OPERATIONS.md if an organisation stays refused.",
+        fields=(
+            "job",
+            "queue",
+            "pool",
+            "organisation",
+            "wait_ms",
+            "objective_ms",
+            "accepted",
+            "retry_after_s",
+        ),
+    ),
     6402: EventNote(
         trigger="A store call for a caller's request failed; `ran` says whether it may have had an "
         "effect.",
--- a/fireflydeck/observation/store_silence.py
+++ b/fireflydeck/observation/store_silence.py
@@ -7,7 +7,13 @@
 from expression import Result
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
-from fireflydeck.core.rows import RowKey, RowStore, RowTransaction, VersionedRows
+from fireflydeck.core.rows import (
+    ABSENT_VERSION,
+    RowKey,
+    RowStore,
+    RowTransaction,
+    VersionedRows,
+)
 from fireflydeck.kernel import EventLog, Registry, Service, keep_running
 
 __all__ = ["MonitoredRowStore", "StoreProbe", "StoreSilence"]
@@ -30,8 +36,17 @@
         self._clock = clock
         self._answered_ms = clock.now_ms()
         self._is_silent = False
+        self._seen_version = ABSENT_VERSION
         self._began = anyio.Event()
 
+    @property
+    def seen_version(self) -> int:
+        """Return the newest version of the store that an answer named.
+
+        A row of this version or an older one was written before this property was read.
+        """
+        return self._seen_version
+
     @property
     def is_silent(self) -> bool:
         """Return whether a call has timed out since the last answer."""
@@ -46,9 +61,16 @@
         """Wait until the store is silent."""
         await self._began.wait()
 
-    def record_answer(self) -> None:
-        """Record that a call was answered, with whatever result."""
+    def record_answer(self, version: int = ABSENT_VERSION) -> None:
+        """Record that a call was answered, with whatever result.
+
+        Parameters
+        ----------
+        version
+            Version of the store that the answer names.
+        """
         self._answered_ms = self._clock.now_ms()
+        self._seen_version = max(self._seen_version, version)
         if self._is_silent:
             self._is_silent = False
             self._began = anyio.Event()
@@ -81,7 +103,8 @@
     async def commit(self, transaction: RowTransaction, *, timeout_ms: int) -> Result[int, Failure]:
         """Commit the transaction and return its version."""
         due_ms = self._clock.now_ms()
-        return self._record(await self._store.commit(transaction, timeout_ms=timeout_ms), due_ms)
+        result = await self._store.commit(transaction, timeout_ms=timeout_ms)
+        return self._record(result, due_ms, result.default_value(ABSENT_VERSION))
 
     async def read(
         self, table: str, partition: str, *, first: str = "", before: str = "", timeout_ms: int
@@ -91,7 +114,7 @@
         result = await self._store.read(
             table, partition, first=first, before=before, timeout_ms=timeout_ms
         )
-        return self._record(result, due_ms)
+        return self._record(result, due_ms, result.map(_version).default_value(ABSENT_VERSION))
 
     async def read_changes(
         self, table: str, *, after: int, wait_ms: int
@@ -99,16 +122,20 @@
         """Return the rows of a table that changed after a version."""
         due_ms = self._clock.now_ms() + wait_ms
         result = await self._store.read_changes(table, after=after, wait_ms=wait_ms)
-        return self._record(result, due_ms)
+        return self._record(result, due_ms, result.map(_version).default_value(ABSENT_VERSION))
 
-    def _record(self, result: Result[T, Failure], due_ms: int) -> Result[T, Failure]:
+    def _record(self, result: Result[T, Failure], due_ms: int, version: int) -> Result[T, Failure]:
         if result.is_ok() or result.error.reason != Reason.STORE_UNAVAILABLE:
-            self._silence.record_answer()
+            self._silence.record_answer(version)
         elif result.error.ran == Ran.UNKNOWN:
             self._silence.record_no_answer(min(due_ms, self._clock.now_ms()))
         return result
 
 
+def _version(rows: VersionedRows) -> int:
+    return rows.version
+
+
 class StoreProbe(Service):
     """Service that reads one row repeatedly while the store is silent, to notice its next answer.
 
--- a/fireflydeck/platform/job_documents.py
+++ b/fireflydeck/platform/job_documents.py
@@ -14,6 +14,7 @@
     "DEADLINE_HEADER",
     "JOB_ID_PATTERN",
     "KEY_HEADER",
+    "decode_refusal_reason",
     "decode_submission",
     "encode_pending",
     "encode_refusal",
@@ -75,6 +76,15 @@
     return orjson.dumps({"error": reason, "detail": detail})
 
 
+def decode_refusal_reason(content: bytes) -> str:
+    """Return the reason in the body of an answer that refuses a request, or ``unknown``."""
+    try:
+        reason = orjson.loads(content)["error"]
+    except FIELD_ERRORS:
+        reason = ""
+    return reason if isinstance(reason, str) and reason else "unknown"
+
+
 def _check_limits(spec: JobSpec) -> None:
     if not isinstance(spec.payload, str) or len(spec.payload.encode()) > _MAX_PAYLOAD_BYTES:
         raise DocumentError("submission", "text is missing or too long")
--- a/fireflydeck/scheduling/retention.py
+++ b/fireflydeck/scheduling/retention.py
@@ -1,12 +1,13 @@
-"""Removal of the rows of jobs that ended long ago."""
+"""Removal of the rows of jobs that ended long ago, and of left refusals."""
 
-from attrs import define
+from attrs import Factory, define, field
 
 from fireflydeck.core import Clock
 from fireflydeck.core.rows import RowStore, RowTransaction
 from fireflydeck.kernel import Event, EventLog
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.scheduling.job_tracker import JobTracker
+from fireflydeck.scheduling.refusal_retention import RefusalRetention
 from fireflydeck.workload.records import cancellation_key, job_key, outcome_key
 
 __all__ = ["Retention"]
@@ -38,6 +39,10 @@
     clock: Clock
     log: EventLog
     status_ms: int
+    _refusals: RefusalRetention = field(
+        default=Factory(lambda self: RefusalRetention(self.store, self.clock), takes_self=True),
+        init=False,
+    )
 
     async def run(self) -> None:
         """Remove old jobs at regular intervals until cancelled."""
@@ -45,6 +50,7 @@
             await self.clock.sleep_ms(_INTERVAL_MS)
             if self.lease.is_valid():
                 await self.remove_old()
+                await self._refusals.remove_if_due()
 
     async def remove_old(self) -> int:
         """Remove the jobs that ended long ago and return their number."""
--- a/fireflydeck/testing/rows.py
+++ b/fireflydeck/testing/rows.py
@@ -36,6 +36,8 @@
     ----------
     outage
         While set, every call fails: `Ran.NO` if refused, `Ran.UNKNOWN` if unanswered.
+    unanswered_tables
+        Tables to which writes get no answer and have no effect.
     next_commits
         Faults of the next commits, in order.
     answer_delay_ms
@@ -60,6 +62,7 @@
     def __init__(self, clock: Clock, rows: MemoryRows | None = None) -> None:
         self.rows = rows or MemoryRows()
         self.outage: Ran | None = None
+        self.unanswered_tables: set[str] = set()
         self.answer_delay_ms = 0
         self.read_delay_ms = 0
         self.are_changes_hidden = False
@@ -107,6 +110,8 @@
     def _refusal(self, transaction: RowTransaction) -> Failure | None:
         if self.outage is not None:
             return _unavailable("store.commit", self.outage)
+        if any(write.id.table in self.unanswered_tables for write in transaction.writes):
+            return _unavailable("store.commit", Ran.UNKNOWN)
         limit = self.max_value_bytes
         if limit is not None and any(len(write.value) > limit for write in transaction.writes):
             return Failure(Reason.BAD_REQUEST, "store.commit", peer="store", ran=Ran.NO)
--- a/fireflydeck/workload/records.py
+++ b/fireflydeck/workload/records.py
@@ -3,7 +3,8 @@
 Table ``jobs`` holds one row for each job and one for each cancellation, partitioned by the job's
 id; every entry process writes to it. The row of a job that has ended holds only its outcome. Only
 the holder of the lease writes to the tables ``progress`` and ``outcomes``, which use the lease's
-partition.
+partition. Table ``refusals`` holds a row for each job that was refused recently, in the partition
+of the job's row, so that one transaction can require that only one of them exists.
 """
 
 import zlib
@@ -19,6 +20,7 @@
     "JOB_PARTITIONS",
     "OUTCOMES_TABLE",
     "PROGRESS_TABLE",
+    "REFUSALS_TABLE",
     "cancellation_key",
     "decode_ended_row",
     "decode_outcome",
@@ -30,11 +32,13 @@
     "job_key",
     "outcome_key",
     "progress_key",
+    "refusal_key",
 ]
 
 JOBS_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
 OUTCOMES_TABLE = "outcomes"
+REFUSALS_TABLE = "refusals"
 FLEET_PARTITION = "fleet"
 JOB_PARTITIONS = tuple(f"jobs-{number}" for number in range(16))
 """Several, since transactions in the same partition wait for each other.
@@ -54,6 +58,11 @@
     return RowKey(JOBS_TABLE, _job_partition(job_id), job_id + _CANCELLATION_SUFFIX)
 
 
+def refusal_key(job_id: str) -> RowKey:
+    """Return the key of the row that a refusal of a job leaves for a while."""
+    return RowKey(REFUSALS_TABLE, _job_partition(job_id), job_id)
+
+
 def progress_key(job_id: str) -> RowKey:
     """Return the key of a job's progress."""
     return RowKey(PROGRESS_TABLE, FLEET_PARTITION, job_id)
