--- a/fireflydeck/entry/submission_attempts.py
+++ b/fireflydeck/entry/submission_attempts.py
@@ -6,10 +6,11 @@
 
 __all__ = ["SubmissionAttempts"]
 
-_RETENTION_MS = 60_000
-"""Longer than a late write may take effect (12 s) and than callers repeat a submission."""
+_RETENTION_MS = 300_000
+"""Longer than callers repeat a submission. That a late write takes effect within 12 s is no bound:
+one without an answer may have taken effect at once, and an outage keeps that unknown."""
 _MAX_JOBS = 20_000
-"""Bounds the memory at about 5 MB; reached at 330 submissions per second in one process."""
+"""Bounds the memory at about 5 MB; reached at 67 submissions per second in one process."""
 
 
 @define
