--- a/fireflydeck/entry/job_requests.py
+++ b/fireflydeck/entry/job_requests.py
@@ -4,6 +4,7 @@
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
+from fireflydeck.entry.admission import Admission
 from fireflydeck.entry.caller_answers import refusal, unavailable, unknown_outcome
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 from fireflydeck.entry.intake import Intake
@@ -11,6 +12,7 @@
 from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.routing import QueueIndex
 from fireflydeck.entry.shown_states import ShownStates
+from fireflydeck.entry.submission_outcome import SubmissionOutcome
 from fireflydeck.observation.operator_documents import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.platform.documents import DocumentError
@@ -68,6 +70,7 @@
         self._intake = intake
         self._clock = clock
         self._request_log = request_log
+        self._admission = Admission(lease, request_log)
         self._shown_states = ShownStates(clock)
         self._index: QueueIndex | None = None
         self._indexed_configuration: FleetConfiguration | None = None
@@ -99,6 +102,14 @@
             return refusal(404, Reason.UNKNOWN_JOB, "not a job's id")
         return await self._answer_job_request(request, routed, configuration)
 
+    def may_be_stored(self, job_id: str) -> bool:
+        """Return whether a recent attempt stored a job or may still do so."""
+        return self._intake.attempts.may_be_stored(job_id)
+
+    def record_forwarded_submission(self, job_id: str, *, is_stored: bool | None) -> None:
+        """Record that another process stored a job, or, with `None`, may have stored it."""
+        self._intake.attempts.record_elsewhere(job_id, is_stored=is_stored)
+
     def _is_store_silent(self) -> bool:
         """Return whether the store has not answered for so long that documents may be outdated."""
         age_ms = self._operators.age_ms
@@ -135,8 +146,6 @@
         limit = configuration.limits.max_body_bytes
         if len(request.body) > limit:
             return refusal(413, Reason.BODY_TOO_LARGE, f"more than {limit} bytes")
-        if self._is_store_silent():
-            return unavailable(Reason.STORE_UNAVAILABLE, "the store does not answer")
         try:
             spec = decode_submission(
                 request.body,
@@ -147,7 +156,24 @@
             )
         except DocumentError as error:
             return refusal(400, Reason.BAD_REQUEST, str(error))
-        result = await self._intake.submit(spec, deadline_ms=routed.deadline_ms)
+        if self._is_store_silent():
+            return await self._answer_unwritten(routed)
+        refused = self._admission.decide(spec, routed.queue)
+        result = await self._intake.submit(
+            spec,
+            deadline_ms=routed.deadline_ms,
+            is_refused=refused is not None,
+            may_replace=not request.was_forwarded,
+        )
+        if result.is_error():
+            return self._answer_store_failure(routed, result.error)
+        if result.ok == SubmissionOutcome.REFUSED:
+            return self._admission.answer(spec, routed.queue, refused)
+        return CallerAnswer(200, b"{}")
+
+    async def _answer_unwritten(self, routed: _RoutedRequest) -> CallerAnswer:
+        """Answer a submission that is not written because the store does not answer."""
+        result = await self._intake.outcome_without_store(routed.job_id)
         if result.is_error():
             return self._answer_store_failure(routed, result.error)
         return CallerAnswer(200, b"{}")
@@ -190,7 +216,9 @@
         """
         self._request_log.record_store_failure(routed.job_id, failure)
         if failure.ran == Ran.NO:
-            answer = unavailable(failure.reason, "the store took nothing")
+            answer = unavailable(
+                failure.reason, "the store took nothing", retry_after_ms=failure.retry_after_ms
+            )
             is_overloaded = failure.reason == Reason.TOO_MANY_REQUESTS
             return evolve(answer, is_store_unavailable=False) if is_overloaded else answer
         return unknown_outcome(failure.reason)
--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -10,6 +10,7 @@
 from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.job_requests import JobRequests
 from fireflydeck.entry.peer_link import EntryPeerLink
+from fireflydeck.entry.refusals import RefusalRows
 from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.server import CallerServer, StatusServer
 from fireflydeck.entry.settings_watch import SettingsWatch
@@ -17,8 +18,10 @@
 from fireflydeck.kernel import Kernel, dump_state, forward_library_log
 from fireflydeck.kernel.log_sink import configure_bounded_logging
 from fireflydeck.observation.operator_documents import OperatorDocuments
+from fireflydeck.observation.store_silence import MonitoredRowStore, StoreProbe, StoreSilence
 from fireflydeck.ownership.candidacy import candidate_delay_ms
 from fireflydeck.ownership.lease import LeaseKeeper
+from fireflydeck.ownership.records import LEASE_ROW
 from fireflydeck.platform.advisor_client import AdvisorClient
 from fireflydeck.platform.backend_server_client import BackendServerClient
 from fireflydeck.platform.node_settings import (
@@ -92,7 +95,8 @@
 ) -> Kernel:
     kernel = Kernel(settings.name, "entry", SystemClock())
     clock, log, metrics = kernel.clock, kernel.log, kernel.metrics
-    store = clients.store
+    silence = StoreSilence(clock)
+    store = MonitoredRowStore(clients.store, silence, clock)
     operators = OperatorDocuments(store, clock, log)
     link_address = f"{settings.ip}:{settings.internal_ports[0]}"
     lease = LeaseKeeper(
@@ -105,11 +109,12 @@
     )
     link = EntryPeerLink(link_address, clock)
     request_log = RequestLog(operators, log, metrics)
+    refusals = RefusalRows(store, clock, log, metrics, writer=settings.name)
     job_requests = JobRequests(
         operators=operators,
         lease=lease,
         state_source=link,
-        intake=Intake(store, clock, link),
+        intake=Intake(store, clock, link, silence, state_source=link, refusals=refusals),
         clock=clock,
         request_log=request_log,
     )
@@ -123,6 +128,7 @@
     link.set_request_handler(interface.answer)
     lease.set_successors(SuccessionLink(link, lease))
     kernel.add(operators)
+    kernel.add(StoreProbe(store, silence, clock, log, key=LEASE_ROW))
     times = VmOperationTimes(
         order_lease_ms=settings.bounds.vm_order_lease_ms,
         migration_ms=settings.bounds.migration_ms,
@@ -142,6 +148,7 @@
             reservations=reservations,
         )
     )
+    kernel.add(refusals)
     kernel.add(link)
     kernel.add(
         StatusServer(
--- a/fireflydeck/entry/tests/interface_client.py
+++ b/fireflydeck/entry/tests/interface_client.py
@@ -13,6 +13,7 @@
 from fireflydeck.entry.tests.builders import build_interface
 from fireflydeck.kernel import Metrics, Registry
 from fireflydeck.observation import OperatorDocuments
+from fireflydeck.observation.store_silence import MonitoredRowStore, StoreSilence
 from fireflydeck.ownership import LeaseKeeper
 from fireflydeck.platform.standin.documents import CALLER_HEADERS, put_configuration
 from fireflydeck.testing.ports import free_address
@@ -68,7 +69,9 @@
 class InterfaceClient:
     """HTTP client of a running interface, with the parts that a test controls or inspects."""
 
-    def __init__(self, address, clock, store, operators, interface, forwarder, holder, log):
+    def __init__(
+        self, address, clock, store, operators, interface, forwarder, holder, log, lease, metrics
+    ):
         self._address = address
         self.clock = clock
         self.store = store
@@ -77,6 +80,8 @@
         self.forwarder = forwarder
         self.holder = holder
         self.log = log
+        self.lease = lease
+        self.metrics = metrics
 
     async def call(self, method, path, body=None, **headers):
         """Send one request with an HTTP client; return status, body and headers."""
@@ -108,21 +113,24 @@
 async def running_interface(*, configured=True, **configuration):
     """Run the interface with a configuration, and yield a client of it."""
     clock, log = _ShiftedClock(), RecordingLog()
-    store = FakeRowStore(clock)
+    store, silence = FakeRowStore(clock), StoreSilence(clock)
+    monitored = MonitoredRowStore(store, silence, clock)
     if configured:
         put_configuration(store.rows, **configuration)
-    operators = OperatorDocuments(store, clock, log)
-    lease = LeaseKeeper(store, clock, log, name="m1", address="m1:1")
+    operators = OperatorDocuments(monitored, clock, log)
+    lease = LeaseKeeper(monitored, clock, log, name="m1", address="m1:1")
     forwarder, holder = FakeForwarder(), FakeStateSource()
-    request_log = RequestLog(operators, log, Metrics())
+    metrics = Metrics()
+    request_log = RequestLog(operators, log, metrics)
     interface = build_interface(
-        store=store,
+        store=monitored,
         operators=operators,
         lease=lease,
         state_source=holder,
         forwarder=forwarder,
         clock=clock,
         request_log=request_log,
+        silence=silence,
     )
     async with anyio.create_task_group() as tasks:
         await operators.start(Registry(), tasks)
@@ -140,6 +148,17 @@
             request_log=request_log,
         )
         await server.start(Registry(), tasks)
-        yield InterfaceClient(address, clock, store, operators, interface, forwarder, holder, log)
+        yield InterfaceClient(
+            address,
+            clock,
+            store,
+            operators,
+            interface,
+            forwarder,
+            holder,
+            log,
+            lease,
+            metrics,
+        )
         await server.stop()
         tasks.cancel_scope.cancel()
