--- a/fireflydeck/scheduling/availability.py
+++ b/fireflydeck/scheduling/availability.py
@@ -1,8 +1,10 @@
 """Availability budget: how many long-running tasks of a step may be unavailable at a time."""
 
+from collections.abc import Iterable
+
 from fireflydeck.workload.lifecycle import Attempt, AttemptPhase, Task
 
-__all__ = ["is_available", "may_disrupt"]
+__all__ = ["has_task_starting_up", "is_available", "may_disrupt"]
 
 
 def is_available(task: Task) -> bool:
@@ -18,6 +20,18 @@
     )
 
 
+def has_task_starting_up(attempts: Iterable[Attempt]) -> bool:
+    """Return whether a task of a step with an availability budget runs and is not available yet."""
+    return any(
+        attempt.task.step.max_unavailable is not None
+        and attempt.task.step.long_running
+        and attempt.phase == AttemptPhase.RUNNING
+        and not attempt.reported_available
+        and not attempt.stop_requested
+        for attempt in attempts
+    )
+
+
 def may_disrupt(attempts: list[Attempt]) -> bool:
     """Return whether stopping all these runs together keeps the budget of each step.
 
--- a/fireflydeck/scheduling/session.py
+++ b/fireflydeck/scheduling/session.py
@@ -9,6 +9,7 @@
 from fireflydeck.core import Clock, Failure, Ran, Reason
 from fireflydeck.core.backend_orders import HeartbeatReport
 from fireflydeck.kernel import EventLog, keep_running
+from fireflydeck.scheduling.availability import has_task_starting_up
 from fireflydeck.scheduling.server_life import ServerLife
 from fireflydeck.scheduling.servers import Server
 
@@ -23,6 +24,9 @@
 """Time after the end of its own confirmed lease in which a holder still extends servers' leases."""
 _HEARTBEAT_WAIT_MS = 700
 """Time that a heartbeat waits for the end of a run; leases are extended at least this often."""
+_STARTUP_HEARTBEAT_WAIT_MS = 150
+"""The same while a long-running task starts up: a server does not report early that the task is
+available, and the relocation of the next task of its step waits for that."""
 _HEARTBEAT_PAUSE_MS = 20
 """Pause between two heartbeats, so that one answer reports several ends."""
 _BATCH_DELAY_MS = 5
@@ -150,7 +154,10 @@
         """Return how long the next heartbeat waits for the end of a run."""
         if self._is_heartbeat_requested or not self._is_life_confirmed:
             return 0
-        return _HEARTBEAT_WAIT_MS if self._server.attempts and self._server.is_reachable else 0
+        if not self._server.attempts or not self._server.is_reachable:
+            return 0
+        is_starting_up = has_task_starting_up(self._server.attempts.values())
+        return _STARTUP_HEARTBEAT_WAIT_MS if is_starting_up else _HEARTBEAT_WAIT_MS
 
     def _lease_until_ms(self, now_ms: int) -> int:
         """Return the new end of the lease, or 0 to leave it unchanged.
--- a/fireflydeck/scheduling/tests/test_relocation.py
+++ b/fireflydeck/scheduling/tests/test_relocation.py
@@ -5,6 +5,7 @@
 """
 
 from fireflydeck.core.placement import BackendServerState, Registration, Resources
+from fireflydeck.scheduling.availability import has_task_starting_up
 from fireflydeck.scheduling.relocation import choose_relocations
 from fireflydeck.scheduling.server_life import RunCoverage, ServerLife
 from fireflydeck.scheduling.servers import Server
@@ -98,3 +99,14 @@
     source, target = _server("s1", is_pending=True), _server("t1")
     _run(build_job(_lasting_step(2)), source, target)
     assert _choose([source], [target]) == []
+
+
+def test_startup_of_a_task_with_a_budget_is_followed_closely():
+    """Each relocation of a step waited up to 700 ms for the report that ends the one before."""
+    server = _server("s1")
+    (attempt,) = _run(build_job(_lasting_step(1)), server)
+    assert not has_task_starting_up(server.attempts.values())
+    attempt.reported_available = False
+    assert has_task_starting_up(server.attempts.values())
+    attempt.stop_requested = True
+    assert not has_task_starting_up(server.attempts.values())
