--- a/fireflydeck/scheduling/queued_jobs.py
+++ b/fireflydeck/scheduling/queued_jobs.py
@@ -6,6 +6,7 @@
 
 from fireflydeck.core import Clock
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
+from fireflydeck.policy.admission import PoolOverload
 from fireflydeck.policy.job_order import SortKey, rank_job
 from fireflydeck.scheduling.pool_room import PoolRoom
 from fireflydeck.scheduling.share_tracker import ShareLevel, ShareTracker, has_weighted_shares
@@ -104,19 +105,26 @@
         }
         if not cores:
             return
-        jobs = [
-            (queue, queued.job)
-            for queued in self._queued.values()
-            if not queued.is_long_running and queued.job.is_open
-            if (queue := configuration.queue(queued.job.spec.queue)) is not None
-        ]
-        self.shares.assign(configuration, jobs, cores, now_ms)
+        self.shares.assign(configuration, self._timed_jobs(configuration), cores, now_ms)
         self._new_jobs = {
             job_id: queued
             for job_id, queued in self._new_jobs.items()
             if self.shares.level(queued.job) is None
         }
 
+    def overload(self, configuration: FleetConfiguration) -> dict[str, PoolOverload]:
+        """Return the overloaded pools by name."""
+        return self.shares.overload(self._timed_jobs(configuration), self.clock.now_ms())
+
+    def _timed_jobs(self, configuration: FleetConfiguration) -> list[tuple[JobQueue, Job]]:
+        """Return the open jobs without long-running steps, and their queues."""
+        return [
+            (queue, queued.job)
+            for queued in self._queued.values()
+            if not queued.is_long_running and queued.job.is_open
+            if (queue := configuration.queue(queued.job.spec.queue)) is not None
+        ]
+
     def ranked(
         self, configuration: FleetConfiguration, now_ms: int
     ) -> list[tuple[JobQueue, QueuedJob]]:
--- a/fireflydeck/scheduling/scheduler.py
+++ b/fireflydeck/scheduling/scheduler.py
@@ -11,6 +11,7 @@
 from fireflydeck.observation.operator_documents import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.ownership.records import Tenure
+from fireflydeck.policy.admission import PoolOverload
 from fireflydeck.scheduling.tenure_scheduler import OrdersFactory, TenureScheduler
 from fireflydeck.scheduling.vm_fleet import VmOperationTimes
 
@@ -101,11 +102,15 @@
         self._operators = registry.get("operator-documents", OperatorDocuments)
         self._lease.on_change(self._on_lease_change)
         self._lease.set_pending_source(self._pending)
+        self._lease.set_overload_source(self._overload)
         tasks.start_soon(keep_running, self._clock, self._log, self.name, self._run_tenures)
 
     def _pending(self) -> dict[str, int] | None:
         return self._current.pending() if self._current is not None else None
 
+    def _overload(self) -> dict[str, PoolOverload] | None:
+        return self._current.overload() if self._current is not None else None
+
     def _on_lease_change(self, tenure: Tenure | None) -> None:
         self._changed.set()
         if self._scope is not None:
--- a/fireflydeck/scheduling/share_tracker.py
+++ b/fireflydeck/scheduling/share_tracker.py
@@ -1,12 +1,14 @@
 """Share levels of jobs: whether a job belongs to its organisation's share of a full pool."""
 
+from collections import Counter, deque
 from collections.abc import Iterable
 from enum import IntEnum
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
 from fireflydeck.kernel import Event, EventLog, Metrics
+from fireflydeck.policy.admission import PoolOverload
 from fireflydeck.policy.fair_share import ShareClaim, divide_fairly, is_within_share
 from fireflydeck.policy.job_order import NEW_JOB_TIME_FACTOR
 from fireflydeck.scheduling.work_estimates import WorkEstimates
@@ -18,6 +20,8 @@
 _MILLICORE_MS_PER_CORE_S = 1_000_000
 _RUNNING_REMAINING_FRACTION = 0.5
 """Part of the work of running tasks that is left on average."""
+_OVERLOAD_WINDOW_MS = 2000
+"""Time after a job was beyond its organisation's share in which its pool counts as overloaded."""
 _MIN_WEIGHT = 1e-3
 """Weight used for organisations without one; they still get a small share."""
 
@@ -29,6 +33,15 @@
     BEYOND = 1
 
 
+@frozen
+class _Assignment:
+    """A job that got its share level, at a time on the process's clock."""
+
+    at_ms: int
+    organisation: str
+    level: ShareLevel
+
+
 def has_weighted_shares(configuration: FleetConfiguration) -> bool:
     """Return whether the configuration gives organisations different weights."""
     return len({organisation.weight for organisation in configuration.organisations}) > 1
@@ -47,6 +60,8 @@
     log: EventLog
     metrics: Metrics
     _levels: dict[str, ShareLevel] = field(factory=dict, init=False)
+    _recent: dict[str, deque[_Assignment]] = field(factory=dict, init=False)
+    _cores: dict[str, float] = field(factory=dict, init=False)
 
     def level(self, job: Job) -> ShareLevel | None:
         """Return the share level of a job, or `None` if it has none yet."""
@@ -80,6 +95,7 @@
             new = [(queue, job) for queue, job in members if job.id not in self._levels]
             if not new:
                 continue
+            self._cores[pool] = cores[pool]
             claims = self._claims(configuration, (job for _, job in members))
             for queue, job in sorted(new, key=lambda item: (item[1].accepted_at_ms, item[1].id)):
                 self._assign_level(queue, job, claims, cores=cores[pool], now_ms=now_ms)
@@ -118,11 +134,11 @@
         capacity = cores * slack_ms / _MS_PER_S
         name = job.spec.organisation
         if is_within_share(name, work, capacity=capacity, claims=claims):
-            self._levels[job.id] = ShareLevel.WITHIN
+            self._set_level(queue, job, ShareLevel.WITHIN, now_ms)
             own = claims[name]
             claims[name] = ShareClaim(weight=own.weight, demand=own.demand + work)
             return
-        self._levels[job.id] = ShareLevel.BEYOND
+        self._set_level(queue, job, ShareLevel.BEYOND, now_ms)
         self.metrics.count("jobs_beyond_share_total", pool=queue.pool, organisation=name)
         self.log.emit(
             Event.JOB_BEYOND_SHARE,
@@ -135,6 +151,34 @@
             pool_core_s=round(capacity, 1),
         )
 
+    def _set_level(self, queue: JobQueue, job: Job, level: ShareLevel, now_ms: int) -> None:
+        self._levels[job.id] = level
+        assignment = _Assignment(now_ms, job.spec.organisation, level)
+        self._recent.setdefault(queue.pool, deque()).append(assignment)
+
+    def overload(
+        self, jobs: Iterable[tuple[JobQueue, Job]], now_ms: int
+    ) -> dict[str, PoolOverload]:
+        """Return the overloaded pools: those in which a recent job was beyond its share.
+
+        Parameters
+        ----------
+        jobs
+            Open jobs without long-running steps, and their queues.
+        """
+        accepted = {
+            pool: _accepted_fractions(assignments, now_ms)
+            for pool, assignments in self._recent.items()
+        }
+        work: Counter[str] = Counter()
+        for queue, job in jobs:
+            if accepted.get(queue.pool):
+                work[queue.pool] += self._outstanding_core_s(job)
+        return {
+            pool: PoolOverload(int(amount / self._cores[pool] * _MS_PER_S), accepted[pool])
+            for pool, amount in work.items()
+        }
+
     def _publish(self, pool: str, claims: dict[str, ShareClaim], cores: float) -> None:
         """Set the gauges of the used and the due share, for one second of the pool's cores."""
         due = divide_fairly(cores, claims)
@@ -154,3 +198,15 @@
         )
         running = min(1.0, job.attempt_count / job.open_task_count)
         return work * (1 - running * (1 - _RUNNING_REMAINING_FRACTION)) / _MILLICORE_MS_PER_CORE_S
+
+
+def _accepted_fractions(assignments: deque[_Assignment], now_ms: int) -> dict[str, float]:
+    """Return the recent fraction of jobs within the share, for organisations beyond theirs.
+
+    Assignments that are not recent are removed.
+    """
+    while assignments and assignments[0].at_ms <= now_ms - _OVERLOAD_WINDOW_MS:
+        assignments.popleft()
+    all_jobs = Counter(item.organisation for item in assignments)
+    beyond = Counter(item.organisation for item in assignments if item.level == ShareLevel.BEYOND)
+    return {name: 1 - count / all_jobs[name] for name, count in beyond.items()}
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -8,6 +8,7 @@
 from fireflydeck.core.backend_orders import EndedRun, RunEnd
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
 from fireflydeck.observation.operator_documents import OperatorDocuments
+from fireflydeck.policy.admission import PoolOverload
 from fireflydeck.scheduling.demand import (
     Inflow,
     PoolDemand,
@@ -150,6 +151,11 @@
             required_labels=demand.required_labels | required_labels(job),
         )
 
+    def overload(self) -> dict[str, PoolOverload]:
+        """Return the overloaded pools by name."""
+        configuration = self.operators.configuration
+        return self.jobs.overload(configuration) if configuration is not None else {}
+
     def plan(self, servers: dict[str, Server], hidden: HiddenUsage) -> list[Start]:
         """Select the starts to send and reserve capacity for them.
 
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -24,6 +24,7 @@
 from fireflydeck.observation.registrations import Registrations
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.ownership.records import Tenure
+from fireflydeck.policy.admission import PoolOverload
 from fireflydeck.scheduling.fencing import FencingTokens
 from fireflydeck.scheduling.fleet_knowledge import FleetKnowledge
 from fireflydeck.scheduling.job_tracker import JobTracker
@@ -271,6 +272,10 @@
                 counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
         return counts
 
+    def overload(self) -> dict[str, PoolOverload] | None:
+        """Return the overloaded pools by name, or `None` until the accepted jobs are loaded."""
+        return self._planner.overload() if self._job_tracker.is_loaded else None
+
     def job_state(self, job_id: str) -> str | None:
         """Return the state of a job, or `None` if this process does not know the job."""
         outcome = self._job_tracker.outcome(job_id)
--- a/fireflydeck/scheduling/tests/test_share_tracker.py
+++ b/fireflydeck/scheduling/tests/test_share_tracker.py
@@ -80,6 +80,18 @@
     assert [first.level(job) for job in jobs] == [second.level(job) for job in jobs]
 
 
+def test_overload_is_told_for_the_organisation_beyond_its_share_until_it_is_over():
+    """Entry processes refuse jobs by these figures; they must not outlast the flood."""
+    tracker, jobs = _tracker(), _jobs("flood", 30) + _jobs("small", 1, first=100)
+    _assign(tracker, jobs)
+    open_jobs = [(_QUEUE, job) for job in jobs]
+    overload = tracker.overload(open_jobs, 500)["paint"]
+    assert overload.wait_ms == 31 * 32 / _CORES * 1000
+    assert set(overload.accepted) == {"flood"}
+    assert 0 < overload.accepted["flood"] < 0.2
+    assert tracker.overload(open_jobs, 3000) == {}
+
+
 def test_pool_without_servers_assigns_no_level_yet():
     tracker, jobs = _tracker(), _jobs("flood", 2)
     tracker.assign(_CONFIGURATION, [(_QUEUE, job) for job in jobs], {}, 0)
