--- a/fireflydeck/platform/standin/documents.py
+++ b/fireflydeck/platform/standin/documents.py
@@ -1,5 +1,6 @@
 """Sample documents and requests of operators, backend servers, callers and the platform."""
 
+from collections.abc import Mapping
 from typing import Any
 
 import orjson
@@ -47,6 +48,7 @@
 _DATA_CENTRE = "zvolen"
 _POOL = "paint"
 _WAVE_DURATION_S = 20
+_MAX_BODY_BYTES = 2000
 
 
 def configuration_document(
@@ -61,6 +63,7 @@
     further_pool: str = _POOL,
     has_queue: bool = True,
     max_attempts: int = MAX_ATTEMPTS,
+    max_body_bytes: int = _MAX_BODY_BYTES,
 ) -> bytes:
     """Return a configuration with one queue, one organisation, a pool and a standby pool.
 
@@ -82,6 +85,8 @@
         Whether the queue is in the configuration, beside the further ones.
     max_attempts
         Number of failed runs of a task at which its job fails.
+    max_body_bytes
+        Limit on the body of a request, in bytes.
     """
     route: dict[str, Any] = {
         "name": "swatches",
@@ -102,7 +107,7 @@
             "period_ms": advisor.per_server_ms,
             "validity_ms": advisor.validity_ms,
         }
-    limits = {"max_body_bytes": 2000}
+    limits = {"max_body_bytes": max_body_bytes}
     if idle_timeout_ms is not None:
         limits["idle_timeout_ms"] = idle_timeout_ms
     organisation = {
@@ -241,8 +246,9 @@
     internal_port: int,
     store_address: str,
     vm_address: str,
+    limits: Mapping[str, float] | None = None,
 ) -> bytes:
-    """Return the settings file of an entry process."""
+    """Return the settings file of an entry process; `limits` replace or extend the sample ones."""
     host = caller_address.rpartition(":")[0]
     bounds = {
         "max_hold_ms": 6000,
@@ -261,7 +267,7 @@
             "listen_addresses": {"frontend": caller_address, "readiness": readiness_address},
             "internal_port_range": [internal_port, internal_port],
             "heartbeat_ms": 1500,
-            "limits": {"memory_mb": 300},
+            "limits": {"memory_mb": 300, **(limits or {})},
             "bounds": bounds,
             "platform": {"address": store_address, "transaction_ms": 6.0},
             "cloud_api": {"address": vm_address},
--- a/fireflydeck/testing/platform_fleet.py
+++ b/fireflydeck/testing/platform_fleet.py
@@ -1,6 +1,6 @@
 """A fleet of entry processes on loopback, with stand-ins for the platform in this process."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
@@ -41,11 +41,14 @@
         Address of the callers' interface.
     readiness_address
         Address of the readiness endpoint.
+    peer_address
+        Address for the other entry processes.
     """
 
     process: ManagedProcess
     address: str
     readiness_address: str
+    peer_address: str = ""
 
     async def is_ready(self) -> bool:
         """Return whether the process serves callers.
@@ -102,6 +105,7 @@
     data_centres: tuple[str, ...] = ("zvolen",),
     link: LinkFactory | None = None,
     prepare: Callable[["PlatformFleet"], None] | None = None,
+    limits: Mapping[str, float] | None = None,
 ) -> AsyncIterator[PlatformFleet]:
     """Start the fleet and wait until it is ready; kill the entry processes at the end.
 
@@ -114,6 +118,8 @@
         from all entry processes to backend server N; by default the connections are direct.
     prepare
         Called with the fleet before its entry processes start.
+    limits
+        Limits in the settings files of the entry processes; they replace the sample ones.
     """
     connect = link or _connect_directly
     fleet = PlatformFleet(directory)
@@ -135,7 +141,7 @@
             prepare(fleet)
         for number in range(1, entries + 1):
             address = await connect(f"store-{number}", store_address)
-            entry = _entry_process(directory, f"entry-{number}", address, vm_address)
+            entry = _entry_process(directory, f"entry-{number}", address, vm_address, limits or {})
             fleet.entries.append(entry)
             entry.process.start()
             stack.callback(entry.process.kill)
@@ -157,7 +163,13 @@
     return f"{host}:{port}"
 
 
-def _entry_process(directory: Path, name: str, store_address: str, vm_address: str) -> EntryProcess:
+def _entry_process(
+    directory: Path,
+    name: str,
+    store_address: str,
+    vm_address: str,
+    limits: Mapping[str, float],
+) -> EntryProcess:
     caller, readiness, internal, metrics = (free_address() for _ in range(4))
     settings = settings_document(
         name=name,
@@ -166,6 +178,7 @@
         internal_port=_port(internal),
         store_address=store_address,
         vm_address=vm_address,
+        limits=limits,
     )
     path = directory / f"{name}.json"
     path.write_bytes(settings)
@@ -176,7 +189,7 @@
         environ={"FIREFLYDECK_BOOT": str(path)},
         admin=metrics,
     )
-    return EntryProcess(process, caller, readiness)
+    return EntryProcess(process, caller, readiness, internal)
 
 
 def _port(address: str) -> int:
