--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -66,6 +66,25 @@
             return _outdated()
         return refusal
 
+    def refuse_before_body(self, request: CallerRequest) -> CallerAnswer | None:
+        """Return the final refusal of a request whose body was not read.
+
+        Return `None` if the body matters, or if another process may have to answer.
+        """
+        configuration = self._operators.configuration
+        if (
+            configuration is None
+            or self._operators.is_store_unreachable
+            or self._is_outdated(configuration, request)
+        ):
+            return None
+        answer = self._job_requests.refuse_before_body(configuration, request)
+        if answer is None or answer.is_store_unavailable:
+            return None
+        answer = evolve(answer, configuration_version=configuration.version)
+        self._shown.record(answer)
+        return answer
+
     async def _answer_or_forward(self, request: CallerRequest, started_ms: int) -> CallerAnswer:
         """Answer the request here, or forward it if the store is unavailable."""
         if request.was_forwarded:
--- a/fireflydeck/entry/job_requests.py
+++ b/fireflydeck/entry/job_requests.py
@@ -1,6 +1,7 @@
 """Answers to requests about jobs, by this process's copies and the store."""
 
 from attrs import evolve, frozen
+from expression import Error, Ok, Result
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
@@ -28,6 +29,9 @@
 """If the store has not answered for this long, submissions are refused immediately, and unknown
 queues and keys may only be missing in an outdated configuration."""
 
+_JOB_METHODS = frozenset({"POST", "GET", "DELETE"})
+_QUEUE_METHODS = frozenset({"GET"})
+
 
 @frozen
 class _RoutedRequest:
@@ -82,22 +86,40 @@
         deadline_ms
             Time on the process's clock by which the answer must be found, in milliseconds.
         """
+        route = self._route(configuration, request, deadline_ms)
+        if route.is_error():
+            return route.error
+        routed = route.ok
+        if not routed.job_id:
+            return self._count_pending(routed)
+        return await self._answer_job_request(request, routed, configuration)
+
+    def refuse_before_body(
+        self, configuration: FleetConfiguration, request: CallerRequest
+    ) -> CallerAnswer | None:
+        """Return the refusal of a request whatever its body is, or `None` if the body matters."""
+        route = self._route(configuration, request, deadline_ms=0)
+        return route.error if route.is_error() else None
+
+    def _route(
+        self, configuration: FleetConfiguration, request: CallerRequest, deadline_ms: int
+    ) -> Result[_RoutedRequest, CallerAnswer]:
+        """Check queue, key, job id and method of a request; the error is its refusal."""
         queue = self._find_queue(configuration, request)
         if queue is None:
-            return self._refuse_by_configuration(404, Reason.UNKNOWN_QUEUE, "no such queue")
+            return Error(self._refuse_by_configuration(404, Reason.UNKNOWN_QUEUE, "no such queue"))
         organisation = ""
         owner = configuration.organisation_of_key(request.key) if request.key else None
         if owner is not None:
             organisation = owner.name
         elif not queue.public:
-            return self._refuse_by_configuration(401, Reason.WRONG_KEY, "unknown key")
+            return Error(self._refuse_by_configuration(401, Reason.WRONG_KEY, "unknown key"))
         job_id = request.path[len(queue.path_prefix) :]
-        routed = _RoutedRequest(queue, organisation, job_id, deadline_ms)
-        if not job_id:
-            return self._count_pending(request, routed)
-        if JOB_ID_PATTERN.match(job_id) is None:
-            return refusal(404, Reason.UNKNOWN_JOB, "not a job's id")
-        return await self._answer_job_request(request, routed, configuration)
+        if job_id and JOB_ID_PATTERN.match(job_id) is None:
+            return Error(refusal(404, Reason.UNKNOWN_JOB, "not a job's id"))
+        if request.method not in (_JOB_METHODS if job_id else _QUEUE_METHODS):
+            return Error(refusal(405, Reason.BAD_REQUEST, "no such method"))
+        return Ok(_RoutedRequest(queue, organisation, job_id, deadline_ms))
 
     def _is_store_silent(self) -> bool:
         """Return whether the store has not answered for so long that documents may be outdated."""
@@ -125,9 +147,7 @@
             return await self._submit(request, routed, configuration)
         if request.method == "GET":
             return await self._read_state(routed)
-        if request.method == "DELETE":
-            return await self._cancel(routed)
-        return refusal(405, Reason.BAD_REQUEST, "no such method")
+        return await self._cancel(routed)
 
     async def _submit(
         self, request: CallerRequest, routed: _RoutedRequest, configuration: FleetConfiguration
@@ -174,9 +194,7 @@
         self._shown_states.record(routed.job_id, JobOutcome.CANCELLED)
         return CallerAnswer(200, b"{}")
 
-    def _count_pending(self, request: CallerRequest, routed: _RoutedRequest) -> CallerAnswer:
-        if request.method != "GET":
-            return refusal(405, Reason.BAD_REQUEST, "no such method")
+    def _count_pending(self, routed: _RoutedRequest) -> CallerAnswer:
         record = self._lease.last_record
         if record is None:
             return unavailable(Reason.NOT_READY, "the lease has no holder")
--- a/fireflydeck/entry/peer_link.py
+++ b/fireflydeck/entry/peer_link.py
@@ -20,8 +20,12 @@
 from expression import Error, Ok, Result
 
 from fireflydeck.core import Clock, Ran
+from fireflydeck.core.fleet_configuration import RequestLimits
 from fireflydeck.core.rows import StoredRow
+from fireflydeck.entry.bounded_listener import BoundedListener
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
+from fireflydeck.entry.client_budget import ClientBudget
+from fireflydeck.entry.http_server_log import http_server_logger
 from fireflydeck.entry.peer_interfaces import (
     ForwardResult,
     JobStateSource,
@@ -34,7 +38,8 @@
     StateQuery,
     SubmissionNotice,
 )
-from fireflydeck.kernel import Registry, Service
+from fireflydeck.entry.request_body import BODY_ERRORS, read_body
+from fireflydeck.kernel import EventLog, Metrics, Registry, Service
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.scheduling.scheduler import Scheduler
 
@@ -52,6 +57,10 @@
 _MAX_ANNOUNCEMENTS = 32
 """Beyond this number of unanswered announcements, the holder reads new jobs from the store only."""
 _MAX_CONNECTIONS = 8
+_MAX_MESSAGE_BYTES = 2**20
+"""Limit on a message from another process; it holds a forwarded body of the largest legal size."""
+_MESSAGE_LIMITS = RequestLimits(header_timeout_ms=3000, idle_timeout_ms=3000)
+"""Time limits on messages; their senders wait for at most `_FORWARD_TIMEOUT_MS`."""
 _MAX_FORWARD_PEERS = 2
 _NOT_SERVED_STATUS = 503
 """Status of a peer's answer which shows that the request had no effect there."""
@@ -70,15 +79,18 @@
     ----------
     address
         ``ip:port`` to listen on.
+    clients
+        Budget for the connections of other processes; `None` for that of a sample machine.
     """
 
-    def __init__(self, address: str, clock: Clock) -> None:
+    def __init__(self, address: str, clock: Clock, clients: ClientBudget | None = None) -> None:
         self._address = address
+        self._clients = clients
         self._clock = clock
         self._lease: LeaseKeeper | None = None
         self._scheduler: Scheduler | None = None
         self._session: ClientSession | None = None
-        self._runner: web.ServerRunner | None = None
+        self._listener: BoundedListener | None = None
         self._last_call_ms: dict[str, int] = {}
         self._tasks: TaskGroup | None = None
         self._announcements_in_flight = 0
@@ -108,18 +120,20 @@
         self._session = ClientSession(
             connector=TCPConnector(limit=_MAX_CONNECTIONS), cookie_jar=DummyCookieJar()
         )
-        self._runner = web.ServerRunner(web.Server(self._serve))
-        await self._runner.setup()
-        host, _, port = self._address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port), reuse_address=True).start()
+        budget = self._clients or ClientBudget.for_sample_machine(EventLog(), Metrics())
+        clients = budget.listener("peers", budget.limits.peer_connections, _peer_limits)
+        self._listener = BoundedListener(
+            self._address, self._serve, clients, logger=http_server_logger(budget.log)
+        )
+        await self._listener.start()
 
     async def stop(self) -> None:
         """Close all connections and the listener."""
         session, self._session = self._session, None
         if session is not None:
             await session.close()
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._listener is not None:
+            await self._listener.close()
 
     async def job_state(self, job_id: str) -> str | None:
         """Return a job's state as the lease holder knows it.
@@ -226,7 +240,19 @@
         return Ok(received) if response.status == 200 else Error(Ran.UNKNOWN)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        content = await request.read()
+        if request.path not in (_STATE_PATH, _FORWARD_PATH, _SUBMISSION_PATH, *self._handlers):
+            return web.Response(status=404)
+        if (request.content_length or 0) > _MAX_MESSAGE_BYTES:
+            return web.Response(status=413)
+        try:
+            content = await read_body(request, _MAX_MESSAGE_BYTES)
+        except BODY_ERRORS:
+            return web.Response(status=400)
+        if content is None:
+            return web.Response(status=413)
+        return await self._answer_message(request, content)
+
+    async def _answer_message(self, request: web.BaseRequest, content: bytes) -> web.StreamResponse:
         try:
             if request.path == _FORWARD_PATH and self._request_handler is not None:
                 return await self._serve_forwarded(request.query, content)
@@ -265,6 +291,10 @@
         return web.Response()
 
 
+def _peer_limits() -> RequestLimits:
+    return _MESSAGE_LIMITS
+
+
 def _decode_state(content: bytes) -> str | None:
     try:
         return StateAnswer.decode(content).state
--- /dev/null
+++ b/fireflydeck/entry/request_body.py
@@ -0,0 +1,40 @@
+"""Reading of a request's body up to a limit."""
+
+from aiohttp import web
+
+from fireflydeck.entry.bounded_protocol import BoundedProtocol
+
+__all__ = ["BODY_ERRORS", "read_body"]
+
+BODY_ERRORS = (ConnectionError, web.RequestPayloadError)
+"""Raised by `read_body` if the connection is lost or the rest of the body is not valid HTTP."""
+_DECOMPRESSOR_BYTES = 48 * 1024
+"""Memory of the decompressor of one body."""
+
+
+async def read_body(request: web.BaseRequest, limit: int) -> bytes | None:
+    """Return the body, or `None` if it is longer than the limit.
+
+    The pieces that were read are dropped with the connection, and not only when the handler has
+    ended: the error of a lost connection refers to the handler's frames and would keep them until
+    the next garbage collection.
+    """
+    pieces: list[bytes] = []
+    length = 0
+    protocol = request.protocol if isinstance(request.protocol, BoundedProtocol) else None
+    is_compressed = "Content-Encoding" in request.headers
+    if protocol is not None:
+        protocol.hold(pieces)
+        if is_compressed:
+            protocol.charge(_DECOMPRESSOR_BYTES)
+    try:
+        async for piece in request.content.iter_any():
+            length += len(piece)
+            if length > limit:
+                return None
+            pieces.append(piece)
+            if is_compressed and protocol is not None:
+                protocol.charge(len(piece))
+        return b"".join(pieces)
+    finally:
+        pieces.clear()
--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -1,12 +1,16 @@
 """The entry role: one process on each entry VM, configured by its settings file."""
 
 import sys
+from resource import RLIMIT_NOFILE, getrlimit
 
 import anyio
 
 from fireflydeck.core import SystemClock
+from fireflydeck.core.fleet_configuration import RequestLimits
 from fireflydeck.core.placement import Registration
 from fireflydeck.entry.caller_interface import CallerInterface
+from fireflydeck.entry.client_budget import ClientBudget
+from fireflydeck.entry.client_limits import ClientLimits, ClientLimitsError, derive_limits
 from fireflydeck.entry.intake import Intake
 from fireflydeck.entry.job_requests import JobRequests
 from fireflydeck.entry.peer_link import EntryPeerLink
@@ -62,12 +66,13 @@
     path = settings_path()
     try:
         settings = load_node_settings(path)
-    except NodeSettingsError as error:
+        limits = _client_limits(settings)
+    except (NodeSettingsError, ClientLimitsError) as error:
         print(f"fireflydeck entry: {error}", file=sys.stderr)
         sys.exit(_EXIT_CODE_BAD_SETTINGS)
     sink = configure_bounded_logging()
     clients = _PlatformClients(settings)
-    kernel = _build_kernel(settings, metrics_port, clients)
+    kernel = _build_kernel(settings, limits, metrics_port, clients)
     forward_library_log(kernel.log)
     kernel.add(SettingsWatch(path, settings, kernel.clock, kernel.log))
     kernel.add(sink)
@@ -82,10 +87,30 @@
         await clients.close()
 
 
-def _build_kernel(settings: NodeSettings, metrics_port: int, clients: _PlatformClients) -> Kernel:
+def _client_limits(settings: NodeSettings) -> ClientLimits:
+    """Return the limits on clients for this machine.
+
+    Raises
+    ------
+    ClientLimitsError
+        If the settings contradict each other.
+    """
+    return derive_limits(
+        machine_memory_mb=settings.memory_mb,
+        max_descriptors=getrlimit(RLIMIT_NOFILE)[0],
+        max_body_bytes=RequestLimits().max_body_bytes,
+        memory_mb=settings.client_memory_mb,
+        caller_connections=settings.client_connections,
+    )
+
+
+def _build_kernel(
+    settings: NodeSettings, limits: ClientLimits, metrics_port: int, clients: _PlatformClients
+) -> Kernel:
     kernel = Kernel(settings.name, "entry", SystemClock())
     clock, log, metrics = kernel.clock, kernel.log, kernel.metrics
     store = clients.store
+    budget = ClientBudget(limits, log, metrics)
     operators = OperatorDocuments(store, clock, log)
     link_address = f"{settings.ip}:{settings.internal_ports[0]}"
     lease = LeaseKeeper(
@@ -96,7 +121,7 @@
         address=link_address,
         candidate_delay_ms=candidate_delay_ms(settings.cores, settings.link_mbps),
     )
-    link = EntryPeerLink(link_address, clock)
+    link = EntryPeerLink(link_address, clock, budget)
     request_log = RequestLog(operators, log, metrics)
     job_requests = JobRequests(
         operators=operators,
@@ -143,6 +168,8 @@
             metrics=metrics,
             is_stopping=lambda: kernel.is_stopping,
             dump_state=lambda: dump_state(kernel),
+            clients=budget,
+            log=log,
         )
     )
     kernel.add(
@@ -153,6 +180,7 @@
             clock=clock,
             log=log,
             request_log=request_log,
+            clients=budget,
         )
     )
     kernel.add(lease)
--- a/fireflydeck/entry/server.py
+++ b/fireflydeck/entry/server.py
@@ -1,7 +1,5 @@
 """HTTP listeners of the entry role: caller interface, readiness and metrics."""
 
-import asyncio
-import socket
 from collections.abc import Callable
 
 import orjson
@@ -10,12 +8,14 @@
 
 from fireflydeck.core import Clock
 from fireflydeck.core.fleet_configuration import RequestLimits
+from fireflydeck.entry.bounded_listener import BoundedListener
 from fireflydeck.entry.caller_interface import CallerInterface
+from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
+from fireflydeck.entry.client_budget import ClientBudget
 from fireflydeck.entry.http_requests import build_response, receive_request
 from fireflydeck.entry.http_server_log import http_server_logger
 from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.kernel import EventLog, Metrics, Registry, Service
-from fireflydeck.kernel.accept_queue import accept_pending_connections
 from fireflydeck.observation.operator_documents import OperatorDocuments
 
 __all__ = ["CallerServer", "StatusServer"]
@@ -26,10 +26,10 @@
 """Time from the start of a stop for the load balancer to notice it and for callers to finish."""
 _FINAL_REQUESTS_MS = 300
 """Time to serve the requests of the connections that were accepted last."""
-_SHUTDOWN_TIMEOUT_S = 1.0
 _ACCEPT_BACKLOG = 512
-_KEEP_ALIVE_TIMEOUT_S = 75.0
 _STATE_PATH = "/state"
+_DEFAULT_LIMITS = RequestLimits()
+"""Limits until a configuration is known."""
 
 
 class CallerServer(Service):
@@ -44,18 +44,21 @@
         clock: Clock,
         log: EventLog,
         request_log: RequestLog,
+        clients: ClientBudget | None = None,
     ) -> None:
-        self._host, _, port = address.rpartition(":")
-        self._port = int(port)
         self._interface = interface
         self._operators = operators
         self._clock = clock
-        self._log = log
         self._request_log = request_log
         self._is_stopping = False
-        self._runner: web.ServerRunner | None = None
-        self._site: web.SockSite | None = None
-        self._listener: socket.socket | None = None
+        budget = clients or ClientBudget.for_sample_machine(log, Metrics())
+        self._listener = BoundedListener(
+            address,
+            self.handle,
+            budget.listener("callers", budget.limits.caller_connections, self._limits),
+            backlog=_ACCEPT_BACKLOG,
+            logger=http_server_logger(log),
+        )
 
     @property
     def name(self) -> str:
@@ -64,18 +67,7 @@
 
     async def start(self, registry: Registry, tasks: TaskGroup) -> None:
         """Start to listen."""
-        server = web.Server(
-            self.handle,
-            keepalive_timeout=_KEEP_ALIVE_TIMEOUT_S,
-            max_line_size=16384,
-            max_field_size=16384,
-            logger=http_server_logger(self._log),
-        )
-        self._runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_TIMEOUT_S)
-        await self._runner.setup()
-        self._listener = socket.create_server((self._host, self._port), backlog=_ACCEPT_BACKLOG)
-        self._site = web.SockSite(self._runner, self._listener, backlog=_ACCEPT_BACKLOG)
-        await self._site.start()
+        await self._listener.start()
 
     async def stop(self) -> None:
         """Stop the server gracefully.
@@ -85,27 +77,14 @@
         """
         self._is_stopping = True
         await self._clock.sleep_ms(_DRAIN_MS)
-        await self._close_listener()
+        await self._listener.stop_accepting()
         await self._clock.sleep_ms(_FINAL_REQUESTS_MS)
-        if self._runner is not None:
-            await self._runner.cleanup()
-
-    async def _close_listener(self) -> None:
-        """Close the listener, but serve the connections that wait in its accept queue."""
-        if self._listener is None or self._site is None or self._runner is None:
-            return
-        pending = accept_pending_connections(self._listener)
-        await self._site.stop()
-        loop = asyncio.get_running_loop()
-        for connection in pending:
-            await loop.connect_accepted_socket(self._runner.server, connection)
+        await self._listener.close()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Read one complete request and return the response."""
-        configuration = self._operators.configuration
-        limits = configuration.limits if configuration else RequestLimits()
         started_ms = self._clock.now_ms()
-        received = await receive_request(request, limits)
+        received = await receive_request(request, self._limits(), self._refuse_before_body)
         if received.is_error():
             answer = self._interface.refuse(received.error)
             self._request_log.record_answer(
@@ -121,6 +100,14 @@
             response.force_close()
         return response
 
+    def _refuse_before_body(self, request: CallerRequest) -> CallerAnswer | None:
+        return self._interface.refuse_before_body(request)
+
+    def _limits(self) -> RequestLimits:
+        """Return the limits on requests that are in force."""
+        configuration = self._operators.configuration
+        return configuration.limits if configuration else _DEFAULT_LIMITS
+
 
 class StatusServer(Service):
     """HTTP server of the load balancer's readiness check, the metrics and the state dump."""
@@ -134,16 +121,26 @@
         metrics: Metrics,
         is_stopping: Callable[[], bool],
         dump_state: Callable[[], dict[str, object]],
+        clients: ClientBudget,
+        log: EventLog,
     ) -> None:
-        self._handlers = {
-            readiness_address: self._serve_readiness,
-            metrics_address: self._serve_admin,
-        }
+        connections = clients.limits.status_connections
+        self._listeners = [
+            BoundedListener(
+                address,
+                handler,
+                clients.listener(name, connections),
+                logger=http_server_logger(log),
+            )
+            for name, address, handler in (
+                ("readiness", readiness_address, self._serve_readiness),
+                ("metrics", metrics_address, self._serve_admin),
+            )
+        ]
         self._dump_state = dump_state
         self._operators = operators
         self._metrics = metrics
         self._is_stopping = is_stopping
-        self._runners: list[web.ServerRunner] = []
 
     @property
     def name(self) -> str:
@@ -152,17 +149,13 @@
 
     async def start(self, registry: Registry, tasks: TaskGroup) -> None:
         """Start to listen."""
-        for address, handler in self._handlers.items():
-            host, _, port = address.rpartition(":")
-            runner = web.ServerRunner(web.Server(handler))
-            await runner.setup()
-            await web.TCPSite(runner, host, int(port), reuse_address=True).start()
-            self._runners.append(runner)
+        for listener in self._listeners:
+            await listener.start()
 
     async def stop(self) -> None:
         """Close the listeners and their connections."""
-        for runner in self._runners:
-            await runner.cleanup()
+        for listener in self._listeners:
+            await listener.close()
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers to this process."""
--- a/fireflydeck/entry/tests/interface_client.py
+++ b/fireflydeck/entry/tests/interface_client.py
@@ -69,7 +69,7 @@
     """HTTP client of a running interface, with the parts that a test controls or inspects."""
 
     def __init__(self, address, clock, store, operators, interface, forwarder, holder, log):
-        self._address = address
+        self.address = address
         self.clock = clock
         self.store = store
         self.operators = operators
@@ -81,7 +81,7 @@
     async def call(self, method, path, body=None, **headers):
         """Send one request with an HTTP client; return status, body and headers."""
         async with ClientSession() as session:
-            url = f"http://{self._address}{path}"
+            url = f"http://{self.address}{path}"
             sent = {**CALLER_HEADERS, **headers}
             async with session.request(method, url, data=body, headers=sent) as response:
                 return response.status, await response.read(), response.headers
@@ -94,7 +94,7 @@
 
     async def send(self, content):
         """Send bytes on a new connection; return what is received until it is closed."""
-        host, _, port = self._address.rpartition(":")
+        host, _, port = self.address.rpartition(":")
         received = b""
         async with await anyio.connect_tcp(host, int(port)) as connection:
             await connection.send(content)
--- a/fireflydeck/kernel/entry_event_notes.py
+++ b/fireflydeck/kernel/entry_event_notes.py
@@ -312,9 +312,17 @@
         ),
     ),
     6404: EventNote(
-        trigger="Data on a caller's connection is not valid HTTP and was refused.",
+        trigger="Data on a client's connection is not valid HTTP and was refused. A listener logs "
+        "one line per second; `unlogged` is the number of such requests since its last one.",
         action="If there are many: look for a client that uses another protocol on this port.",
-        fields=("status", "detail"),
+        fields=("status", "detail", "unlogged"),
+    ),
+    6405: EventNote(
+        trigger="Connections of clients exceeded a limit (`reason`) of a `listener`, `count` times "
+        "since the last line, and were closed, or not accepted for `accept-paused` and "
+        "`descriptors`. `connections` and `used_bytes` are what all clients use.",
+        action="Read the section on floods in OPERATIONS.md.",
+        fields=("listener", "reason", "count", "connections", "used_bytes"),
     ),
     6402: EventNote(
         trigger="A store call for a caller's request failed; `ran` says whether it may have had an "
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -150,6 +150,7 @@
         6403, "warning", "caller's request forwarded because the store is unavailable"
     )
     REQUEST_UNREADABLE = _Definition(6404, "warning", "request is not valid HTTP")
+    CLIENTS_LIMITED = _Definition(6405, "warning", "connections of clients closed or not accepted")
     STANDIN_LISTENING = _Definition(5001, "info", "stand-in is listening")
 
     @property
--- a/fireflydeck/platform/node_settings.py
+++ b/fireflydeck/platform/node_settings.py
@@ -97,6 +97,12 @@
         Processor time that the VM provides per second, in seconds.
     link_mbps
         Bandwidth of the VM's network link, in Mbit/s.
+    client_memory_mb
+        Memory for the connections and requests of clients, in MB; `None` for a part of
+        `memory_mb`.
+    client_connections
+        Open connections of callers; `None` for a number that fits the memory and the
+        descriptors.
     """
 
     name: str
@@ -114,6 +120,8 @@
     memory_mb: int
     cores: float
     link_mbps: float
+    client_memory_mb: int | None = None
+    client_connections: int | None = None
 
 
 def settings_path(environment: Mapping[str, str] | None = None) -> Path:
@@ -165,6 +173,8 @@
         memory_mb=int(limits["memory_mb"]),
         cores=float(limits.get("cpu_share", 1.0)) * float(limits.get("cores", 1)),
         link_mbps=float(limits.get("link_mbps", _UNLIMITED_LINK_MBPS)),
+        client_memory_mb=_optional_int(limits, "client_memory_mb"),
+        client_connections=_optional_int(limits, "client_connections"),
     )
 
 
@@ -185,6 +195,11 @@
     )
 
 
+def _optional_int(document: Mapping[str, Any], name: str) -> int | None:
+    value = document.get(name)
+    return None if value is None else int(value)
+
+
 def _non_empty_string(document: Mapping[str, Any], name: str) -> str:
     value = document[name]
     if not isinstance(value, str) or not value:
