--- a/fireflydeck/entry/bounded_protocol.py
+++ b/fireflydeck/entry/bounded_protocol.py
@@ -145,7 +145,10 @@
     async def finish_response(self, request: Any, resp: Any, start_time: Any) -> Any:
         """Send a response; the request's memory is free once it is sent."""
         if not request.content.is_eof():
-            resp.force_close()
+            # The rest of a short body is read, and the connection serves the next request.
+            length = request.content_length
+            if length is None or length > _READ_BYTES:
+                resp.force_close()
             self._drained = 1
         result = await super().finish_response(request, resp, start_time)
         if not queued_requests(self):
--- a/fireflydeck/entry/client_limits.py
+++ b/fireflydeck/entry/client_limits.py
@@ -10,7 +10,7 @@
 STATUS_CONNECTIONS = 32
 """Connections to each of the readiness address and the metrics address."""
 _STATUS_LISTENERS = 2
-_MEMORY_FRACTION = 0.25
+_MEMORY_FRACTION = 0.22
 """Part of the machine's memory for clients. A process without clients takes 47 MB, and the smallest
 machine has 200 MB, of which the process is to stay below 60%."""
 _CONNECTION_FRACTION = 0.75
--- a/fireflydeck/entry/http_requests.py
+++ b/fireflydeck/entry/http_requests.py
@@ -10,7 +10,7 @@
 from fireflydeck.core import Reason
 from fireflydeck.core.fleet_configuration import RequestLimits
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
-from fireflydeck.entry.request_body import BODY_ERRORS, read_body
+from fireflydeck.entry.request_body import BODY_ERRORS, drop_traceback, read_body
 from fireflydeck.platform.job_documents import DEADLINE_HEADER, KEY_HEADER, encode_refusal
 
 __all__ = ["build_response", "receive_request"]
@@ -86,7 +86,8 @@
     try:
         with anyio.move_on_after(limits.idle_timeout_ms / _MS_PER_S) as scope:
             content = await read_body(request, limits.max_body_bytes)
-    except BODY_ERRORS:
+    except BODY_ERRORS as error:
+        drop_traceback(error)
         return Error(_refusal(400, Reason.BAD_REQUEST, "the body is invalid or incomplete"))
     if scope.cancelled_caught:
         return Error(_refusal(408, Reason.BAD_REQUEST, "the body did not arrive in time"))
--- a/fireflydeck/entry/peer_link.py
+++ b/fireflydeck/entry/peer_link.py
@@ -38,7 +38,7 @@
     StateQuery,
     SubmissionNotice,
 )
-from fireflydeck.entry.request_body import BODY_ERRORS, read_body
+from fireflydeck.entry.request_body import BODY_ERRORS, drop_traceback, read_body
 from fireflydeck.kernel import EventLog, Metrics, Registry, Service
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.scheduling.scheduler import Scheduler
@@ -246,7 +246,8 @@
             return web.Response(status=413)
         try:
             content = await read_body(request, _MAX_MESSAGE_BYTES)
-        except BODY_ERRORS:
+        except BODY_ERRORS as error:
+            drop_traceback(error)
             return web.Response(status=400)
         if content is None:
             return web.Response(status=413)
--- a/fireflydeck/entry/request_body.py
+++ b/fireflydeck/entry/request_body.py
@@ -4,7 +4,7 @@
 
 from fireflydeck.entry.bounded_protocol import BoundedProtocol
 
-__all__ = ["BODY_ERRORS", "read_body"]
+__all__ = ["BODY_ERRORS", "drop_traceback", "read_body"]
 
 BODY_ERRORS = (ConnectionError, web.RequestPayloadError)
 """Raised by `read_body` if the connection is lost or the rest of the body is not valid HTTP."""
@@ -38,3 +38,11 @@
         return b"".join(pieces)
     finally:
         pieces.clear()
+
+
+def drop_traceback(error: BaseException) -> None:
+    """Break the cycle of a lost connection's error, the handler's frames and the request.
+
+    Without it, the buffers of the connection stay until the next garbage collection.
+    """
+    error.__traceback__ = None
