--- a/fireflydeck/entry/bounded_protocol.py
+++ b/fireflydeck/entry/bounded_protocol.py
@@ -153,6 +153,9 @@
         result = await super().finish_response(request, resp, start_time)
         if not queued_requests(self):
             self._clients.release(self)
+        elif parsed_requests(self) != self._requests:
+            # The library parses what follows a declined upgrade after the response to it.
+            self._note_request(0)
         return result
 
     def hold(self, pieces: list[bytes]) -> None:
--- a/fireflydeck/entry/client_budget.py
+++ b/fireflydeck/entry/client_budget.py
@@ -268,6 +268,8 @@
         """Count what was done for a reason; a line for each reason is logged once per second."""
         self._metrics.count("clients_limited_total", listener=listener, reason=reason.value)
         self._unlogged[listener, reason] += 1
+        if self._sweep_handle is None:
+            self._schedule_sweep()
 
     def _reclaim(self, requester: BoundedConnection) -> None:
         for victim in self._victims(requester):
--- a/fireflydeck/entry/tests/test_bounded_listener.py
+++ b/fireflydeck/entry/tests/test_bounded_listener.py
@@ -1,6 +1,7 @@
 """Bounds on the connections of one listener: time, bytes, number and order of closing."""
 
 import asyncio
+import errno
 import socket
 from contextlib import asynccontextmanager
 
@@ -19,6 +20,7 @@
 
 _GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 _POST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n"
+_UPGRADE = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n"
 _LIMITS = RequestLimits(header_timeout_ms=300, idle_timeout_ms=600)
 
 
@@ -102,12 +104,22 @@
         (b"", CloseReason.UNUSED),
         (_GET[:-2], CloseReason.SLOW_HEAD),
         (_POST + b" " * 500, CloseReason.SLOW_BODY),
+        (_UPGRADE + _POST + b" " * 500, CloseReason.SLOW_BODY),
         (b"GET /" + b"a" * 40_000, CloseReason.INVALID),
         (b"GET / HTTP/1.1\r\n" + b"a: " + b"b" * 8000 + b"\r\n", CloseReason.SLOW_HEAD),
         (b"GET / HTTP/1.1\r\n" + (b"a: " + b"b" * 8000 + b"\r\n") * 4, CloseReason.LONG_HEAD),
         (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 1000, CloseReason.INVALID),
     ],
-    ids=["unused", "head", "body", "long-target", "field", "long-head", "many-fields"],
+    ids=[
+        "unused",
+        "head",
+        "body",
+        "body-after-upgrade",
+        "long-target",
+        "field",
+        "long-head",
+        "many-fields",
+    ],
 )
 async def test_unfinished_request_is_closed(content, reason):
     """Guard against clients that stop half-way and hold a connection for ever."""
@@ -180,3 +192,26 @@
         await asyncio.sleep(1.0)
         assert await _status(connection) == 200
         assert running.budget.used_bytes == CONNECTION_COST_BYTES
+
+
+async def test_accepting_resumes_after_the_descriptors_ran_out():
+    """Guard against a listener that stays paused although descriptors are free again."""
+    async with _listening() as running:
+        real = running.listener._socket
+
+        class _NoDescriptors:
+            def accept(self):
+                raise OSError(errno.EMFILE, "too many open files")
+
+            def fileno(self):
+                return real.fileno()
+
+            def close(self):
+                real.close()
+
+        running.listener._socket = _NoDescriptors()
+        connection = await running.connect()
+        await asyncio.sleep(0.1)
+        assert running.count(CloseReason.DESCRIPTORS) >= 1
+        running.listener._socket = real
+        assert await _status(connection) == 200
--- a/fireflydeck/settings/catalogue.py
+++ b/fireflydeck/settings/catalogue.py
@@ -158,6 +158,26 @@
     ),
 )
 
+_ENTRY_SECTION = """
+## Settings file of the entry role
+
+The platform provides the file that `FIREFLYDECK_BOOT` names. The limits on clients are fields of
+its `limits`, read and checked against each other, `memory_mb` and the limit on descriptors at the
+start; the process exits with code 2 if they contradict each other.
+
+- `memory_mb` (required): memory of the machine, in MB.
+- `client_memory_mb` (above 0, at most half of `memory_mb`; default 22% of it): memory for the
+  connections and requests of all listeners.
+- `client_connections` (16 or more; default what fits 75% of the client memory and the limit on
+  descriptors less 1,024): open connections of callers. The address for entry processes gets 0.4 of
+  it, readiness and metrics 32 each.
+
+The limits of one request are in the operators' configuration: `max_header_bytes`, `max_body_bytes`,
+`header_timeout_ms`, `idle_timeout_ms`. Fixed bounds beside them: 128 header fields, two requests
+parsed ahead, 100 bytes per second of a body after 5 s, 5 s without a read of a pending response,
+four bytes on the wire per byte of the largest body, 75 s between two requests.
+"""
+
 
 def role_help(role: str) -> str:
     """Return the description of a role's settings for ``--help``, one line per setting."""
@@ -194,4 +214,4 @@
             setting.doc,
         )
         lines.append("| " + " | ".join(cells) + " |")
-    return "\n".join(lines) + "\n"
+    return "\n".join(lines) + "\n" + _ENTRY_SECTION
