--- a/fireflydeck/entry/bounded_protocol.py
+++ b/fireflydeck/entry/bounded_protocol.py
@@ -150,6 +150,8 @@
             if length is None or length > _READ_BYTES:
                 resp.force_close()
             self._drained = 1
+        if isinstance(resp, web.Response) and isinstance(resp.body, bytes):
+            self._clients.charge(self, len(resp.body))
         result = await super().finish_response(request, resp, start_time)
         if not queued_requests(self):
             self._clients.release(self)
--- a/fireflydeck/entry/client_limits.py
+++ b/fireflydeck/entry/client_limits.py
@@ -24,6 +24,8 @@
 """Descriptors for the store, 350 backend servers and 32 entry processes, with several connections
 to some of them."""
 _MIN_CONNECTIONS = 16
+_MIN_MEMORY_BYTES = 8 * 2**20
+"""Memory that a machine of any size gives to clients; it has room for `_MIN_CONNECTIONS`."""
 
 
 @frozen
@@ -87,18 +89,17 @@
     ClientLimitsError
         If the settings do not fit the machine or each other.
     """
-    memory_bytes = (
-        int(machine_memory_mb * _MEMORY_FRACTION * 2**20)
-        if memory_mb is None
-        else memory_mb * 2**20
-    )
-    if not 0 < memory_bytes <= machine_memory_mb * 2**20 // 2:
+    if memory_mb is None:
+        memory_bytes = max(_MIN_MEMORY_BYTES, int(machine_memory_mb * _MEMORY_FRACTION * 2**20))
+    else:
+        memory_bytes = memory_mb * 2**20
+    if memory_mb is not None and not 0 < memory_mb <= machine_memory_mb // 2:
         raise ClientLimitsError("client_memory_mb must be above 0 and at most half of memory_mb")
     by_memory = int(memory_bytes * _CONNECTION_FRACTION) // CONNECTION_COST_BYTES
     by_descriptors = max_descriptors - min(_RESERVED_DESCRIPTORS, max_descriptors // 2)
     others = _STATUS_LISTENERS * STATUS_CONNECTIONS
     derived = int((min(by_memory, by_descriptors) - others) / (1 + _PEER_FRACTION))
-    callers = derived if caller_connections is None else caller_connections
+    callers = max(derived, _MIN_CONNECTIONS) if caller_connections is None else caller_connections
     limits = ClientLimits(
         memory_bytes=memory_bytes,
         caller_connections=callers,
--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -169,6 +169,7 @@
             is_stopping=lambda: kernel.is_stopping,
             dump_state=lambda: dump_state(kernel),
             clients=budget,
+            clock=clock,
             log=log,
         )
     )
--- a/fireflydeck/entry/server.py
+++ b/fireflydeck/entry/server.py
@@ -14,6 +14,7 @@
 from fireflydeck.entry.client_budget import ClientBudget
 from fireflydeck.entry.http_requests import build_response, receive_request
 from fireflydeck.entry.http_server_log import http_server_logger
+from fireflydeck.entry.recent_documents import RecentDocuments
 from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.kernel import EventLog, Metrics, Registry, Service
 from fireflydeck.observation.operator_documents import OperatorDocuments
@@ -122,6 +123,7 @@
         is_stopping: Callable[[], bool],
         dump_state: Callable[[], dict[str, object]],
         clients: ClientBudget,
+        clock: Clock,
         log: EventLog,
     ) -> None:
         connections = clients.limits.status_connections
@@ -138,6 +140,7 @@
             )
         ]
         self._dump_state = dump_state
+        self._documents = RecentDocuments[tuple[bytes, dict[str, str]]](clock)
         self._operators = operators
         self._metrics = metrics
         self._is_stopping = is_stopping
@@ -172,7 +175,15 @@
 
     async def _serve_admin(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == _STATE_PATH:
-            content = orjson.dumps(self._dump_state(), default=str)
-            return web.Response(body=content, content_type="application/json")
-        content, headers = self._metrics.render(request.headers.get("Accept", ""))
+            document = self._documents.get(_STATE_PATH, self._render_state)
+        else:
+            accepted = request.headers.get("Accept", "")
+            document = self._documents.get(accepted, lambda: self._metrics.render(accepted))
+        if document is None:
+            return web.Response(status=503)
+        content, headers = document
         return web.Response(body=content, headers=headers)
+
+    def _render_state(self) -> tuple[bytes, dict[str, str]]:
+        content = orjson.dumps(self._dump_state(), default=str)
+        return content, {"Content-Type": "application/json"}
--- a/fireflydeck/entry/tests/test_bad_requests.py
+++ b/fireflydeck/entry/tests/test_bad_requests.py
@@ -1,5 +1,6 @@
 """Refusal of requests that are not valid HTTP or have fields that can't be read."""
 
+import anyio
 import pytest
 
 from fireflydeck.core import Ran
@@ -111,3 +112,31 @@
         assert _status(await client.send(_request(_HOST, _KEY, body=body))) == status
         statuses = [fields["status"] for event, fields in client.log.events if "status" in fields]
         assert status in statuses
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"POST /none/1 HTTP/1.1\r\n" + _HOST + b"\r\n" + _KEY, 404),
+        (b"POST " + _PATH + b" HTTP/1.1\r\n" + _HOST, 401),
+        (b"PUT " + _PATH + b" HTTP/1.1\r\n" + _HOST + b"\r\n" + _KEY, 405),
+        (b"POST /swatch/ HTTP/1.1\r\n" + _HOST + b"\r\n" + _KEY, 405),
+        (b"POST /swatch/x HTTP/1.1\r\n" + _HOST + b"\r\n" + _KEY, 404),
+        (b"GET " + _PATH + b" HTTP/1.1\r\n" + _HOST + b"\r\n" + _KEY, 410),
+    ],
+)
+@pytest.mark.parametrize("framing", [b"Content-Length: 1900", b"Transfer-Encoding: chunked"])
+async def test_answer_does_not_wait_for_a_body_that_does_not_matter(head, status, framing):
+    """Guard against bodies that are held open for requests which are refused anyway."""
+    async with running_interface() as client:
+        with anyio.fail_after(3):
+            assert _status(await client.send(head + b"\r\n" + framing + b"\r\n\r\n")) == status
+        assert client.store.rows.get(job_key(JOB_ID)) is None
+
+
+async def test_head_over_the_limit_is_refused():
+    """Guard against heads whose fields are each below the library's limit on one field."""
+    async with running_interface() as client:
+        fields = [b"X-Note-%d: " % number + b"x" * 9000 for number in range(2)]
+        assert _status(await client.send(_request(_HOST, _KEY, *fields))) in (431, None)
+        assert client.store.rows.get(job_key(JOB_ID)) is None
--- a/fireflydeck/platform/tests/test_documents.py
+++ b/fireflydeck/platform/tests/test_documents.py
@@ -145,6 +145,7 @@
         ({"platform": {}}, "address"),
         ({"internal_port_range": [7000]}, "wrong value"),
         ({"limits": {"memory_mb": "much"}}, "wrong value"),
+        ({"limits": {"memory_mb": 200, "client_connections": "many"}}, "wrong value"),
     ],
 )
 def test_wrong_settings_give_one_line(tmp_path, fields, text):
