--- a/fireflydeck/entry/bounded_listener.py
+++ b/fireflydeck/entry/bounded_listener.py
@@ -52,6 +52,8 @@
         self._runner: web.ServerRunner | None = None
         self._socket: socket.socket | None = None
         self._is_accepting = False
+        self._waiting: socket.socket | None = None
+        """Accepted connection for which there was no room."""
         self._connecting: set[asyncio.Task] = set()
         clients.on_room(self._resume)
 
@@ -84,6 +86,9 @@
             asyncio.get_running_loop().remove_reader(listener)
             self._is_accepting = False
         pending = accept_pending_connections(listener)
+        if self._waiting is not None:
+            pending.insert(0, self._waiting)
+            self._waiting = None
         listener.close()
         for connection in pending:
             await self._connect(connection)
@@ -96,8 +101,11 @@
 
     def _resume(self) -> None:
         if self._socket is not None and not self._is_accepting:
-            asyncio.get_running_loop().add_reader(self._socket, self._accept)
+            loop = asyncio.get_running_loop()
+            loop.add_reader(self._socket, self._accept)
             self._is_accepting = True
+            if self._waiting is not None:
+                loop.call_soon(self._accept)
 
     def _pause(self) -> None:
         if self._socket is not None and self._is_accepting:
@@ -106,26 +114,37 @@
 
     def _accept(self) -> None:
         for _ in range(_ACCEPTS_AT_ONCE):
-            if self._socket is None:
+            if not self._is_accepting:
                 return
-            if not self._clients.make_room():
-                self._pause()
+            connection = self._waiting or self._next_connection()
+            self._waiting = None
+            if connection is None:
                 return
-            try:
-                connection, _ = self._socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError:
-                # No descriptor or no buffer is left; the next sweep of the budget resumes.
-                self._clients.note(CloseReason.DESCRIPTORS)
+            if not self._clients.make_room():
+                self._waiting = connection
                 self._pause()
                 return
-            connection.setblocking(False)
             self._clients.note_accepted()
             task = asyncio.get_running_loop().create_task(self._connect(connection))
             self._connecting.add(task)
             task.add_done_callback(self._connecting.discard)
 
+    def _next_connection(self) -> socket.socket | None:
+        """Return a connection from the kernel's queue, or `None` if there is none."""
+        if self._socket is None:
+            return None
+        try:
+            connection, _ = self._socket.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return None
+        except OSError:
+            # No descriptor or no buffer is left; the next sweep of the budget resumes.
+            self._clients.note(CloseReason.DESCRIPTORS)
+            self._pause()
+            return None
+        connection.setblocking(False)
+        return connection
+
     async def _connect(self, connection: socket.socket) -> None:
         if self._runner is None or self._runner.server is None:
             connection.close()
@@ -136,3 +155,4 @@
         except OSError:
             # The client has closed the connection already.
             connection.close()
+            self._clients.forget_accepted()
--- a/fireflydeck/entry/client_budget.py
+++ b/fireflydeck/entry/client_budget.py
@@ -130,9 +130,13 @@
         """Count a connection that was accepted and is not added yet."""
         self._accepted += 1
 
+    def forget_accepted(self) -> None:
+        """Stop counting an accepted connection that is added now or was closed before."""
+        self._accepted = max(0, self._accepted - 1)
+
     def add(self, connection: BoundedConnection) -> None:
         """Count a new connection."""
-        self._accepted = max(0, self._accepted - 1)
+        self.forget_accepted()
         self._connections[connection] = None
         self._budget.add(connection)
 
--- a/fireflydeck/entry/tests/test_bounded_listener.py
+++ b/fireflydeck/entry/tests/test_bounded_listener.py
@@ -172,6 +172,18 @@
             assert (await asyncio.get_running_loop().sock_recv(connection, 12))[9:] == b"200"
 
 
+async def test_full_listener_closes_one_connection_for_each_new_one():
+    """Guard against connections that are closed although nobody waits for their place."""
+    async with _listening(connections=8) as running:
+        for _ in range(8):
+            await running.connect(_GET[:-2])
+        await asyncio.sleep(0.1)
+        for number in range(1, 4):
+            await running.connect(_GET[:-2])
+            await asyncio.sleep(0.02)
+            assert running.count(CloseReason.CONNECTIONS) == number
+
+
 async def test_reasons_are_logged_once_per_second():
     """Guard against a log that is filled by a flood."""
     async with _listening(connections=64) as running:
