--- a/fireflydeck/entry/request_body.py
+++ b/fireflydeck/entry/request_body.py
@@ -28,6 +28,7 @@
         if is_compressed:
             protocol.charge(_DECOMPRESSOR_BYTES)
     try:
+        _check_connection(protocol)
         async for piece in request.content.iter_any():
             length += len(piece)
             if length > limit:
@@ -35,11 +36,19 @@
             pieces.append(piece)
             if is_compressed and protocol is not None:
                 protocol.charge(len(piece))
+            _check_connection(protocol)
+        _check_connection(protocol)
         return b"".join(pieces)
     finally:
         pieces.clear()
 
 
+def _check_connection(protocol: BoundedProtocol | None) -> None:
+    """Raise `ConnectionResetError` if the connection was aborted and its pieces are dropped."""
+    if protocol is not None and not protocol.connected:
+        raise ConnectionResetError("the connection was closed while its body was read")
+
+
 def drop_traceback(error: BaseException) -> None:
     """Break the cycle of a lost connection's error, the handler's frames and the request.
 
--- a/fireflydeck/entry/tests/test_bounded_listener.py
+++ b/fireflydeck/entry/tests/test_bounded_listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import socket
+import zlib
 from contextlib import asynccontextmanager
 
 import pytest
@@ -12,6 +13,7 @@
 from fireflydeck.entry.bounded_listener import BoundedListener
 from fireflydeck.entry.client_budget import ClientBudget, CloseReason
 from fireflydeck.entry.client_limits import CONNECTION_COST_BYTES, ClientLimits
+from fireflydeck.entry.request_body import BODY_ERRORS, read_body
 from fireflydeck.kernel import Event, Metrics
 from fireflydeck.testing.ports import free_address
 from fireflydeck.testing.recording_log import RecordingLog
@@ -39,10 +41,14 @@
         self.may_answer = asyncio.Event()
         self.may_answer.set()
         self.answer = b"ok"
+        self.bodies = []
         self._sockets = []
 
     async def _handle(self, request):
-        await request.read()
+        try:
+            self.bodies.append(await read_body(request, 4 * 2**20))
+        except BODY_ERRORS:
+            self.bodies.append(None)
         await self.may_answer.wait()
         return web.Response(body=self.answer)
 
@@ -151,6 +157,19 @@
         assert not await _is_closed(held[-1], timeout_s=0.05)
 
 
+async def test_body_of_an_aborted_connection_is_not_served_in_part():
+    """Guard against a job that is decoded from the rest of a body whose beginning was dropped."""
+    content = zlib.compress(b" " * 2 * 2**20 + b"{}")
+    fields = b"Content-Encoding: deflate\r\nContent-Length: %d\r\n\r\n" % len(content)
+    async with _listening(memory_bytes=16 * CONNECTION_COST_BYTES) as running:
+        await running.connect(b"POST / HTTP/1.1\r\nHost: h\r\n" + fields + content)
+        async with asyncio.timeout(3):
+            while not running.bodies:
+                await asyncio.sleep(0.01)
+        assert running.bodies == [None]
+        assert running.count(CloseReason.MEMORY) == 1
+
+
 async def test_connection_limit_closes_idle_ones_first_and_spares_requests_in_progress():
     """Guard against a full listener that refuses every new client, or breaks running requests."""
     async with _listening(connections=4) as running:
