--- a/fireflydeck/entry/tests/interface_client.py
+++ b/fireflydeck/entry/tests/interface_client.py
@@ -72,7 +72,7 @@
     def __init__(
         self, address, clock, store, operators, interface, forwarder, holder, log, lease, metrics
     ):
-        self._address = address
+        self.address = address
         self.clock = clock
         self.store = store
         self.operators = operators
@@ -86,7 +86,7 @@
     async def call(self, method, path, body=None, **headers):
         """Send one request with an HTTP client; return status, body and headers."""
         async with ClientSession() as session:
-            url = f"http://{self._address}{path}"
+            url = f"http://{self.address}{path}"
             sent = {**CALLER_HEADERS, **headers}
             async with session.request(method, url, data=body, headers=sent) as response:
                 return response.status, await response.read(), response.headers
@@ -99,7 +99,7 @@
 
     async def send(self, content):
         """Send bytes on a new connection; return what is received until it is closed."""
-        host, _, port = self._address.rpartition(":")
+        host, _, port = self.address.rpartition(":")
         received = b""
         async with await anyio.connect_tcp(host, int(port)) as connection:
             await connection.send(content)
--- a/fireflydeck/kernel/events.py
+++ b/fireflydeck/kernel/events.py
@@ -155,6 +155,7 @@
     )
     REQUEST_UNREADABLE = _Definition(6404, "warning", "request is not valid HTTP")
     JOB_REFUSED = _Definition(6405, "info", "job refused because its pool is overloaded")
+    CLIENTS_LIMITED = _Definition(6406, "warning", "connections of clients closed or not accepted")
     STANDIN_LISTENING = _Definition(5001, "info", "stand-in is listening")
 
     @property
