--- a/fireflydeck/policy/tests/test_speculation.py
+++ b/fireflydeck/policy/tests/test_speculation.py
@@ -75,7 +75,7 @@
     body = [0.9 + 0.002 * number for number in range(100)]
     stopped = [1.6, 1.8, 2.4, 2.4, 2.6, 2.8]
     curve = SurvivalCurve.of([*body, 1.6, 2.0, 2.5], stopped)
-    assert 1.0 < curve.remaining(1.3) < 2.0
+    assert 1.5 < curve.remaining(1.3) < 2.0
 
 
 def test_only_the_latest_durations_count():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,7 +26,7 @@
     (2006, 30_000): "the same",
 }
 """Cause of the past failure by seed and run length in milliseconds; empty without a failure."""
-_SPECULATIVE_PLANS = {36: 14_000, 23: 14_000}
+_SPECULATIVE_PLANS = {2006: 14_000, 23: 14_000}
 """Lengths by seed of runs in which tasks may have copies and the lease changes its holder."""
 _MAX_PARALLEL_RUNS = 2
 """More runs would keep the stand-ins, which all share this process, from answering in time."""
