--- a/fireflydeck/entry/admission.py
+++ b/fireflydeck/entry/admission.py
@@ -13,7 +13,8 @@
 
 __all__ = ["Admission"]
 
-_MIN_RETRY_AFTER_S = 1
+_CONCURRENT_RETRY_AFTER_S = 2
+"""All processes have seen the version of the refusal by then, so that the job may replace it."""
 
 
 @frozen
@@ -42,7 +43,7 @@
         self._request_log.record_refusal(spec, queue, refusal)
         if refusal is None:
             detail = "another request for this job was refused at the same time"
-            return _refused(detail, _MIN_RETRY_AFTER_S)
+            return _refused(detail, _CONCURRENT_RETRY_AFTER_S)
         detail = (
             f"pool {queue.pool} is full: a new job of {spec.organisation} beyond its share would "
             f"start in {refusal.wait_ms} ms, its objective is {refusal.objective_ms} ms"
--- a/fireflydeck/entry/caller_interface.py
+++ b/fireflydeck/entry/caller_interface.py
@@ -8,6 +8,7 @@
 from fireflydeck.entry.caller_request import CallerAnswer, CallerRequest
 from fireflydeck.entry.job_requests import JobRequests
 from fireflydeck.entry.peer_interfaces import ForwardResult, RequestForwarder
+from fireflydeck.entry.refusals import MAX_TELLING_MS
 from fireflydeck.entry.request_log import RequestLog
 from fireflydeck.entry.shown_configuration import ShownConfiguration
 from fireflydeck.observation.operator_documents import OperatorDocuments
@@ -16,6 +17,7 @@
 
 _TIMEOUT_FRACTION = 0.8
 """Fraction of the caller's timeout within which an answer must be found."""
+_REFUSED_STATUS = 429
 _NOT_SERVED_STATUS = 503
 """Status which promises that a submission's job never runs; a 429 is only said once a stored
 refusal prevents it."""
@@ -103,15 +105,25 @@
         remaining_ms = _deadline_ms(request, started_ms) - self._clock.now_ms()
         if remaining_ms < _MIN_FORWARD_MS:
             return ForwardResult()
+        sent_ms = self._clock.now_ms()
         result = await self._forwarder.forward(
             evolve(request, min_configuration_version=self._shown.version),
             timeout_ms=remaining_ms,
         )
         self._request_log.record_forward(request, result)
+        if self._is_late_refusal(result, sent_ms):
+            result = ForwardResult(is_uncertain=True)
         if request.method == "POST":
             self._record_forwarded_submission(request.job_id, result)
         return result
 
+    def _is_late_refusal(self, result: ForwardResult, sent_ms: int) -> bool:
+        """Return whether another process stored a refusal too long ago to tell the caller."""
+        answer = result.answer
+        if answer is None or answer.status != _REFUSED_STATUS:
+            return False
+        return self._clock.now_ms() - sent_ms > MAX_TELLING_MS
+
     def _record_forwarded_submission(self, job_id: str, result: ForwardResult) -> None:
         """Record that another process stored a job or may have stored it.
 
--- a/fireflydeck/entry/intake.py
+++ b/fireflydeck/entry/intake.py
@@ -69,10 +69,11 @@
         self._calls = StoreCalls(store, clock, self._silence)
         self._writer = SubmissionWriter(
             self._calls,
-            self._silence,
-            refusals or RefusalRows(store, clock, EventLog(), Metrics(), writer=""),
-            announcer,
-            self._is_known,
+            clock,
+            silence=self._silence,
+            refusals=refusals or RefusalRows(store, clock, EventLog(), Metrics(), writer=""),
+            announcer=announcer,
+            is_known=self._is_known,
         )
 
     @property
--- a/fireflydeck/entry/refusals.py
+++ b/fireflydeck/entry/refusals.py
@@ -14,8 +14,11 @@
 from fireflydeck.kernel import EventLog, Metrics, Registry, Service, keep_running
 from fireflydeck.workload.records import refusal_key
 
-__all__ = ["RefusalRows"]
+__all__ = ["MAX_TELLING_MS", "RefusalRows"]
 
+MAX_TELLING_MS = 300
+"""A refusal is only told within this time after its write was sent. A job replaces no refusal that
+is younger, since the caller may not have been told of it when it sent the job again."""
 _RETENTION_MS = 60_000
 """A write without an answer may take effect up to 12 s later, and must then find the row."""
 _INTERVAL_MS = 2000
--- a/fireflydeck/entry/submission_writer.py
+++ b/fireflydeck/entry/submission_writer.py
@@ -5,7 +5,7 @@
 from attrs import evolve
 from expression import Error, Ok, Result
 
-from fireflydeck.core import Failure, Ran, Reason
+from fireflydeck.core import Clock, Failure, Ran, Reason
 from fireflydeck.core.rows import (
     ABSENT_VERSION,
     RowCondition,
@@ -14,7 +14,7 @@
     StoredRow,
 )
 from fireflydeck.entry.peer_interfaces import SubmissionAnnouncer
-from fireflydeck.entry.refusals import RefusalRows
+from fireflydeck.entry.refusals import MAX_TELLING_MS, RefusalRows
 from fireflydeck.entry.store_calls import StoreCalls, uncertain_if
 from fireflydeck.entry.submission_outcome import SubmissionOutcome
 from fireflydeck.observation.store_silence import StoreSilence
@@ -39,12 +39,15 @@
     def __init__(
         self,
         calls: StoreCalls,
+        clock: Clock,
+        *,
         silence: StoreSilence,
         refusals: RefusalRows,
         announcer: SubmissionAnnouncer,
         is_known: Callable[[str], Awaitable[bool]],
     ) -> None:
         self._calls = calls
+        self._clock = clock
         self._silence = silence
         self._refusals = refusals
         self._announcer = announcer
@@ -55,9 +58,9 @@
     ) -> Result[SubmissionOutcome, Failure]:
         """Store a job or its refusal in the place of an earlier refusal, if there is one.
 
-        A job replaces only a refusal that was stored before its request arrived. One that is stored
-        later answers another request for the same job, which may already have got its answer: the
-        job is then refused as well.
+        A job replaces only a refusal that was told before its request arrived. Another one answers
+        a request for the same job that was in progress at the same time, and whose caller may have
+        been told meanwhile that the job never runs: this request is then refused as well.
 
         Parameters
         ----------
@@ -70,8 +73,9 @@
         Each refusal is written, also in the place of an earlier one: another process may be storing
         the job in the place of that one, which only a new version of the row prevents.
         """
-        seen_version = self._silence.seen_version if may_replace else ABSENT_VERSION
-        version = ABSENT_VERSION
+        told_version = version = ABSENT_VERSION
+        if may_replace:
+            told_version = self._silence.version_seen_before(MAX_TELLING_MS)
         if is_refused or may_replace:
             version = self._refusals.version_of(spec.job_id)
         is_uncertain = False
@@ -89,10 +93,8 @@
             if found.ok == SubmissionOutcome.KNOWN:
                 return found
             version = found.ok
-            is_refused = is_refused or version > seen_version
-        return Error(
-            Failure(Reason.STORE_UNAVAILABLE, "store.commit", detail="rows change", ran=Ran.UNKNOWN)
-        )
+            is_refused = is_refused or version > told_version
+        return Error(_unknown("the job is refused and accepted by turns"))
 
     async def _insert(
         self, spec: JobSpec, refusal_version: int, deadline_ms: int
@@ -126,6 +128,7 @@
             writes=(RowWrite(key, value),),
         )
         version: int | None = ABSENT_VERSION
+        sent_ms = self._clock.now_ms()
         try:
             result = await self._calls.commit(transaction, deadline_ms)
             if result.is_ok():
@@ -135,6 +138,8 @@
         finally:
             if version is not None:
                 refusals.record(spec.job_id, value, version)
+        if result.is_ok() and self._clock.now_ms() - sent_ms > MAX_TELLING_MS:
+            return Error(_unknown("the refusal is stored too late to be told"))
         return result.map(lambda _: SubmissionOutcome.REFUSED)
 
     async def _find_conflict(
@@ -154,3 +159,7 @@
             return Ok(SubmissionOutcome.KNOWN)
         refusal = await self._calls.read_row(refusal_key(job_id), deadline_ms)
         return refusal.map(lambda row: ABSENT_VERSION if row is None else row.version)
+
+
+def _unknown(detail: str) -> Failure:
+    return Failure(Reason.STORE_UNAVAILABLE, "store.commit", detail=detail, ran=Ran.UNKNOWN)
--- a/fireflydeck/entry/tests/processes.py
+++ b/fireflydeck/entry/tests/processes.py
@@ -5,7 +5,7 @@
 from fireflydeck.core import Ran
 from fireflydeck.core.rows import RowTransaction, RowWrite
 from fireflydeck.entry.intake import Intake
-from fireflydeck.entry.refusals import RefusalRows
+from fireflydeck.entry.refusals import MAX_TELLING_MS, RefusalRows
 from fireflydeck.kernel import Metrics
 from fireflydeck.observation.store_silence import MonitoredRowStore, StoreSilence
 from fireflydeck.testing.fleet_fakes import FakeAnnouncer
@@ -33,7 +33,7 @@
         self.silence = StoreSilence(clock)
         self.metrics = Metrics()
         self.reads = 0
-        self._monitored = MonitoredRowStore(self.store, self.silence, clock)
+        self.monitored = MonitoredRowStore(self.store, self.silence, clock)
         read = self.store.read
 
         async def counted_read(*args, **kwargs):
@@ -42,10 +42,10 @@
 
         self.store.read = counted_read
         self.refusals = RefusalRows(
-            self._monitored, clock, RecordingLog(), self.metrics, writer=name
+            self.monitored, clock, RecordingLog(), self.metrics, writer=name
         )
         self.intake = Intake(
-            self._monitored, clock, FakeAnnouncer(), self.silence, refusals=self.refusals
+            self.monitored, clock, FakeAnnouncer(), self.silence, refusals=self.refusals
         )
 
     def fall_silent(self):
@@ -54,8 +54,12 @@
         self.silence.record_no_answer(self.clock.now_ms())
 
     async def observe(self):
-        """Learn the store's newest version, as the process does by following its tables."""
-        await self._monitored.read_changes("lease", after=0, wait_ms=0)
+        """Learn the store's newest version, as the process does by following its tables.
+
+        It then becomes old enough for refusals of that version to be replaced.
+        """
+        await self.monitored.read_changes("lease", after=0, wait_ms=0)
+        await self.clock.advance_ms(MAX_TELLING_MS)
 
     async def submit(self, job_id=JOB_ID, **options):
         """Submit a job; the clock advances until the outcome is known."""
--- a/fireflydeck/entry/tests/test_admission.py
+++ b/fireflydeck/entry/tests/test_admission.py
@@ -92,3 +92,19 @@
         client.forwarder.answer = CallerAnswer(429, b'{"error":"queue-full"}', 4)
         status, _, headers = await client.call("POST", _PATH, _BODY)
         assert (status, headers["Retry-After"]) == (429, "4")
+
+
+async def test_refusal_that_another_process_told_late_is_unknown():
+    """Guard against a 429 that the caller gets after a repeated request replaced the refusal."""
+    async with running_interface() as client:
+        client.store.outage = Ran.UNKNOWN
+        await client.wait_for_outage()
+        forward = client.forwarder.forward
+
+        async def slow_forward(request, *, timeout_ms):
+            client.clock.ahead_ms += 301
+            return await forward(request, timeout_ms=timeout_ms)
+
+        client.forwarder.forward = slow_forward
+        client.forwarder.answer = CallerAnswer(429, b'{"error":"queue-full"}', 4)
+        assert (await client.call("POST", _PATH, _BODY))[0] == 504
--- a/fireflydeck/entry/tests/test_refusal_walks.py
+++ b/fireflydeck/entry/tests/test_refusal_walks.py
@@ -6,6 +6,7 @@
 
 from random import Random
 
+import anyio
 import pytest
 
 from fireflydeck.core import Ran
@@ -13,6 +14,7 @@
 from fireflydeck.entry.tests.processes import EntryProcess
 from fireflydeck.scheduling.refusal_retention import RefusalRetention
 from fireflydeck.testing.clock import FakeClock
+from fireflydeck.testing.job_builders import build_spec
 from fireflydeck.testing.rows import FakeRowStore, RowStoreFault
 
 pytestmark = pytest.mark.anyio
@@ -120,3 +122,57 @@
         acceptances += walk.acceptances
     assert refusals > 30
     assert acceptances > 30
+
+
+def _delay_commits(process, random, clock):
+    """Let each commit take effect and be answered after random times."""
+    commit = process.store.commit
+
+    async def delayed_commit(transaction, *, timeout_ms):
+        await clock.sleep_ms(random.randrange(20))
+        result = await commit(transaction, timeout_ms=timeout_ms)
+        await clock.sleep_ms(random.randrange(250))
+        return result
+
+    process.store.commit = delayed_commit
+
+
+@pytest.mark.parametrize("seed", range(40))
+async def test_no_request_in_progress_stores_a_job_after_its_refusal(seed):
+    """Guard against a caller with two requests for one job at two processes at a time.
+
+    A job may only be stored after a refusal by a request that began after it.
+    """
+    random, clock = Random(seed), FakeClock()
+    first = EntryProcess(clock)
+    processes = [first, EntryProcess(clock, first.store.rows, "m2")]
+    for process in processes:
+        _delay_commits(process, random, clock)
+    told = []
+
+    async def request(process, start_ms, is_refused):
+        await clock.sleep_ms(start_ms)
+        began_ms = clock.now_ms()
+        spec = build_spec()
+        result = await process.intake.submit(spec, deadline_ms=9000, is_refused=is_refused)
+        told.append((result.ok, began_ms, clock.now_ms()))
+
+    async def follow(process):
+        for _ in range(30):
+            await process.monitored.read_changes("lease", after=0, wait_ms=0)
+            await clock.sleep_ms(50)
+
+    async with anyio.create_task_group() as tasks:
+        for process in processes:
+            tasks.start_soon(follow, process)
+        for _ in range(12):
+            is_refused = random.random() < 0.7
+            start_ms = random.randrange(1500)
+            tasks.start_soon(request, random.choice(processes), start_ms, is_refused)
+        await clock.advance_ms(3000)
+    refused_ms = [end_ms for outcome, _, end_ms in told if outcome == SubmissionOutcome.REFUSED]
+    for outcome, began_ms, end_ms in told:
+        if outcome == SubmissionOutcome.ACCEPTED:
+            assert all(told_ms <= began_ms for told_ms in refused_ms if told_ms <= end_ms)
+            assert first.stored() == "job"
+    assert len([outcome for outcome, _, _ in told if outcome == SubmissionOutcome.ACCEPTED]) <= 1
--- a/fireflydeck/entry/tests/test_refusals.py
+++ b/fireflydeck/entry/tests/test_refusals.py
@@ -116,6 +116,25 @@
     assert first.stored() == "refusal"
 
 
+async def test_young_refusal_is_not_replaced():
+    """Guard against a 429 on its way to the caller while the repeated request stores the job."""
+    first, second = _processes()
+    await first.refuse()
+    await second.monitored.read_changes("lease", after=0, wait_ms=0)
+    assert (await second.submit()).ok == SubmissionOutcome.REFUSED
+    await first.observe()
+    await first.clock.advance_ms(1000)
+    assert (await first.submit()).ok == SubmissionOutcome.ACCEPTED
+
+
+async def test_refusal_that_is_stored_slowly_is_not_told():
+    (process,) = _processes(1)
+    process.store.answer_delay_ms = 301
+    assert (await process.refuse()).error.ran == Ran.UNKNOWN
+    process.store.answer_delay_ms = 0
+    assert (await process.submit()).ok == SubmissionOutcome.ACCEPTED
+
+
 async def test_forwarded_submission_does_not_replace_a_refusal():
     """It reached the process that forwards it earlier, perhaps before the refusal."""
     first, second = _processes()
--- a/fireflydeck/observation/store_silence.py
+++ b/fireflydeck/observation/store_silence.py
@@ -1,5 +1,6 @@
 """Detection of a store that does not answer this process, from the calls that it makes anyway."""
 
+from collections import deque
 from typing import TypeVar
 
 import anyio
@@ -21,6 +22,8 @@
 T = TypeVar("T")
 
 _PROBE_INTERVAL_MS = 250
+_VERSION_INTERVAL_MS = 50
+_MAX_VERSION_AGE_MS = 1000
 _PROBE_TIMEOUT_MS = 1200
 """Equals the timeout of a submission's write, which a slower store could not confirm."""
 
@@ -36,16 +39,19 @@
         self._clock = clock
         self._answered_ms = clock.now_ms()
         self._is_silent = False
-        self._seen_version = ABSENT_VERSION
+        # Versions of the store that answers named, with their times; the newest one comes last.
+        self._seen_versions: deque[tuple[int, int]] = deque()
         self._began = anyio.Event()
 
-    @property
-    def seen_version(self) -> int:
-        """Return the newest version of the store that an answer named.
+    def version_seen_before(self, duration_ms: int) -> int:
+        """Return the newest version of the store that an answer had named some time ago.
 
-        A row of this version or an older one was written before this property was read.
+        Rows of this version or an older one were written earlier than `duration_ms` ago, which is
+        at most a second.
         """
-        return self._seen_version
+        until_ms = self._clock.now_ms() - duration_ms
+        seen = (version for at_ms, version in self._seen_versions if at_ms <= until_ms)
+        return max(seen, default=ABSENT_VERSION)
 
     @property
     def is_silent(self) -> bool:
@@ -70,11 +76,25 @@
             Version of the store that the answer names.
         """
         self._answered_ms = self._clock.now_ms()
-        self._seen_version = max(self._seen_version, version)
+        self._record_version(version)
         if self._is_silent:
             self._is_silent = False
             self._began = anyio.Event()
 
+    def _record_version(self, version: int) -> None:
+        """Add a version to those seen; it replaces the last one if that was added shortly before.
+
+        Of the versions that are older than any that is asked for, only the newest one is kept.
+        """
+        seen, now_ms = self._seen_versions, self._clock.now_ms()
+        if seen and version <= seen[-1][1]:
+            return
+        if len(seen) > 1 and now_ms - seen[-2][0] < _VERSION_INTERVAL_MS:
+            seen.pop()
+        seen.append((now_ms, version))
+        while len(seen) > 1 and seen[1][0] <= now_ms - _MAX_VERSION_AGE_MS:
+            seen.popleft()
+
     def record_no_answer(self, due_ms: int) -> None:
         """Record that a call got no answer.
 
--- a/fireflydeck/observation/tests/test_store_silence.py
+++ b/fireflydeck/observation/tests/test_store_silence.py
@@ -123,3 +123,19 @@
         await fixture.clock.advance_ms(250)
         assert not fixture.silence.is_silent
         tasks.cancel_scope.cancel()
+
+
+async def test_versions_that_answers_named_some_time_ago():
+    """Guard against a row that counts as older than a request that came before it.
+
+    Answers that follow one another quickly must not keep the versions young either.
+    """
+    fixture = _Fixture()
+    for version in range(1, 401):
+        fixture.silence.record_answer(version)
+        await fixture.clock.advance_ms(5)
+    assert fixture.silence.version_seen_before(0) == 400
+    assert 330 < fixture.silence.version_seen_before(300) <= 341
+    await fixture.clock.advance_ms(300)
+    assert fixture.silence.version_seen_before(300) == 400
+    assert fixture.silence.version_seen_before(1000) <= 261
