--- a/fireflydeck/entry/tests/processes.py
+++ b/fireflydeck/entry/tests/processes.py
@@ -16,7 +16,7 @@
 from fireflydeck.workload.records import refusal_key
 
 
-class EntryProcess:
+class IntakeProcess:
     """Intake of one process whose store the test controls.
 
     Attributes
--- a/fireflydeck/entry/tests/test_refusal_walks.py
+++ b/fireflydeck/entry/tests/test_refusal_walks.py
@@ -11,7 +11,7 @@
 
 from fireflydeck.core import Ran
 from fireflydeck.entry.submission_outcome import SubmissionOutcome
-from fireflydeck.entry.tests.processes import EntryProcess
+from fireflydeck.entry.tests.processes import IntakeProcess
 from fireflydeck.scheduling.refusal_retention import RefusalRetention
 from fireflydeck.testing.clock import FakeClock
 from fireflydeck.testing.job_builders import build_spec
@@ -31,7 +31,7 @@
     def __init__(self, seed):
         self._random = Random(seed)
         self._clock = FakeClock()
-        first = EntryProcess(self._clock)
+        first = IntakeProcess(self._clock)
         self._rows = first.store.rows
         self._processes = [first, *[self._new_process(number) for number in (2, 3)]]
         self._lost_stores = []
@@ -43,7 +43,7 @@
         self.acceptances = 0
 
     def _new_process(self, number):
-        return EntryProcess(self._clock, self._rows, f"m{number}")
+        return IntakeProcess(self._clock, self._rows, f"m{number}")
 
     async def run(self):
         """Take all steps, and check after each what the caller was told."""
@@ -144,8 +144,8 @@
     A job may only be stored after a refusal by a request that began after it.
     """
     random, clock = Random(seed), FakeClock()
-    first = EntryProcess(clock)
-    processes = [first, EntryProcess(clock, first.store.rows, "m2")]
+    first = IntakeProcess(clock)
+    processes = [first, IntakeProcess(clock, first.store.rows, "m2")]
     for process in processes:
         _delay_commits(process, random, clock)
     told = []
--- a/fireflydeck/entry/tests/test_refusals.py
+++ b/fireflydeck/entry/tests/test_refusals.py
@@ -9,7 +9,7 @@
 from fireflydeck.core import Ran
 from fireflydeck.core.rows import RowTransaction, RowWrite
 from fireflydeck.entry.submission_outcome import SubmissionOutcome
-from fireflydeck.entry.tests.processes import EntryProcess
+from fireflydeck.entry.tests.processes import IntakeProcess
 from fireflydeck.testing.clock import FakeClock
 from fireflydeck.testing.job_builders import JOB_ID
 from fireflydeck.testing.rows import RowStoreFault
@@ -24,8 +24,8 @@
 
 def _processes(number=2):
     clock = FakeClock()
-    first = EntryProcess(clock)
-    others = [EntryProcess(clock, first.store.rows, f"m{n}") for n in range(2, number + 1)]
+    first = IntakeProcess(clock)
+    others = [IntakeProcess(clock, first.store.rows, f"m{n}") for n in range(2, number + 1)]
     return [first, *others]
 
 
--- a/fireflydeck/entry/tests/test_silent_store.py
+++ b/fireflydeck/entry/tests/test_silent_store.py
@@ -14,7 +14,7 @@
 from fireflydeck.entry.submission_attempts import SubmissionAttempts
 from fireflydeck.entry.submission_outcome import SubmissionOutcome
 from fireflydeck.entry.tests.interface_client import running_interface
-from fireflydeck.entry.tests.processes import EntryProcess
+from fireflydeck.entry.tests.processes import IntakeProcess
 from fireflydeck.platform.standin.documents import CALLER_HEADERS, submission_document
 from fireflydeck.testing.clock import FakeClock
 from fireflydeck.testing.job_builders import JOB_ID, build_spec
@@ -28,7 +28,7 @@
 
 
 async def test_new_submission_is_refused_without_a_write():
-    process = EntryProcess(FakeClock())
+    process = IntakeProcess(FakeClock())
     process.fall_silent()
     started_ms = process.clock.now_ms()
     error = (await process.submit()).error
@@ -42,7 +42,7 @@
     ("silent_ms", "retry_after_ms"), [(300, 1000), (2500, 2500), (30_000, 5000)]
 )
 async def test_retry_after_grows_with_the_silence(silent_ms, retry_after_ms):
-    process = EntryProcess(FakeClock())
+    process = IntakeProcess(FakeClock())
     process.fall_silent()
     await process.clock.advance_ms(silent_ms)
     assert (await process.submit()).error.retry_after_ms == retry_after_ms
@@ -51,7 +51,7 @@
 @pytest.mark.parametrize("fault", [RowStoreFault.LATE, RowStoreFault.ANSWER_LOST])
 async def test_repeated_submission_with_an_earlier_attempt_is_not_refused(fault):
     """Guard against a 503 for a job whose first write takes effect 12 s later."""
-    process = EntryProcess(FakeClock())
+    process = IntakeProcess(FakeClock())
     process.store.next_commits = [fault, *[RowStoreFault.NO_EFFECT] * 100]
     assert (await process.submit()).error.ran == Ran.UNKNOWN
     await process.clock.advance_ms(11_000)
@@ -61,7 +61,7 @@
 
 
 async def test_store_that_refuses_does_not_settle_an_earlier_attempt():
-    process = EntryProcess(FakeClock())
+    process = IntakeProcess(FakeClock())
     process.store.next_commits = [RowStoreFault.LATE, *[RowStoreFault.NO_EFFECT] * 100]
     assert (await process.submit()).error.ran == Ran.UNKNOWN
     process.silence.record_answer()
@@ -72,14 +72,14 @@
 
 async def test_accepted_job_stays_accepted_during_the_silence():
     """Guard against a 503 for a request that is repeated seconds after its 200."""
-    process = EntryProcess(FakeClock())
+    process = IntakeProcess(FakeClock())
     await process.submit()
     process.fall_silent()
     assert (await process.submit()).ok == SubmissionOutcome.KNOWN
 
 
 async def test_submission_that_the_store_refused_is_not_sent_into_a_silence():
-    process = EntryProcess(FakeClock())
+    process = IntakeProcess(FakeClock())
     process.store.next_commits = [RowStoreFault.REFUSED]
     async with anyio.create_task_group() as tasks:
         results = []
@@ -95,7 +95,7 @@
 
 
 async def test_disconnected_caller_leaves_an_uncertain_attempt():
-    process = EntryProcess(FakeClock())
+    process = IntakeProcess(FakeClock())
     process.store.answer_delay_ms = 500
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(process.submit)
