--- a/fireflydeck/entry/tests/test_refusals.py
+++ b/fireflydeck/entry/tests/test_refusals.py
@@ -9,7 +9,7 @@
 from fireflydeck.core import Ran
 from fireflydeck.core.rows import RowTransaction, RowWrite
 from fireflydeck.entry.submission_outcome import SubmissionOutcome
-from fireflydeck.entry.tests.processes import EntryProcess
+from fireflydeck.entry.tests.processes import IntakeProcess
 from fireflydeck.testing.clock import FakeClock
 from fireflydeck.testing.job_builders import JOB_ID
 from fireflydeck.testing.rows import RowStoreFault
@@ -24,8 +24,8 @@
 
 def _processes(number=2):
     clock = FakeClock()
-    first = EntryProcess(clock)
-    others = [EntryProcess(clock, first.store.rows, f"m{n}") for n in range(2, number + 1)]
+    first = IntakeProcess(clock)
+    others = [IntakeProcess(clock, first.store.rows, f"m{n}") for n in range(2, number + 1)]
     return [first, *others]
 
 
@@ -116,6 +116,25 @@
     assert first.stored() == "refusal"
 
 
+async def test_young_refusal_is_not_replaced():
+    """Guard against a 429 on its way to the caller while the repeated request stores the job."""
+    first, second = _processes()
+    await first.refuse()
+    await second.monitored.read_changes("lease", after=0, wait_ms=0)
+    assert (await second.submit()).ok == SubmissionOutcome.REFUSED
+    await first.observe()
+    await first.clock.advance_ms(1000)
+    assert (await first.submit()).ok == SubmissionOutcome.ACCEPTED
+
+
+async def test_refusal_that_is_stored_slowly_is_not_told():
+    (process,) = _processes(1)
+    process.store.answer_delay_ms = 301
+    assert (await process.refuse()).error.ran == Ran.UNKNOWN
+    process.store.answer_delay_ms = 0
+    assert (await process.submit()).ok == SubmissionOutcome.ACCEPTED
+
+
 async def test_forwarded_submission_does_not_replace_a_refusal():
     """It reached the process that forwards it earlier, perhaps before the refusal."""
     first, second = _processes()
