--- a/fireflydeck/policy/reservation.py
+++ b/fireflydeck/policy/reservation.py
@@ -3,7 +3,7 @@
 All decisions are made on snapshots of one planning pass and are made anew in the next one.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from heapq import heappop, heappush
 from math import exp, inf
 
@@ -20,6 +20,7 @@
     "ServerHolds",
     "earliest_fit",
     "hold_bound_ms",
+    "is_common_size",
     "longest_ms",
     "remaining_ms",
 ]
@@ -43,6 +44,9 @@
 """
 _MAX_HOLD_FRACTION = 0.5
 """Part of a job's objective for which capacity may be held idle for one of its tasks."""
+_COMMON_FRACTION = 0.05
+"""Part of the runs of a pool that have to be at least as large as a task that needs no help."""
+_MIN_COMMON_RUNS = 4
 _ONE_RACK_DELAY_FRACTION = 0.1
 """Delay accepted for a step in one rack instead of several, as part of its duration."""
 
@@ -73,6 +77,21 @@
     return max(0.0, objective_ms * _MAX_HOLD_FRACTION)
 
 
+def is_common_size(demand: Resources, run_counts: Mapping[Resources, int]) -> bool:
+    """Return whether the end of a single run often makes room for a task.
+
+    Such a task starts soon, since it is the first to use the capacity that becomes free. A
+    reservation is for tasks that start only when capacity of several runs is kept together.
+
+    Parameters
+    ----------
+    run_counts
+        Number of runs by what they reserve.
+    """
+    larger = sum(count for amount, count in run_counts.items() if amount.covers(demand))
+    return larger >= max(_MIN_COMMON_RUNS, sum(run_counts.values()) * _COMMON_FRACTION)
+
+
 @frozen(kw_only=True)
 class ReservationRequest:
     """A task or a gang that waits for capacity.
--- a/fireflydeck/policy/tests/test_reservation.py
+++ b/fireflydeck/policy/tests/test_reservation.py
@@ -8,6 +8,7 @@
     ServerForecast,
     ServerHolds,
     earliest_fit,
+    is_common_size,
     remaining_ms,
 )
 
@@ -143,3 +144,13 @@
         releases=[(1000, _cores(64)), (1500, _cores(8))],
     )
     assert [hold.spare for hold in holds.holds] == [_cores(4), _cores(4), _cores(4)]
+
+
+def test_tasks_that_single_runs_make_room_for_need_no_reservation():
+    """Small tasks at the head of a full pool's queue must not take the reservations."""
+    counts = {_cores(2, 2): 90, _cores(8, 4): 9, _cores(4, 24): 1}
+    assert is_common_size(_cores(2, 1), counts)
+    assert is_common_size(_cores(8, 4), counts)
+    assert not is_common_size(_cores(9, 1), counts)
+    assert not is_common_size(_cores(2, 24), counts)
+    assert not is_common_size(_cores(2, 1), {_cores(2, 1): 3})
--- a/fireflydeck/scheduling/reservations.py
+++ b/fireflydeck/scheduling/reservations.py
@@ -26,6 +26,7 @@
 from fireflydeck.scheduling.queued_jobs import QueuedJob
 from fireflydeck.scheduling.reservable_room import ReservableRoom
 from fireflydeck.scheduling.run_forecasts import RunForecasts
+from fireflydeck.scheduling.run_sizes import RunSizes
 from fireflydeck.scheduling.servers import Server, reserved_resources
 from fireflydeck.scheduling.ticket_cache import TicketCache
 from fireflydeck.scheduling.wait_log import WaitLog
@@ -103,6 +104,7 @@
     usage: OrganisationUsage
     ticket_cache: TicketCache
     _forecasts: RunForecasts = field(init=False)
+    _run_sizes: RunSizes = field(factory=RunSizes, init=False)
     _wait_log: WaitLog = field(init=False)
     _holdings: dict[str, dict[str, _Holding]] = field(factory=dict, init=False)
     _configuration: FleetConfiguration | None = field(default=None, init=False)
@@ -159,19 +161,29 @@
         if not isinstance(room, ReservableRoom) or self._configuration is None:
             return
         queue = self._configuration.queue(queued.job.spec.queue)
-        room.note_waiting(reserved_resources(tasks[0].step))
+        demand = reserved_resources(tasks[0].step)
+        room.note_waiting(demand)
         is_considered = (
             room.reservations < self.max_per_pool
             and room.fits_computed < self.max_per_pool * _FITS_PER_RESERVATION
             and room.checked < _MAX_CHECKED
         )
-        if queue is None or not is_considered:
+        is_gang = len(tasks) > 1
+        if (
+            queue is None
+            or not is_considered
+            or not (is_gang or self._is_large(queue.pool, room, demand))
+        ):
             self._wait_log.write(tasks, WaitReason.NO_CAPACITY)
             return
         room.checked += 1
         holding = self._holdings.setdefault(queued.job.id, {}).setdefault(tasks[0].name, _Holding())
         self._reserve(queued, queue, tasks, room, holding)
 
+    def _is_large(self, pool: str, room: ReservableRoom, demand: Resources) -> bool:
+        """Return whether capacity of several runs has to be kept together for a task."""
+        return not self._run_sizes.are_common(pool, room.servers, demand, self._now_ms)
+
     def _reserve(
         self,
         queued: QueuedJob,
--- a/fireflydeck/scheduling/run_forecasts.py
+++ b/fireflydeck/scheduling/run_forecasts.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field, frozen
 
-from fireflydeck.policy.reservation import Release, ServerForecast, remaining_ms
+from fireflydeck.policy.reservation import Release, ServerForecast, longest_ms, remaining_ms
 from fireflydeck.scheduling.servers import Server, reserved_resources
 from fireflydeck.scheduling.work_estimates import WorkEstimates
 from fireflydeck.workload.lifecycle import Attempt
@@ -102,8 +102,10 @@
         has_run_before = task.waiting_since_ms > 0
         if task.step.checkpointing and task.checkpoint and has_run_before:
             expected_ms *= _RESUMED_FRACTION
+        # A large task waits for the last of several runs, which mostly exceeds its expectation.
+        spread = self._estimates.spread(task)
         return remaining_ms(
             elapsed_ms=now_ms - attempt.changed_ms,
-            expected_ms=expected_ms,
-            spread=self._estimates.spread(task),
+            expected_ms=longest_ms(expected_ms, spread),
+            spread=spread,
         )
