--- a/fireflydeck/entry/bounded_protocol.py
+++ b/fireflydeck/entry/bounded_protocol.py
@@ -20,9 +20,11 @@
 
 __all__ = ["BoundedProtocol", "BoundedServer"]
 
-_READ_BYTES = 16 * 1024
-"""Bytes that are read from a socket or buffered of a body at a time; the library's default of
-256 KiB would be held by every connection whose parser is paused."""
+_READ_BYTES = 4 * 1024
+"""Bytes that are read from a socket at a time. The library's default of 256 KiB would be held by
+every connection whose parser is paused, and 16 KiB of single-byte chunks take the parser 7 ms."""
+_BUFFER_BYTES = 16 * 1024
+"""Bytes of a body that are buffered until its handler reads them."""
 _READ_COST_BYTES = 64
 """Memory of the object that holds the bytes of one read."""
 _WRITE_BUFFER_BYTES = 16 * 1024
@@ -32,11 +34,9 @@
 _MIN_RATE_AGE_S = 5.0
 _MIN_BODY_RATE = 100
 """Bytes per second of a body that has been arriving for `_MIN_RATE_AGE_S`."""
-_MAX_WIRE_FACTOR = 4
-"""Bytes on the wire per byte of the largest body. Bodies in chunks of two bytes and more stay
-below it."""
-_MAX_WIRE_MARGIN = 64 * 1024
-"""The bytes on the wire are counted with the head and with what is read before the handler runs."""
+_MAX_CHUNK_OVERHEAD_BYTES = 16 * 1024
+"""Bytes on the wire beyond the content of a body in chunks: 2,048 chunks of 128 bytes make the
+largest body. Each chunk costs microseconds, however small it is."""
 _BODY_MARGIN_S = 1.0
 """The handler of a request refuses a late body; the connection is closed this much later."""
 _MAX_WRITE_STALL_S = 5.0
@@ -66,6 +66,7 @@
         "_clients",
         "_drained",
         "_head_bytes",
+        "_head_overhead",
         "_head_since",
         "_is_refused",
         "_opened_at",
@@ -80,14 +81,14 @@
         self, server: "BoundedServer", clients: ListenerClients, *, loop: Any, **options: Any
     ) -> None:
         super().__init__(server, loop=loop, **options)
-        limit_requests_ahead(self, loop, requests=_REQUESTS_AHEAD, read_bufsize=_READ_BYTES)
+        limit_requests_ahead(self, loop, requests=_REQUESTS_AHEAD, read_bufsize=_BUFFER_BYTES)
         self._clients = clients
         self.held = 0
         self._opened_at = loop.time()
         self._requests = 0
         self._body: Any = None
         self._body_since = self._head_since = self._stalled_since = 0.0
-        self._head_bytes = self._wire_bytes = self._drained = 0
+        self._head_bytes = self._head_overhead = self._wire_bytes = self._drained = 0
         self._is_refused = False
         self._pieces: list[bytes] = []
 
@@ -140,14 +141,14 @@
         elif not was_in_body:
             self._note_head(len(data))
         elif self._is_in_body() and not self._drained:
-            self._check_wire_bytes()
+            self._check_chunks()
 
     async def finish_response(self, request: Any, resp: Any, start_time: Any) -> Any:
         """Send a response; the request's memory is free once it is sent."""
         if not request.content.is_eof():
             # The rest of a short body is read, and the connection serves the next request.
             length = request.content_length
-            if length is None or length > _READ_BYTES:
+            if length is None or length > _BUFFER_BYTES:
                 resp.force_close()
             self._drained = 1
         if isinstance(resp, web.Response) and isinstance(resp.body, bytes):
@@ -239,11 +240,12 @@
             self._clients.note(CloseReason.INVALID)
         else:
             self._body = newest_body(self) if queued_requests(self) else None
+            self._head_overhead = count - (self._body.total_bytes if self._body else 0)
 
-    def _check_wire_bytes(self) -> None:
-        """Close the connection if its body has far more bytes on the wire than it may have."""
-        limit = self._clients.limits().max_body_bytes * _MAX_WIRE_FACTOR + _MAX_WIRE_MARGIN
-        if self._wire_bytes > limit:
+    def _check_chunks(self) -> None:
+        """Close the connection if its body consists of too many chunks."""
+        overhead = self._wire_bytes - self._body.total_bytes - self._head_overhead
+        if overhead > _MAX_CHUNK_OVERHEAD_BYTES:
             self.abort(CloseReason.CHUNKS)
 
     def _note_head(self, count: int) -> None:
@@ -269,7 +271,7 @@
         self._options = {
             "keepalive_timeout": _KEEP_ALIVE_TIMEOUT_S,
             "lingering_time": _LINGERING_S,
-            "read_bufsize": _READ_BYTES,
+            "read_bufsize": _BUFFER_BYTES,
             "max_line_size": _MAX_HEAD_BYTES,
             "max_field_size": _MAX_HEAD_BYTES,
             **options,
--- a/fireflydeck/entry/request_body.py
+++ b/fireflydeck/entry/request_body.py
@@ -8,8 +8,8 @@
 
 BODY_ERRORS = (ConnectionError, web.RequestPayloadError)
 """Raised by `read_body` if the connection is lost or the rest of the body is not valid HTTP."""
-_DECOMPRESSOR_BYTES = 48 * 1024
-"""Memory of the decompressor of one body."""
+_DECOMPRESSOR_BYTES = 96 * 1024
+"""Memory of the decompressor of one body, with what it has not passed on yet."""
 
 
 async def read_body(request: web.BaseRequest, limit: int) -> bytes | None:
--- a/fireflydeck/entry/tests/test_bounded_listener.py
+++ b/fireflydeck/entry/tests/test_bounded_listener.py
@@ -22,6 +22,7 @@
 
 _GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 _POST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n"
+_CHUNKED = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 _UPGRADE = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n"
 _LIMITS = RequestLimits(header_timeout_ms=300, idle_timeout_ms=600)
 
@@ -115,6 +116,7 @@
         (b"GET / HTTP/1.1\r\n" + b"a: " + b"b" * 8000 + b"\r\n", CloseReason.SLOW_HEAD),
         (b"GET / HTTP/1.1\r\n" + (b"a: " + b"b" * 8000 + b"\r\n") * 4, CloseReason.LONG_HEAD),
         (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 1000, CloseReason.INVALID),
+        (_CHUNKED + b"1\r\n \r\n" * 6000, CloseReason.CHUNKS),
     ],
     ids=[
         "unused",
@@ -125,6 +127,7 @@
         "field",
         "long-head",
         "many-fields",
+        "chunks",
     ],
 )
 async def test_unfinished_request_is_closed(content, reason):
@@ -214,6 +217,15 @@
         assert sum(fields["count"] for fields in lines) <= 30
 
 
+async def test_largest_body_in_ordinary_chunks_is_read():
+    """Guard against a bound on chunks that legal clients reach."""
+    chunk = b"80\r\n" + b" " * 128 + b"\r\n"
+    async with _listening() as running:
+        connection = await running.connect()
+        assert await _status(connection, _CHUNKED + chunk * 2048 + b"0\r\n\r\n") == 200
+        assert len(running.bodies[0]) == 262_144
+
+
 async def test_ordinary_requests_leave_nothing_charged():
     """Guard against a budget that keeps-alive connections use up bit by bit."""
     async with _listening() as running:
--- a/fireflydeck/settings/catalogue.py
+++ b/fireflydeck/settings/catalogue.py
@@ -175,7 +175,7 @@
 The limits of one request are in the operators' configuration: `max_header_bytes`, `max_body_bytes`,
 `header_timeout_ms`, `idle_timeout_ms`. Fixed bounds beside them: 128 header fields, two requests
 parsed ahead, 100 bytes per second of a body after 5 s, 5 s without a read of a pending response,
-four bytes on the wire per byte of the largest body, 75 s between two requests.
+16 KiB on the wire beyond the content of a body in chunks, 75 s between two requests.
 """
 
 
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -177,3 +177,17 @@
             await wait_until(entry.is_ready, what="readiness")
 
     _run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("name", ["held-body", "pipelined"])
+def test_planned_stop_ends_during_a_crowd(tmp_path, name):
+    """Guard against a stop that waits for clients which never finish."""
+
+    async def scenario(fleet):
+        entry = fleet.entries[0]
+        async with running_crowd(entry.address, CROWDS[name](_JOB_PATH), _CONNECTIONS):
+            await anyio.sleep(_CROWD_S / 2)
+            entry.process.terminate()
+            assert await entry.process.wait_for_exit() == 0
+
+    _run(tmp_path, scenario)
