--- a/fireflydeck/scheduling/reservations.py
+++ b/fireflydeck/scheduling/reservations.py
@@ -35,11 +35,11 @@
 
 __all__ = ["Reservations", "WaitReason"]
 
-_FITS_PER_RESERVATION = 2
-"""Waiting tasks whose earliest time is computed for each reservation of a pass.
+_FURTHER_FITS = 1
+"""Number of tasks beyond `max_per_pool` whose earliest time is computed in a pass.
 
-Together with `_MAX_CHECKED` it bounds the duration of a planning pass. Some of these tasks get no
-reservation, for instance since they would be late by then.
+Some tasks get no reservation after that, since they would be late by then. Each computation takes
+a noticeable part of a planning pass.
 """
 _MAX_CHECKED = 32
 """Waiting tasks of a pool that are checked in a pass; most at a time may wait for one limit."""
@@ -165,7 +165,7 @@
         room.note_waiting(demand)
         is_considered = (
             room.reservations < self.max_per_pool
-            and room.fits_computed < self.max_per_pool * _FITS_PER_RESERVATION
+            and room.fits_computed < self.max_per_pool + _FURTHER_FITS
             and room.checked < _MAX_CHECKED
         )
         is_gang = len(tasks) > 1
--- a/fireflydeck/settings/catalogue.py
+++ b/fireflydeck/settings/catalogue.py
@@ -22,7 +22,7 @@
         "--reservations",
         "0 or more",
         "`0`",
-        "Number of waiting tasks and gangs of a pool for which capacity is reserved; with 0 "
+        "Number of waiting large tasks and gangs of a pool for which capacity is reserved; with 0 "
         "nothing is reserved, and tasks go to the server with the least free CPU. See "
         "[reservations](design/reservations.md).",
     ),
