--- a/fireflydeck/policy/speculation.py
+++ b/fireflydeck/policy/speculation.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "CopyDecision",
+    "CopyRecord",
     "DurationSpread",
     "RunProgress",
     "SurvivalCurve",
@@ -34,6 +35,9 @@
 _MIN_GAIN = 1.2
 """Factor by which the remaining time of a run must exceed the duration of a copy."""
 _MAX_OBSERVATIONS = 512
+_MIN_ENDED_COPIES = 10
+"""Copies of a queue after which their results decide whether there are more."""
+_MIN_WON_FRACTION = 0.2
 
 
 @frozen
@@ -173,6 +177,31 @@
     copy_ms: float
 
 
+@define
+class CopyRecord:
+    """Copies of a queue's tasks so far, by how they ended.
+
+    Parameters
+    ----------
+    won
+        Copies that ended `done` before the first run.
+    lost
+        Copies that were stopped because the first run ended `done`.
+    """
+
+    won: int = 0
+    lost: int = 0
+
+    @property
+    def is_promising(self) -> bool:
+        """Return whether further copies may gain time.
+
+        Where the slow tasks have more work, and not a slow server, their copies are as slow.
+        """
+        ended = self.won + self.lost
+        return ended < _MIN_ENDED_COPIES or self.won >= ended * _MIN_WON_FRACTION
+
+
 def copy_budget(running_tasks: int) -> int:
     """Return how many tasks of a pool may have a copy at a time."""
     return max(1, int(running_tasks * _BUDGET_FRACTION))
--- a/fireflydeck/policy/tests/test_speculation.py
+++ b/fireflydeck/policy/tests/test_speculation.py
@@ -5,6 +5,7 @@
 import pytest
 
 from fireflydeck.policy.speculation import (
+    CopyRecord,
     DurationSpread,
     SurvivalCurve,
     choose_copies,
@@ -83,3 +84,11 @@
     spread.ended.extend([9.0] * 100)
     spread.ended.extend([1.0] * 600)
     assert spread.curve().quantile(0.99) == 1.0
+
+
+@pytest.mark.parametrize(
+    ("won", "lost", "expected"), [(0, 9, True), (0, 10, False), (1, 9, False), (2, 8, True)]
+)
+def test_copies_end_for_a_queue_where_they_do_not_win(won, lost, expected):
+    """Load: the slow tasks have more work, so that their copies only use capacity."""
+    assert CopyRecord(won, lost).is_promising is expected
--- a/fireflydeck/scheduling/speculative_copies.py
+++ b/fireflydeck/scheduling/speculative_copies.py
@@ -12,6 +12,7 @@
 from fireflydeck.kernel import Event, EventLog, Metrics
 from fireflydeck.policy.speculation import (
     CopyDecision,
+    CopyRecord,
     RunProgress,
     choose_copies,
     copy_budget,
@@ -40,8 +41,9 @@
 class SpeculativeCopies:
     """Planner of copies, for steps whose tasks may have two runs at once.
 
-    Its only state is the learned spread of durations. The copies are those that the backend servers
-    report, so the next holder of the lease counts them too.
+    Its only state is what it has learned: the spread of durations, and how the copies of each queue
+    ended. The copies are those that the backend servers report, so the next holder of the lease
+    counts them too.
 
     Parameters
     ----------
@@ -61,6 +63,7 @@
     _checks: list[tuple[float, int, Attempt]] = field(factory=list, init=False)
     _check_number: int = field(default=0, init=False)
     _next_check_ms: int = field(default=0, init=False)
+    _records: dict[str, CopyRecord] = field(factory=dict, init=False)
 
     # Runs
 
@@ -81,6 +84,7 @@
             was_cut_off = self.durations.cut_off(attempt, now_ms)
             if was_cut_off and attempt.is_copy and attempt.stop_requested:
                 used = attempt.task.step.demand.cpu * attempt.min_elapsed_ms(now_ms)
+                self._record_of(attempt.task).lost += 1
                 self.metrics.count("speculative_copies_stopped_total")
                 self.metrics.count(
                     "speculative_copies_stopped_core_seconds_total", used / _MILLICORE_MS_PER_CORE_S
@@ -98,10 +102,14 @@
         if end == RunEnd.DONE:
             self.durations.complete(attempt, now_ms)
             if attempt.is_copy and len(attempt.task.attempts) > 1:
+                self._record_of(attempt.task).won += 1
                 self.metrics.count("speculative_copies_won_total")
         if end == RunEnd.FAILED and attempt.is_copy:
             self.metrics.count("speculative_copies_failed_total")
 
+    def _record_of(self, task: Task) -> CopyRecord:
+        return self._records.setdefault(task.job.spec.queue, CopyRecord())
+
     def forget(self, job: Job) -> None:
         """Remove the durations of a job's steps."""
         self.durations.forget(job)
@@ -168,6 +176,8 @@
             queue = configuration.queue(task.job.spec.queue)
             if queue is None or wait_ms > 0 or not _may_get_copy(task, now_ms):
                 continue
+            if not self._record_of(task).is_promising:
+                continue
             if self.may_start(queue) and not hidden.may_include(task.job):
                 due[queue.pool].append(run)
         return due
