--- a/fireflydeck/entry/bounded_listener.py
+++ b/fireflydeck/entry/bounded_listener.py
@@ -13,8 +13,9 @@
 
 __all__ = ["BoundedListener"]
 
-_ACCEPTS_AT_ONCE = 32
-"""Connections that are accepted before other work of the event loop."""
+_ACCEPTS_AT_ONCE = 8
+"""Connections that are accepted in one pass of the event loop. Those that are closed for them keep
+their descriptors until the next pass, so this is also the excess over the limit."""
 _KERNEL_BUFFER_BYTES = 16 * 1024
 """Receive and send buffer of a connection; the kernel doubles it for its own bookkeeping."""
 
