--- a/fireflydeck/ownership/larger_vm_search.py
+++ b/fireflydeck/ownership/larger_vm_search.py
@@ -27,8 +27,13 @@
     _pause_ms: int = _FIRST_PAUSE_MS
 
     def restart(self, now_ms: int) -> None:
-        """Schedule the first search of a tenure."""
-        self._pause_ms = _FIRST_PAUSE_MS
+        """Schedule the first search of a tenure.
+
+        The pause of a tenure that ended recently is kept: its hand-over may have failed, and the
+        lease would go to and fro.
+        """
+        if now_ms > self.next_ms + _MAX_PAUSE_MS:
+            self._pause_ms = _FIRST_PAUSE_MS
         self.next_ms = now_ms + self._pause_ms
 
     def begin_if_due(self, now_ms: int) -> bool:
