--- a/fireflydeck/scheduling/tests/test_share_tracker.py
+++ b/fireflydeck/scheduling/tests/test_share_tracker.py
@@ -80,7 +80,7 @@
     assert [first.level(job) for job in jobs] == [second.level(job) for job in jobs]
 
 
-def test_overload_is_told_for_the_organisation_beyond_its_share_until_it_is_over():
+def test_overload_names_the_organisation_beyond_its_share_and_ends():
     """Entry processes refuse jobs by these figures; they must not outlast the flood."""
     tracker, jobs = _tracker(), _jobs("flood", 30) + _jobs("small", 1, first=100)
     _assign(tracker, jobs)
