--- a/fireflydeck/entry/tests/test_admission.py
+++ b/fireflydeck/entry/tests/test_admission.py
@@ -9,11 +9,11 @@
 import pytest
 
 from fireflydeck.core import Ran
+from fireflydeck.core.pool_overload import PoolOverload
 from fireflydeck.entry.caller_request import CallerAnswer
 from fireflydeck.entry.tests.interface_client import running_interface
 from fireflydeck.kernel import Event
 from fireflydeck.platform.standin.documents import submission_document
-from fireflydeck.policy.admission import PoolOverload
 from fireflydeck.testing.job_builders import JOB_ID
 from fireflydeck.workload import job_key
 from fireflydeck.workload.records import REFUSALS_TABLE, refusal_key
--- a/fireflydeck/ownership/lease.py
+++ b/fireflydeck/ownership/lease.py
@@ -7,6 +7,7 @@
 from attrs import evolve
 
 from fireflydeck.core import Clock, Failure, Ran, Reason
+from fireflydeck.core.pool_overload import PoolOverload
 from fireflydeck.core.rows import RowKey, RowStore, RowWrite, StoredRow
 from fireflydeck.kernel import Event, EventLog, Registry, Service, keep_running
 from fireflydeck.ownership.candidacy import lease_free_at_ms
@@ -24,7 +25,6 @@
     decode_lease,
 )
 from fireflydeck.ownership.succession import Successors
-from fireflydeck.policy.admission import PoolOverload
 
 __all__ = ["LeaseKeeper"]
 
--- a/fireflydeck/ownership/published_overload.py
+++ b/fireflydeck/ownership/published_overload.py
@@ -3,8 +3,8 @@
 from typing import Any
 
 from fireflydeck.core import Clock
+from fireflydeck.core.pool_overload import PoolOverload
 from fireflydeck.core.typed_values import mistyped_fields
-from fireflydeck.policy.admission import PoolOverload
 
 __all__ = ["PublishedOverload", "decode_overload"]
 
--- a/fireflydeck/ownership/records.py
+++ b/fireflydeck/ownership/records.py
@@ -3,10 +3,10 @@
 import msgpack
 from attrs import Factory, asdict, fields_dict, frozen
 
+from fireflydeck.core.pool_overload import PoolOverload
 from fireflydeck.core.rows import RowKey
 from fireflydeck.core.typed_values import mistyped_fields
 from fireflydeck.ownership.published_overload import decode_overload
-from fireflydeck.policy.admission import PoolOverload
 from fireflydeck.workload.records import FLEET_PARTITION
 
 __all__ = [
--- a/fireflydeck/ownership/tests/test_published_overload.py
+++ b/fireflydeck/ownership/tests/test_published_overload.py
@@ -9,10 +9,10 @@
 import pytest
 
 from fireflydeck.core import Ran
+from fireflydeck.core.pool_overload import PoolOverload
 from fireflydeck.ownership.published_overload import PublishedOverload
 from fireflydeck.ownership.records import LEASE_ROW, LeaseRecord, decode_lease
 from fireflydeck.ownership.tests.members import holders, running_members
-from fireflydeck.policy.admission import PoolOverload
 from fireflydeck.testing.clock import FakeClock
 
 pytestmark = pytest.mark.anyio
--- a/fireflydeck/policy/admission.py
+++ b/fireflydeck/policy/admission.py
@@ -6,10 +6,11 @@
 from attrs import frozen
 
 from fireflydeck.core.fleet_configuration import JobQueue
+from fireflydeck.core.pool_overload import PoolOverload
 from fireflydeck.policy.job_order import longest_chain_ms, objective_ms
 from fireflydeck.workload.specification import JobSpec
 
-__all__ = ["JobRefusal", "PoolOverload", "decide_refusal"]
+__all__ = ["JobRefusal", "decide_refusal"]
 
 _USELESS_AFTER_OBJECTIVES = 3
 """A job is of no use any more after this many times its objective."""
@@ -21,22 +22,6 @@
 _HASH_RANGE = 2 ** (8 * _HASH_BYTES)
 
 
-@frozen
-class PoolOverload:
-    """Overload of a pool, as the holder of the lease publishes it.
-
-    Parameters
-    ----------
-    wait_ms
-        Expected time until a new job beyond its organisation's share could start, in milliseconds.
-    accepted
-        Fraction of the new jobs to accept, by organisation; 1 for organisations that are missing.
-    """
-
-    wait_ms: int
-    accepted: dict[str, float]
-
-
 @frozen
 class JobRefusal:
     """Refusal of a job and what it was decided by, for the answer and the log.
--- a/fireflydeck/policy/tests/test_admission.py
+++ b/fireflydeck/policy/tests/test_admission.py
@@ -9,7 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fireflydeck.policy.admission import PoolOverload, decide_refusal
+from fireflydeck.core.pool_overload import PoolOverload
+from fireflydeck.policy.admission import decide_refusal
 from fireflydeck.testing.job_builders import build_queue, build_spec, build_step
 
 _QUEUE = build_queue()
--- a/fireflydeck/scheduling/queued_jobs.py
+++ b/fireflydeck/scheduling/queued_jobs.py
@@ -6,7 +6,7 @@
 
 from fireflydeck.core import Clock
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
-from fireflydeck.policy.admission import PoolOverload
+from fireflydeck.core.pool_overload import PoolOverload
 from fireflydeck.policy.job_order import SortKey, rank_job
 from fireflydeck.scheduling.pool_room import PoolRoom
 from fireflydeck.scheduling.share_tracker import ShareLevel, ShareTracker, has_weighted_shares
--- a/fireflydeck/scheduling/scheduler.py
+++ b/fireflydeck/scheduling/scheduler.py
@@ -5,13 +5,13 @@
 
 from fireflydeck.core import Clock
 from fireflydeck.core.advisor import PlacementAdvisor
+from fireflydeck.core.pool_overload import PoolOverload
 from fireflydeck.core.rows import RowStore
 from fireflydeck.core.vm_orders import VmOrders
 from fireflydeck.kernel import EventLog, Metrics, Registry, Service, keep_running
 from fireflydeck.observation.operator_documents import OperatorDocuments
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.ownership.records import Tenure
-from fireflydeck.policy.admission import PoolOverload
 from fireflydeck.scheduling.tenure_scheduler import OrdersFactory, TenureScheduler
 from fireflydeck.scheduling.vm_fleet import VmOperationTimes
 
--- a/fireflydeck/scheduling/share_tracker.py
+++ b/fireflydeck/scheduling/share_tracker.py
@@ -7,8 +7,8 @@
 from attrs import define, field, frozen
 
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
+from fireflydeck.core.pool_overload import PoolOverload
 from fireflydeck.kernel import Event, EventLog, Metrics
-from fireflydeck.policy.admission import PoolOverload
 from fireflydeck.policy.fair_share import ShareClaim, divide_fairly, is_within_share
 from fireflydeck.policy.job_order import NEW_JOB_TIME_FACTOR
 from fireflydeck.scheduling.work_estimates import WorkEstimates
--- a/fireflydeck/scheduling/start_planner.py
+++ b/fireflydeck/scheduling/start_planner.py
@@ -7,8 +7,8 @@
 from fireflydeck.core import Clock
 from fireflydeck.core.backend_orders import EndedRun, RunEnd
 from fireflydeck.core.fleet_configuration import FleetConfiguration, JobQueue
+from fireflydeck.core.pool_overload import PoolOverload
 from fireflydeck.observation.operator_documents import OperatorDocuments
-from fireflydeck.policy.admission import PoolOverload
 from fireflydeck.scheduling.demand import (
     Inflow,
     PoolDemand,
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -10,6 +10,7 @@
 from fireflydeck.core.advisor import PlacementAdvisor
 from fireflydeck.core.backend_orders import BackendServerOrders
 from fireflydeck.core.placement import Registration
+from fireflydeck.core.pool_overload import PoolOverload
 from fireflydeck.core.rows import RowStore
 from fireflydeck.core.vm_orders import VmOrders
 from fireflydeck.kernel import (
@@ -24,7 +25,6 @@
 from fireflydeck.observation.registrations import Registrations
 from fireflydeck.ownership.lease import LeaseKeeper
 from fireflydeck.ownership.records import Tenure
-from fireflydeck.policy.admission import PoolOverload
 from fireflydeck.scheduling.fencing import FencingTokens
 from fireflydeck.scheduling.fleet_knowledge import FleetKnowledge
 from fireflydeck.scheduling.job_tracker import JobTracker
