--- a/fireflydeck/policy/job_order.py
+++ b/fireflydeck/policy/job_order.py
@@ -20,11 +20,11 @@
 NEW_JOB_TIME_FACTOR = 1.2
 """Factor on the remaining time of a job that has not started, when its deadline is checked."""
 
-
-_WITHIN_SHARE_GROUP = 1
-"""Group of the started jobs within their organisation's share; new ones are in the next group."""
+_LONG_RUNNING_GROUP = 0
+_STARTED_GROUP = 1
+_WITHIN_SHARE_GROUP = 2
 _BEYOND_SHARE_GROUP = 3
-_LATE_GROUP = 5
+_LATE_GROUP = 4
 
 SortKey = tuple[int, int, float]
 """Group, priority and deadline of a job."""
@@ -35,9 +35,9 @@
     """Sort key of a job; the job with the smallest rank is served first.
 
     Long-running jobs come first, then jobs that can still meet their deadline, then the others.
-    Among those that can still meet it, jobs within their organisation's share come first, then
-    jobs that have started, since the work done on them is lost if they become late. Within a group
-    the order is by priority, then by deadline.
+    Among those that can still meet it, jobs that have started come first, since the work done on
+    them is lost if they become late, then new jobs within their organisation's share, then the
+    other new ones. Within a group the order is by priority, then by deadline.
     """
 
     group: int
@@ -102,7 +102,7 @@
         Whether the job's organisation had its share of a full pool already.
     """
     if is_long_running:
-        return JobRank(0, priority, deadline_ms)
+        return JobRank(_LONG_RUNNING_GROUP, priority, deadline_ms)
     if not is_on_time(
         deadline_ms=deadline_ms,
         remaining_ms=remaining_ms,
@@ -110,5 +110,7 @@
         now_ms=now_ms,
     ):
         return JobRank(_LATE_GROUP, priority, deadline_ms)
+    if has_started:
+        return JobRank(_STARTED_GROUP, priority, deadline_ms)
     group = _BEYOND_SHARE_GROUP if is_beyond_share else _WITHIN_SHARE_GROUP
-    return JobRank(group if has_started else group + 1, priority, deadline_ms)
+    return JobRank(group, priority, deadline_ms)
--- a/fireflydeck/policy/tests/test_job_order.py
+++ b/fireflydeck/policy/tests/test_job_order.py
@@ -67,3 +67,15 @@
 
 def test_urgent_queues_go_first_among_those_in_time():
     assert _rank(9000, priority=0) < _rank(1001, priority=1)
+
+
+def test_new_jobs_within_the_share_go_before_those_beyond():
+    """Load: one organisation floods a full pool."""
+    assert _rank(5000, remaining_ms=800) < _rank(3000, remaining_ms=800, is_beyond_share=True)
+    assert _rank(3000, remaining_ms=800, is_beyond_share=True) < _rank(900)
+
+
+def test_started_job_beyond_the_share_is_finished():
+    """Jobs that stop half-way take the capacity of a mildly overloaded pool without any result."""
+    started = _rank(5000, remaining_ms=800, is_beyond_share=True, has_started=True)
+    assert started < _rank(3000, remaining_ms=800)
