--- a/fireflydeck/entry/role.py
+++ b/fireflydeck/entry/role.py
@@ -4,6 +4,7 @@
 from resource import RLIMIT_NOFILE, getrlimit
 
 import anyio
+from attrs import frozen
 
 from fireflydeck.core import SystemClock
 from fireflydeck.core.fleet_configuration import RequestLimits
@@ -44,6 +45,14 @@
 _EXIT_CODE_BAD_SETTINGS = 2
 
 
+@frozen
+class _PlanningOptions:
+    """Options of the planner of starts; see `run_entry`."""
+
+    reservations: int
+    speculative_copies: bool
+
+
 class _PlatformClients:
     """Clients of the platform's interfaces; they are closed after the services that use them."""
 
@@ -58,7 +67,9 @@
             await client.close()
 
 
-def run_entry(metrics_port: int, reservations: int = 0) -> None:
+def run_entry(
+    metrics_port: int, reservations: int = 0, *, speculative_copies: bool = False
+) -> None:
     """Run the entry role until SIGTERM.
 
     Parameters
@@ -67,10 +78,16 @@
         Port of ``/metrics`` on the VM's address.
     reservations
         Number of waiting tasks and gangs of a pool for which capacity is reserved; 0 for none.
+    speculative_copies
+        Whether slow tasks of speculative steps get copies.
     """
+    planning = _PlanningOptions(reservations, speculative_copies)
     if type(reservations) is not int or reservations < 0:
         print("fireflydeck entry: --reservations must be 0 or more", file=sys.stderr)
         sys.exit(_EXIT_CODE_BAD_SETTINGS)
+    if type(speculative_copies) is not bool:
+        print("fireflydeck entry: --speculative_copies must be True or False", file=sys.stderr)
+        sys.exit(_EXIT_CODE_BAD_SETTINGS)
     path = settings_path()
     try:
         settings = load_node_settings(path)
@@ -80,7 +97,7 @@
         sys.exit(_EXIT_CODE_BAD_SETTINGS)
     sink = configure_bounded_logging()
     clients = _PlatformClients(settings)
-    kernel = _build_kernel(settings, limits, metrics_port, clients, reservations)
+    kernel = _build_kernel(settings, limits, metrics_port, clients, planning)
     forward_library_log(kernel.log)
     kernel.add(SettingsWatch(path, settings, kernel.clock, kernel.log))
     kernel.add(sink)
@@ -117,7 +134,7 @@
     limits: ClientLimits,
     metrics_port: int,
     clients: _PlatformClients,
-    reservations: int,
+    planning: _PlanningOptions,
 ) -> Kernel:
     kernel = Kernel(settings.name, "entry", SystemClock())
     clock, log, metrics = kernel.clock, kernel.log, kernel.metrics
@@ -172,7 +189,8 @@
             advisor=clients.advisor,
             vm_operation_times=times,
             status_ms=settings.bounds.outcome_retention_ms,
-            reservations=reservations,
+            reservations=planning.reservations,
+            speculative_copies=planning.speculative_copies,
         )
     )
     kernel.add(refusals)
--- a/fireflydeck/scheduling/scheduler.py
+++ b/fireflydeck/scheduling/scheduler.py
@@ -31,6 +31,8 @@
         Time for which callers may query the outcome of a job, in milliseconds.
     reservations
         Number of waiting tasks and gangs of a pool for which capacity is reserved; 0 for none.
+    speculative_copies
+        Whether slow tasks of speculative steps get copies.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         vm_operation_times: VmOperationTimes,
         status_ms: int,
         reservations: int = 0,
+        speculative_copies: bool = False,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -57,6 +60,7 @@
         self._vm_operation_times = vm_operation_times
         self._status_ms = status_ms
         self._reservations = reservations
+        self._speculative_copies = speculative_copies
         self._lease: LeaseKeeper | None = None
         self._operators: OperatorDocuments | None = None
         self._changed = anyio.Event()
@@ -141,6 +145,7 @@
             vm_operation_times=self._vm_operation_times,
             status_ms=self._status_ms,
             reservations=self._reservations,
+            speculative_copies=self._speculative_copies,
         )
         self._current = current
         try:
--- a/fireflydeck/scheduling/speculative_copies.py
+++ b/fireflydeck/scheduling/speculative_copies.py
@@ -47,6 +47,8 @@
 
     Parameters
     ----------
+    is_enabled
+        Whether copies are started; those of an earlier holder are kept in any case.
     may_start
         Returns whether tasks of a queue may be started in its pool.
     """
@@ -55,6 +57,7 @@
     log: EventLog
     metrics: Metrics
     durations: RunDurations
+    is_enabled: bool = True
     placer: TaskPlacer = field(init=False)
     may_start: Callable[[JobQueue], bool] = field(init=False)
     _active: dict[str, Task] = field(factory=dict, init=False)
@@ -75,7 +78,8 @@
             if len(task.attempts) > 1:
                 self._with_copy[task.name] = task
             self.durations.begin(attempt)
-            self._check_at(attempt, self.clock.now_ms() + _MIN_RECHECK_MS)
+            if self.is_enabled:
+                self._check_at(attempt, self.clock.now_ms() + _MIN_RECHECK_MS)
 
     def on_released(self, attempt: Attempt) -> None:
         """Record that a run is over; without `on_ended` before, it ended early."""
@@ -137,7 +141,7 @@
             copy, since they may have one.
         """
         now_ms = self.clock.now_ms()
-        if now_ms < self._next_check_ms:
+        if not self.is_enabled or now_ms < self._next_check_ms:
             return []
         self._next_check_ms = now_ms + _CHECK_INTERVAL_MS
         starts: list[Start] = []
--- a/fireflydeck/scheduling/tenure_scheduler.py
+++ b/fireflydeck/scheduling/tenure_scheduler.py
@@ -77,6 +77,8 @@
         Time for which callers may query the outcome of a job, in milliseconds.
     reservations
         Number of waiting tasks and gangs of a pool for which capacity is reserved; 0 for none.
+    speculative_copies
+        Whether slow tasks of speculative steps get copies.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         vm_operation_times: VmOperationTimes,
         status_ms: int,
         reservations: int = 0,
+        speculative_copies: bool = False,
     ) -> None:
         self._tenure = tenure
         self._store = store
@@ -157,7 +160,11 @@
         )
         self._estimates = WorkEstimates()
         self._copies = SpeculativeCopies(
-            clock=clock, log=log, metrics=metrics, durations=RunDurations(self._estimates)
+            clock=clock,
+            log=log,
+            metrics=metrics,
+            durations=RunDurations(self._estimates),
+            is_enabled=speculative_copies,
         )
         self._run_tracker = RunTracker(
             servers=self._servers,
@@ -170,7 +177,7 @@
             metrics=metrics,
             run_in_background=self._run_in_background,
             request_planning=self.request_planning,
-            may_hide_start=self._knowledge.may_hide_start,
+            may_hide_start=self._may_hide_copy,
             copies=self._copies,
         )
         ticket_cache = TicketCache(
@@ -420,6 +427,10 @@
     def _fail_job(self, job: Job) -> None:
         self._run_tracker.fail_job(job)
 
+    def _may_hide_copy(self, job: Job) -> bool:
+        """Return whether an earlier holder may have sent the start of a copy that is not known."""
+        return self._copies.is_enabled and self._knowledge.may_hide_start(job)
+
     def _fail_exhausted_job(self, job: Job) -> None:
         """Fail a job that has a task without further attempts, unless a run of it may be unknown.
 
--- a/fireflydeck/scheduling/tests/fleet.py
+++ b/fireflydeck/scheduling/tests/fleet.py
@@ -52,6 +52,7 @@
             vm_operation_times=_TIMES,
             status_ms=STATUS_MS,
             reservations=fleet.reservations,
+            speculative_copies=True,
         )
         self.registry = Registry()
         for service in (self.lease, self.operators, self.scheduler):
--- a/fireflydeck/settings/catalogue.py
+++ b/fireflydeck/settings/catalogue.py
@@ -26,6 +26,13 @@
         "nothing is reserved, and tasks go to the server with the least free CPU. See "
         "[reservations](design/reservations.md).",
     ),
+    (
+        "--speculative_copies",
+        "`True` or `False`",
+        "`False`",
+        "Whether tasks of speculative steps that take clearly longer than expected get a second "
+        "run. See [speculative copies](design/speculative-copies.md).",
+    ),
 )
 """Flags of the entry role: flag, allowed values, default and meaning."""
 _SECRET_FORMAT = "16 characters or more, from the environment only"
--- a/fireflydeck/testing/platform_fleet.py
+++ b/fireflydeck/testing/platform_fleet.py
@@ -184,7 +184,7 @@
     path.write_bytes(settings)
     process = ManagedProcess(
         name,
-        ["entry", f"--metrics_port={_port(metrics)}"],
+        ["entry", f"--metrics_port={_port(metrics)}", "--speculative_copies=True"],
         directory,
         environ={"FIREFLYDECK_BOOT": str(path)},
         admin=metrics,
