--- a/fireflydeck/scheduling/tests/test_pool_room.py
+++ b/fireflydeck/scheduling/tests/test_pool_room.py
@@ -6,13 +6,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fireflydeck.core.placement import BackendServerState, Registration, Resources
+from fireflydeck.core.placement import Resources
 from fireflydeck.scheduling.pool_room import PoolRoom
 from fireflydeck.scheduling.queued_jobs import QueuedJobs
-from fireflydeck.scheduling.server_life import ServerLife
 from fireflydeck.scheduling.servers import Server
 from fireflydeck.scheduling.tests.fleet import running_fleet
 from fireflydeck.testing.job_builders import accept_job, build_job, build_spec, build_step
+from fireflydeck.testing.server_builders import build_server
 from fireflydeck.workload.lifecycle import start_attempt
 
 _SERVERS = 12
@@ -26,23 +26,12 @@
 )
 
 
-def _server(server_id, capacity):
-    registration = Registration(
-        server_id=server_id,
-        pool="paint",
-        address="127.0.0.1:1",
-        data_centre="zvolen",
-        state=BackendServerState.READY,
-        capacity=capacity,
-        labels=frozenset(),
-    )
-    return Server(registration, None, ServerLife(fencing_token=1, known_since_ms=0))
-
-
 @given(capacities=st.lists(_demands, max_size=4), steps=st.lists(_steps, max_size=20))
 @settings(derandomize=True, deadline=None, database=None)
 def test_servers_with_room_are_those_that_fit(capacities, steps):
-    servers = [_server(f"s{number}", capacity) for number, capacity in enumerate(capacities)]
+    servers = [
+        build_server(f"s{number}", capacity=capacity) for number, capacity in enumerate(capacities)
+    ]
     room = PoolRoom(servers)
     for step in steps:
         fitting = [server for server in servers if server.fits(step)]
@@ -53,7 +42,7 @@
 
 
 def test_room_that_became_free_is_found_again():
-    server = _server("s1", Resources(2000, 2000))
+    server = build_server("s1", capacity=Resources(2000, 2000))
     step = build_step()
     task = next(iter(build_job(step).tasks.values()))
     attempt = start_attempt(task, server.id, min_run=1, now_ms=0)
--- a/fireflydeck/scheduling/tests/test_relocation.py
+++ b/fireflydeck/scheduling/tests/test_relocation.py
@@ -4,33 +4,16 @@
 the use of occupied room below, 4 of 77 VMs were late.
 """
 
-from fireflydeck.core.placement import BackendServerState, Registration, Resources
+from fireflydeck.core.placement import Resources
 from fireflydeck.scheduling.availability import has_task_starting_up
 from fireflydeck.scheduling.relocation import choose_relocations
-from fireflydeck.scheduling.server_life import RunCoverage, ServerLife
-from fireflydeck.scheduling.servers import Server
-from fireflydeck.testing.job_builders import SERVER_CAPACITY, build_job, build_step
+from fireflydeck.testing.job_builders import build_job, build_step
+from fireflydeck.testing.server_builders import build_server
 from fireflydeck.workload.lifecycle import mark_running, start_attempt
 
 _MUCH_MS = 60_000
 
 
-def _server(server_id, *, is_pending=False):
-    registration = Registration(
-        server_id=server_id,
-        pool="paint",
-        address="127.0.0.1:1",
-        data_centre="zvolen",
-        state=BackendServerState.READY,
-        capacity=SERVER_CAPACITY,
-        labels=frozenset(),
-    )
-    life = ServerLife(fencing_token=1, known_since_ms=0, coverage=RunCoverage.COMPLETE)
-    server = Server(registration, None, life, is_in_roster=True, is_reachable=True)
-    server.has_pending_maintenance = is_pending
-    return server
-
-
 def _lasting_step(count):
     return build_step(
         count=count,
@@ -63,23 +46,23 @@
 
 
 def test_step_with_the_most_tasks_to_relocate_comes_first():
-    sources = [_server(f"s{number}", is_pending=True) for number in range(3)]
+    sources = [build_server(f"s{number}", has_pending_maintenance=True) for number in range(3)]
     few = _run(build_job(_lasting_step(1), job_id="00000000000000a1"), sources[0])
     many = _run(build_job(_lasting_step(2), job_id="00000000000000a2"), *sources[1:])
-    chosen = _choose(sources, [_server("t1")])
+    chosen = _choose(sources, [build_server("t1")])
     assert chosen[0] in many
     assert chosen[0] not in few
 
 
 def test_budget_allows_one_relocation_at_a_time():
-    sources = [_server(f"s{number}", is_pending=True) for number in range(2)]
+    sources = [build_server(f"s{number}", has_pending_maintenance=True) for number in range(2)]
     first, _ = _run(build_job(_lasting_step(2)), *sources)
     first.stop_requested = True
-    assert _choose(sources, [_server("t1")]) == []
+    assert _choose(sources, [build_server("t1")]) == []
 
 
 def test_full_pool_is_waited_for_only_while_there_is_time():
-    source, target = _server("s1", is_pending=True), _server("t1")
+    source, target = build_server("s1", has_pending_maintenance=True), build_server("t1")
     attempts = _run(build_job(_lasting_step(1)), source)
     _fill(target)
     assert _choose([source], [target]) == []
@@ -87,7 +70,7 @@
 
 
 def test_room_that_long_running_tasks_use_is_not_counted_on():
-    source, target = _server("s1", is_pending=True), _server("t1")
+    source, target = build_server("s1", has_pending_maintenance=True), build_server("t1")
     _run(build_job(_lasting_step(1)), source)
     large = build_step(long_running=True, demand=Resources(30_000, 1000))
     _run(build_job(large, job_id="00000000000000fe"), target)
@@ -96,14 +79,14 @@
 
 def test_server_with_a_task_of_the_same_step_is_no_target():
     """The stopped task would come back to a VM of the wave."""
-    source, target = _server("s1", is_pending=True), _server("t1")
+    source, target = build_server("s1", has_pending_maintenance=True), build_server("t1")
     _run(build_job(_lasting_step(2)), source, target)
     assert _choose([source], [target]) == []
 
 
 def test_startup_of_a_task_with_a_budget_is_followed_closely():
     """Each relocation of a step waited up to 700 ms for the report that ends the one before."""
-    server = _server("s1")
+    server = build_server("s1")
     (attempt,) = _run(build_job(_lasting_step(1)), server)
     assert not has_task_starting_up(server.attempts.values())
     attempt.reported_available = False
